Lay out the workspace: types, settings, events, platform and upstream edges

Cause: nothing exists yet; everything that later work builds on has to be set down first, in the users' shape (small files, one type each, newtypes, enums).

Change: a Cargo workspace with support packages under crates/, newtypes for ids, sizes, rates and times, a reader that reports every mistake of a settings or fleet file at once, typed events with a hybrid logical clock, the traits towards the platform and the engines with their HTTP forms.

No test has run yet.

--- /dev/null
+++ b/crates/cuminlb-caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge towards callers and operators.
--- /dev/null
+++ b/crates/cuminlb-config/src/fleet/fencing_support.rs
@@ -0,0 +1,40 @@
+//! [`FencingSupport`].
+
+use std::fmt;
+use std::str::FromStr;
+
+use cuminlb_types::UnknownWordError;
+
+/// What an engine does with an order that carries an old fencing number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FencingSupport {
+    /// The engine refuses the order.
+    #[default]
+    Checked,
+    /// The engine executes the order.
+    Ignored,
+}
+
+impl fmt::Display for FencingSupport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Checked => "checked",
+            Self::Ignored => "ignored",
+        })
+    }
+}
+
+impl FromStr for FencingSupport {
+    type Err = UnknownWordError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "checked" => Ok(Self::Checked),
+            "ignored" => Ok(Self::Ignored),
+            _ => Err(UnknownWordError {
+                expected: "checked or ignored",
+                text: text.into(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-config/src/fleet/zone_state.rs
@@ -0,0 +1,40 @@
+//! [`ZoneState`].
+
+use std::fmt;
+use std::str::FromStr;
+
+use cuminlb_types::UnknownWordError;
+
+/// Whether an availability zone takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ZoneState {
+    /// The zone takes new work.
+    #[default]
+    In,
+    /// Operators have taken the zone out; it takes no new work.
+    Out,
+}
+
+impl fmt::Display for ZoneState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::In => "in",
+            Self::Out => "out",
+        })
+    }
+}
+
+impl FromStr for ZoneState {
+    type Err = UnknownWordError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "in" => Ok(Self::In),
+            "out" => Ok(Self::Out),
+            _ => Err(UnknownWordError {
+                expected: "in or out",
+                text: text.into(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-config/src/settings/mod.rs
@@ -0,0 +1,19 @@
+//! The settings of one node.
+
+mod control_settings;
+mod limit_settings;
+mod listen_settings;
+mod log_format;
+mod log_settings;
+mod node_settings;
+mod platform_settings;
+mod security_settings;
+
+pub use self::control_settings::ControlSettings;
+pub use self::limit_settings::LimitSettings;
+pub use self::listen_settings::ListenSettings;
+pub use self::log_format::LogFormat;
+pub use self::log_settings::LogSettings;
+pub use self::node_settings::NodeSettings;
+pub use self::platform_settings::PlatformSettings;
+pub use self::security_settings::SecuritySettings;
--- /dev/null
+++ b/crates/cuminlb-config/src/settings/platform_settings.rs
@@ -0,0 +1,40 @@
+//! [`PlatformSettings`].
+
+use std::net::SocketAddr;
+
+use cuminlb_types::prelude::*;
+
+use crate::check::{Bounds, TableReader};
+
+/// The addresses of the platform's services and the bound on one call.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// The transactional table service.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+    /// The list of live and leaving instances.
+    pub instances: SocketAddr,
+    /// The time after which a call counts as lost.
+    pub timeout_ms: Millis,
+}
+
+impl PlatformSettings {
+    pub(crate) fn read(reader: &mut TableReader<'_>) -> Option<Self> {
+        let hint = "give the IP number and port of the platform's service";
+        let table = reader.required("table", hint);
+        let objects = reader.required("objects", hint);
+        let instances = reader.required("instances", hint);
+        let bounds = Bounds {
+            min: Millis(50),
+            max: Millis(10_000),
+        };
+        let timeout_ms = reader.bounded("timeout", Millis(1_000), bounds);
+        Some(Self {
+            table: table?,
+            objects: objects?,
+            instances: instances?,
+            timeout_ms,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-config/src/settings/security_settings.rs
@@ -0,0 +1,52 @@
+//! [`SecuritySettings`].
+
+use std::fmt;
+
+use smol_str::SmolStr;
+
+use crate::check::TableReader;
+
+/// The shortest token that is accepted, in bytes.
+const MIN_TOKEN_LEN_BYTES: usize = 16;
+
+/// The secrets of one node; its `Debug` form shows none of them.
+#[derive(Clone)]
+pub struct SecuritySettings {
+    /// The token that every node shows to its peers.
+    pub peer_token: SmolStr,
+    /// The token that operators show.
+    pub operator_token: SmolStr,
+}
+
+impl SecuritySettings {
+    pub(crate) fn read(reader: &mut TableReader<'_>) -> Option<Self> {
+        let peer_token = read_token(reader, "peer_token");
+        let operator_token = read_token(reader, "operator_token");
+        Some(Self {
+            peer_token: peer_token?,
+            operator_token: operator_token?,
+        })
+    }
+}
+
+impl fmt::Debug for SecuritySettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SecuritySettings").finish_non_exhaustive()
+    }
+}
+
+fn read_token(reader: &mut TableReader<'_>, key: &str) -> Option<SmolStr> {
+    let token: SmolStr = reader
+        .required::<String>(key, "give a secret of 16 bytes or more")?
+        .into();
+    if token.len() < MIN_TOKEN_LEN_BYTES {
+        let found = format!("{} bytes", token.len());
+        reader.reject(
+            key,
+            found,
+            format!("must have at least {MIN_TOKEN_LEN_BYTES} bytes"),
+        );
+        return None;
+    }
+    Some(token)
+}
--- /dev/null
+++ b/crates/cuminlb-events/src/hybrid_time.rs
@@ -0,0 +1,23 @@
+//! [`HybridTime`].
+
+use std::fmt;
+
+use cuminlb_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// A point of the hybrid logical clock: wall-clock time and a counter that breaks ties.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct HybridTime {
+    /// The highest wall-clock time seen so far.
+    pub wall_ms: UnixMillis,
+    /// Counts the events within the same millisecond.
+    pub counter: u32,
+}
+
+impl fmt::Display for HybridTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}+{}", self.wall_ms, self.counter)
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-events/src/lib.rs
@@ -0,0 +1,23 @@
+//! Typed events, the hybrid logical clock and the bounded ring behind the time line.
+//!
+//! Every decision that a person on call would ask about is an [`Event`]. A node records its
+//! events in its [`EventLog`], a bounded ring; `cuminctl timeline` merges the rings of all nodes
+//! in the order of their [`HybridTime`], which is causal even where the wall clocks differ.
+
+mod dissolve_cause;
+mod event;
+mod event_filter;
+mod event_kind;
+mod event_log;
+mod hybrid_clock;
+mod hybrid_time;
+mod request_outcome;
+
+pub use crate::dissolve_cause::DissolveCause;
+pub use crate::event::Event;
+pub use crate::event_filter::EventFilter;
+pub use crate::event_kind::EventKind;
+pub use crate::event_log::EventLog;
+pub use crate::hybrid_clock::HybridClock;
+pub use crate::hybrid_time::HybridTime;
+pub use crate::request_outcome::RequestOutcome;
--- /dev/null
+++ b/crates/cuminlb-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about groups, leases, zones and standing.
--- /dev/null
+++ b/crates/cuminlb-platform/src/http/http_caller.rs
@@ -0,0 +1,115 @@
+//! [`HttpCaller`].
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cuminlb_types::prelude::*;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::PlatformError;
+
+/// The largest answer that is read from the platform.
+const MAX_ANSWER_LEN_BYTES: usize = 16 << 20;
+
+/// Sends calls to one service of the platform, each within a time limit.
+#[derive(Clone, Debug)]
+pub(super) struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    timeout_ms: Millis,
+}
+
+impl HttpCaller {
+    pub(super) fn new(address: SocketAddr, timeout_ms: Millis) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout_ms.duration()));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(timeout_ms.duration() * 8)
+            .build(connector);
+        Self {
+            client,
+            address,
+            timeout_ms,
+        }
+    }
+
+    /// Sends a call and returns the status and the whole body of the answer.
+    pub(super) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| malformed(error.to_smolstr()))?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    self.unreachable(error.to_smolstr())
+                } else {
+                    self.no_answer()
+                }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_LEN_BYTES);
+            let body = body
+                .collect()
+                .await
+                .map_err(|_| self.no_answer())?
+                .to_bytes();
+            Ok((status, body))
+        };
+        match tokio::time::timeout(self.timeout_ms.duration(), exchange).await {
+            Ok(answer) => answer,
+            Err(_elapsed) => Err(self.no_answer()),
+        }
+    }
+
+    /// Sends a JSON call whose answer must be a JSON body with a success status.
+    pub(super) async fn call_json<A, B>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &A,
+    ) -> Result<B, PlatformError>
+    where
+        A: serde::Serialize + ?Sized,
+        B: serde::de::DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body).map_err(|error| malformed(error.to_smolstr()))?;
+        let (status, answer) = self.call(method, path, body.into()).await?;
+        if !status.is_success() {
+            return Err(PlatformError::Refused {
+                status: status.as_u16(),
+            });
+        }
+        serde_json::from_slice(&answer).map_err(|error| malformed(error.to_smolstr()))
+    }
+
+    fn unreachable(&self, reason: SmolStr) -> PlatformError {
+        PlatformError::Unreachable {
+            address: self.address.to_smolstr(),
+            reason,
+        }
+    }
+
+    const fn no_answer(&self) -> PlatformError {
+        PlatformError::NoAnswer {
+            timeout_ms: self.timeout_ms,
+        }
+    }
+}
+
+const fn malformed(reason: SmolStr) -> PlatformError {
+    PlatformError::Malformed { reason }
+}
--- /dev/null
+++ b/crates/cuminlb-platform/src/http/http_object_store.rs
@@ -0,0 +1,53 @@
+//! [`HttpObjectStore`].
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminlb_types::prelude::*;
+use http::{Method, StatusCode};
+
+use super::HttpCaller;
+use crate::{ObjectStore, PlatformError};
+
+/// The object store over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpObjectStore {
+    caller: HttpCaller,
+}
+
+impl HttpObjectStore {
+    /// Prepares calls to the service at an address.
+    pub fn new(address: SocketAddr, timeout_ms: Millis) -> Self {
+        Self {
+            caller: HttpCaller::new(address, timeout_ms),
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for HttpObjectStore {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Bytes>, PlatformError> {
+        let path = format!("/objects/{key}");
+        let (status, body) = self.caller.call(Method::GET, &path, Bytes::new()).await?;
+        match status {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            other => Err(PlatformError::Refused {
+                status: other.as_u16(),
+            }),
+        }
+    }
+
+    async fn put(&self, key: &ObjectKey, body: Bytes) -> Result<(), PlatformError> {
+        let path = format!("/objects/{key}");
+        let (status, _) = self.caller.call(Method::PUT, &path, body).await?;
+        if status.is_success() {
+            Ok(())
+        } else {
+            Err(PlatformError::Refused {
+                status: status.as_u16(),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-platform/src/instances/instance_listing.rs
@@ -0,0 +1,14 @@
+//! [`InstanceListing`].
+
+use serde::{Deserialize, Serialize};
+
+use super::{InstanceRecord, ListRevision};
+
+/// The instances at one revision of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceListing {
+    /// The revision of the list.
+    pub revision: ListRevision,
+    /// The instances.
+    pub instances: Vec<InstanceRecord>,
+}
--- /dev/null
+++ b/crates/cuminlb-platform/src/instances/instance_role.rs
@@ -0,0 +1,17 @@
+//! [`InstanceRole`].
+
+use cuminlb_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What runs on an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceRole {
+    /// A node of this system; the id of the node is the id of the instance.
+    Node,
+    /// An engine or a worker of a service.
+    Upstream {
+        /// The service.
+        service: ServiceId,
+    },
+}
--- /dev/null
+++ b/crates/cuminlb-platform/src/instances/list_revision.rs
@@ -0,0 +1,16 @@
+//! [`ListRevision`].
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The revision of the instance list; every change raises it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ListRevision(pub u64);
+
+impl fmt::Display for ListRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-platform/src/objects/mod.rs
@@ -0,0 +1,5 @@
+//! The object store.
+
+mod object_store;
+
+pub use self::object_store::ObjectStore;
--- /dev/null
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions that a request meets: admission, choice of group, slots and retries.
--- /dev/null
+++ b/crates/cuminlb-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fluent support for tests that run whole sites as processes.
--- /dev/null
+++ b/crates/cuminlb-types/src/id/lease_name.rs
@@ -0,0 +1,8 @@
+//! [`LeaseName`].
+
+use crate::macros::text_id;
+
+text_id! {
+    /// Names one lease.
+    LeaseName, "lease"
+}
--- /dev/null
+++ b/crates/cuminlb-types/src/id/mod.rs
@@ -0,0 +1,47 @@
+//! Ids: who and what a message or a row is about.
+
+mod config_version;
+mod epoch;
+mod fabric_domain_id;
+mod fencing_number;
+mod group_id;
+mod idempotency_key;
+mod incarnation;
+mod instance_id;
+mod lease_name;
+mod node_id;
+mod object_key;
+mod operation_id;
+mod parse_id_error;
+mod region_id;
+mod request_id;
+mod row_key;
+mod row_version;
+mod service_id;
+mod team_id;
+mod unknown_word_error;
+mod zone_id;
+
+pub use self::config_version::ConfigVersion;
+pub use self::epoch::Epoch;
+pub use self::fabric_domain_id::FabricDomainId;
+pub use self::fencing_number::FencingNumber;
+pub use self::group_id::GroupId;
+pub use self::idempotency_key::IdempotencyKey;
+pub use self::incarnation::Incarnation;
+pub use self::instance_id::InstanceId;
+pub use self::lease_name::LeaseName;
+pub use self::node_id::NodeId;
+pub use self::object_key::ObjectKey;
+pub use self::operation_id::OperationId;
+pub use self::parse_id_error::MAX_ID_LEN_BYTES;
+pub use self::parse_id_error::ParseIdError;
+pub(crate) use self::parse_id_error::check_id_text;
+pub use self::region_id::RegionId;
+pub use self::request_id::RequestId;
+pub use self::row_key::RowKey;
+pub use self::row_version::RowVersion;
+pub use self::service_id::ServiceId;
+pub use self::team_id::TeamId;
+pub use self::unknown_word_error::UnknownWordError;
+pub use self::zone_id::ZoneId;
--- /dev/null
+++ b/crates/cuminlb-types/src/id/region_id.rs
@@ -0,0 +1,8 @@
+//! [`RegionId`].
+
+use crate::macros::text_id;
+
+text_id! {
+    /// Identifies one region.
+    RegionId, "region"
+}
--- /dev/null
+++ b/crates/cuminlb-types/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The common types, for `use cuminlb_types::prelude::*`.
+
+pub use crate::id::*;
+pub use crate::rate::*;
+pub use crate::size::*;
+pub use crate::time::*;
--- /dev/null
+++ b/crates/cuminlb-types/src/size/byte_count.rs
@@ -0,0 +1,8 @@
+//! [`ByteCount`].
+
+use crate::macros::{integer, number};
+
+integer! {
+    /// A size in bytes.
+    ByteCount(u64), "byte count", "B"
+}
--- /dev/null
+++ b/crates/cuminlb-types/src/size/token_count.rs
@@ -0,0 +1,8 @@
+//! [`TokenCount`].
+
+use crate::macros::{integer, number};
+
+integer! {
+    /// A number of tokens.
+    TokenCount(u64), "token count", ""
+}
--- /dev/null
+++ b/crates/cuminlb-types/src/time/unix_millis.rs
@@ -0,0 +1,54 @@
+//! [`UnixMillis`].
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseNumberError;
+
+/// A point of wall-clock time, in milliseconds since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UnixMillis(pub u64);
+
+impl UnixMillis {
+    /// Returns the present time of the machine's wall clock.
+    pub fn now() -> Self {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the bare number of milliseconds.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for UnixMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = UNIX_EPOCH + std::time::Duration::from_millis(self.0);
+        write!(f, "{}", humantime::format_rfc3339_millis(time))
+    }
+}
+
+impl FromStr for UnixMillis {
+    type Err = ParseNumberError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bad = || ParseNumberError {
+            kind: "time such as 2026-05-01T06:00:00Z",
+            text: text.into(),
+        };
+        let time = humantime::parse_rfc3339_weak(text).map_err(|_| bad())?;
+        let since = time.duration_since(UNIX_EPOCH).map_err(|_| bad())?;
+        u64::try_from(since.as_millis())
+            .map(Self)
+            .map_err(|_| bad())
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-upstream/src/http_engine_control.rs
@@ -0,0 +1,103 @@
+//! [`HttpEngineControl`].
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminlb_types::prelude::*;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use smol_str::ToSmolStr;
+
+use crate::{EngineControl, EngineOrder, EngineReport, OrderError};
+
+/// The largest report that is read.
+const MAX_REPORT_LEN_BYTES: usize = 64 << 10;
+
+/// Orders and reports over HTTP with JSON bodies.
+#[derive(Clone, Debug)]
+pub struct HttpEngineControl {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout_ms: Millis,
+}
+
+impl HttpEngineControl {
+    /// Prepares calls that may each take `timeout_ms`.
+    pub fn new(timeout_ms: Millis) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout_ms.duration()));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(timeout_ms.duration() * 8)
+            .pool_max_idle_per_host(1)
+            .build(connector);
+        Self { client, timeout_ms }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<EngineReport, OrderError> {
+        let no_answer = || OrderError::NoAnswer {
+            timeout_ms: self.timeout_ms,
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| OrderError::Malformed {
+                reason: error.to_smolstr(),
+            })?;
+        let exchange = async {
+            let response = self.client.request(request).await;
+            let response = response.map_err(|error| OrderError::Unreachable {
+                reason: error.to_smolstr(),
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_REPORT_LEN_BYTES);
+            let body = body.collect().await.map_err(|_| no_answer())?.to_bytes();
+            match status {
+                StatusCode::OK => {
+                    serde_json::from_slice(&body).map_err(|error| OrderError::Malformed {
+                        reason: error.to_smolstr(),
+                    })
+                }
+                StatusCode::PRECONDITION_FAILED => Err(OrderError::Fenced),
+                other => Err(OrderError::Refused {
+                    status: other.as_u16(),
+                }),
+            }
+        };
+        match tokio::time::timeout(self.timeout_ms.duration(), exchange).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(no_answer()),
+        }
+    }
+}
+
+#[async_trait]
+impl EngineControl for HttpEngineControl {
+    async fn report(&self, address: SocketAddr) -> Result<EngineReport, OrderError> {
+        self.call(Method::GET, address, "/control/report", Bytes::new())
+            .await
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: &EngineOrder,
+    ) -> Result<EngineReport, OrderError> {
+        let body = serde_json::to_vec(order).map_err(|error| OrderError::Malformed {
+            reason: error.to_smolstr(),
+        })?;
+        self.call(Method::POST, address, "/control/order", body.into())
+            .await
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-upstream/src/order/engine_order.rs
@@ -0,0 +1,33 @@
+//! [`EngineOrder`] and [`OrderKind`].
+
+use cuminlb_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use super::{GroupMember, Membership};
+
+/// An order to an engine, with the fencing number of the lease under which it is given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The fencing number; some engines refuse an order with an old one.
+    pub fencing: FencingNumber,
+    /// What the engine should do.
+    pub kind: OrderKind,
+}
+
+/// What an engine should do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderKind {
+    /// Load its part of the model and join a group.
+    Join {
+        /// The group and the epoch to join.
+        membership: Membership,
+        /// All members, the leader first.
+        members: Vec<GroupMember>,
+    },
+    /// Leave a group, if it is still in it at this epoch.
+    Leave {
+        /// The group and the epoch to leave.
+        membership: Membership,
+    },
+}
--- /dev/null
+++ b/crates/cuminlb-upstream/src/upstream_error.rs
@@ -0,0 +1,43 @@
+//! [`UpstreamError`].
+
+use cuminlb_types::prelude::*;
+use smol_str::SmolStr;
+
+/// The reason why an upstream gave no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UpstreamError {
+    /// The request never left this node.
+    #[error("the upstream can't be reached: {reason}")]
+    NotSent {
+        /// What the connection reported.
+        reason: SmolStr,
+    },
+    /// The upstream says that it has not run the request.
+    #[error("the upstream refused the request with status {status} and has not run it")]
+    RefusedNotRun {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The connection broke after the request was sent.
+    #[error("the connection to the upstream broke: {reason}")]
+    Broken {
+        /// What the connection reported.
+        reason: SmolStr,
+    },
+    /// Nothing came for longer than the bound.
+    #[error("the upstream was silent for {idle_ms}")]
+    Silent {
+        /// The bound.
+        idle_ms: Millis,
+    },
+}
+
+impl UpstreamError {
+    /// Tells whether the request may have run.
+    pub const fn may_have_run(&self) -> bool {
+        match self {
+            Self::NotSent { .. } | Self::RefusedNotRun { .. } => false,
+            Self::Broken { .. } | Self::Silent { .. } => true,
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/cuminctl/main.rs
@@ -0,0 +1,2 @@
+//! The operator program.
+fn main() {}
--- /dev/null
+++ b/src/bin/cuminlb/main.rs
@@ -0,0 +1,2 @@
+//! The node program.
+fn main() {}
--- /dev/null
+++ b/src/cuminlb/lib.rs
@@ -0,0 +1,1 @@
+//! The node.
