--- /dev/null
+++ b/crates/cuminlb-caller/src/caller/endpoint.rs
@@ -0,0 +1,163 @@
+//! [`CallerEndpoint`].
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use cuminlb_routing::{Refusal, RefusalKind};
+use cuminlb_types::prelude::*;
+use futures_util::StreamExt;
+use futures_util::future::ready;
+use http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, StatusCode};
+use salvo::prelude::*;
+use smol_str::{SmolStr, ToSmolStr};
+
+use super::caller_request::{api_key, typed_header};
+use super::{
+    CallTarget, CallerAnswer, CallerHandler, CallerRequest, IDEMPOTENCY_KEY_HEADER, ModelCall,
+    RefusalBody, StreamPart, TIMEOUT_HEADER,
+};
+
+/// The header that names the request in every answer.
+const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// The paths of the chat and completion API.
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// Decodes a caller's request, lets the handler answer it and encodes the answer.
+#[derive(Clone, Debug)]
+pub(super) struct CallerEndpoint<H> {
+    handler: H,
+}
+
+impl<H: CallerHandler> CallerEndpoint<H> {
+    pub(super) const fn new(handler: H) -> Self {
+        Self { handler }
+    }
+
+    async fn decode(&self, id: &RequestId, req: &mut Request) -> Result<CallerRequest, Refusal> {
+        let headers = req.headers().clone();
+        let path: SmolStr = match req.uri().path_and_query() {
+            Some(path) => path.as_str().into(),
+            None => "/".into(),
+        };
+        let idempotency_key = typed_header(&headers, IDEMPOTENCY_KEY_HEADER)?;
+        let timeout_ms = typed_header(&headers, TIMEOUT_HEADER)?.map(Millis);
+        let body = self.read_body(req).await?;
+        let target = if MODEL_PATHS.contains(&req.uri().path()) {
+            CallTarget::Model(ModelCall::parse(&body)?)
+        } else {
+            CallTarget::Path
+        };
+        Ok(CallerRequest {
+            id: id.clone(),
+            api_key: api_key(&headers),
+            idempotency_key,
+            timeout_ms,
+            target,
+            method: req.method().clone(),
+            path,
+            headers,
+            body,
+        })
+    }
+
+    async fn read_body(&self, req: &mut Request) -> Result<Bytes, Refusal> {
+        let max_bytes = self.handler.max_body_bytes();
+        let timeout_ms = self.handler.receive_timeout_ms();
+        let max_len = usize::try_from(max_bytes.get()).unwrap_or(usize::MAX);
+        let payload = req.payload_with_max_size(max_len);
+        match tokio::time::timeout(timeout_ms.duration(), payload).await {
+            Err(_elapsed) => Err(Refusal::not_run(RefusalKind::ReceiveTimeout { timeout_ms })),
+            Ok(Ok(body)) => Ok(body.clone()),
+            Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => {
+                Err(Refusal::not_run(RefusalKind::BodyTooLarge { max_bytes }))
+            }
+            Ok(Err(error)) => {
+                let reason = error.to_smolstr();
+                Err(Refusal::not_run(RefusalKind::BadRequest {
+                    field: "body",
+                    reason,
+                }))
+            }
+        }
+    }
+}
+
+#[salvo::async_trait]
+impl<H: CallerHandler> Handler for CallerEndpoint<H> {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let id = self.handler.new_request_id();
+        let answer = match self.decode(&id, req).await {
+            Ok(request) => self.handler.handle(request).await,
+            Err(refusal) => CallerAnswer::Refused(refusal),
+        };
+        encode(&id, answer, res);
+    }
+}
+
+fn encode(id: &RequestId, answer: CallerAnswer, res: &mut Response) {
+    match answer {
+        CallerAnswer::Whole {
+            status,
+            headers,
+            body,
+        } => {
+            set_head(res, status, headers);
+            res.body(body);
+        }
+        CallerAnswer::Stream {
+            status,
+            headers,
+            parts,
+        } => {
+            set_head(res, status, headers);
+            let id = id.clone();
+            res.stream(
+                parts.filter_map(move |part| ready(part_bytes(&id, part).map(Ok::<_, Infallible>))),
+            );
+        }
+        CallerAnswer::Refused(refusal) => {
+            let status = StatusCode::from_u16(refusal.kind.status());
+            let mut headers = HeaderMap::new();
+            let json = HeaderValue::from_static("application/json");
+            headers.insert(http::header::CONTENT_TYPE, json);
+            if let Some(retry_after_ms) = refusal.retry_after_ms {
+                let after_s = retry_after_ms.get().div_ceil(1_000);
+                headers.insert(RETRY_AFTER, HeaderValue::from(after_s));
+            }
+            set_head(
+                res,
+                status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
+                headers,
+            );
+            res.body(RefusalBody::new(&refusal, id).to_json());
+        }
+    }
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        res.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+}
+
+fn set_head(res: &mut Response, status: StatusCode, headers: HeaderMap) {
+    res.status_code(status);
+    *res.headers_mut() = headers;
+}
+
+/// Returns the bytes that a part adds to the stream.
+fn part_bytes(id: &RequestId, part: StreamPart) -> Option<Bytes> {
+    match part {
+        StreamPart::Data(bytes) => Some(bytes),
+        StreamPart::End => None,
+        StreamPart::Broken(refusal) => {
+            let body = RefusalBody::new(&refusal, id).to_json();
+            Some(Bytes::from(format!("data: {body}\n\n")))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-caller/src/caller/refusal_body.rs
@@ -0,0 +1,49 @@
+//! [`RefusalBody`].
+
+use cuminlb_routing::{Refusal, RunState};
+use cuminlb_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, ToSmolStr};
+
+/// The JSON body of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RefusalBody {
+    /// The refusal.
+    pub error: RefusalFields,
+}
+
+/// The fields of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RefusalFields {
+    /// The word that programs match on.
+    pub code: SmolStr,
+    /// The reason in words.
+    pub message: SmolStr,
+    /// Whether the request has run.
+    pub run_state: RunState,
+    /// The id of the request, by which operators find it in the time line.
+    pub request_id: RequestId,
+    /// When to try again.
+    pub retry_after_ms: Option<Millis>,
+}
+
+impl RefusalBody {
+    /// Describes a refusal of a request.
+    pub fn new(refusal: &Refusal, request_id: &RequestId) -> Self {
+        let error = RefusalFields {
+            code: refusal.kind.code().into(),
+            message: refusal.kind.to_smolstr(),
+            run_state: refusal.run_state,
+            request_id: request_id.clone(),
+            retry_after_ms: refusal.retry_after_ms,
+        };
+        Self { error }
+    }
+
+    /// Returns the body as JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-caller/src/operator/endpoints.rs
@@ -0,0 +1,98 @@
+//! The endpoints of the operators' API.
+
+use http::StatusCode;
+use salvo::prelude::*;
+use serde::de::DeserializeOwned;
+
+use super::{ApplyError, ApplyRequest, EventsRequest, OperatorHandler, OperatorToken};
+
+/// The largest body of an operator's call.
+const MAX_BODY_LEN_BYTES: usize = 4 << 20;
+
+/// One endpoint of the operators' API.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum OperatorCall {
+    /// Puts a fleet file in force.
+    Apply,
+    /// Shows the state.
+    Status,
+    /// Shows the configuration in force.
+    Fleet,
+    /// Shows the merged time line.
+    Events,
+}
+
+/// Checks the operator's token, decodes a call, and encodes the handler's answer.
+pub(super) struct OperatorEndpoint<H> {
+    pub(super) call: OperatorCall,
+    pub(super) token: OperatorToken,
+    pub(super) handler: H,
+}
+
+#[salvo::async_trait]
+impl<H: OperatorHandler> Handler for OperatorEndpoint<H> {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if !self.token.is_shown(req.headers()) {
+            res.status_code(StatusCode::UNAUTHORIZED);
+            res.body("the operator token is missing or wrong\n");
+            return;
+        }
+        match self.call {
+            OperatorCall::Apply => self.apply(req, res).await,
+            OperatorCall::Status => res.render(Json(self.handler.status())),
+            OperatorCall::Fleet => res.render(Json(self.handler.fleet())),
+            OperatorCall::Events => self.events(req, res).await,
+        }
+    }
+}
+
+impl<H: OperatorHandler> OperatorEndpoint<H> {
+    async fn apply(&self, req: &mut Request, res: &mut Response) {
+        let Some(request) = read_json::<ApplyRequest>(req, res).await else {
+            return;
+        };
+        match self.handler.apply(request).await {
+            Ok(report) => res.render(Json(report)),
+            Err(error) => {
+                res.status_code(apply_status(&error));
+                res.render(Json(error));
+            }
+        }
+    }
+
+    async fn events(&self, req: &mut Request, res: &mut Response) {
+        let Some(request) = read_json::<EventsRequest>(req, res).await else {
+            return;
+        };
+        res.render(Json(self.handler.events(request).await));
+    }
+}
+
+const fn apply_status(error: &ApplyError) -> StatusCode {
+    match error {
+        ApplyError::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ApplyError::Conflict { .. } => StatusCode::CONFLICT,
+        ApplyError::NotReached { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        ApplyError::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// Reads a JSON body, or answers that it can't be read.
+async fn read_json<T: DeserializeOwned>(req: &mut Request, res: &mut Response) -> Option<T> {
+    let reason = match req.payload_with_max_size(MAX_BODY_LEN_BYTES).await {
+        Ok(body) => match serde_json::from_slice(body) {
+            Ok(value) => return Some(value),
+            Err(error) => error.to_string(),
+        },
+        Err(error) => error.to_string(),
+    };
+    res.status_code(StatusCode::BAD_REQUEST);
+    res.body(format!("the body can't be read: {reason}\n"));
+    None
+}
--- a/crates/cuminlb-config/src/check/problem.rs
+++ b/crates/cuminlb-config/src/check/problem.rs
@@ -3,7 +3,8 @@
 use smol_str::SmolStr;
 
 /// One mistake in a settings file or a fleet file.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Problem {
     /// The file is not TOML at all.
     #[error("not TOML: {message}")]
--- a/crates/cuminlb-events/src/dissolve_cause.rs
+++ b/crates/cuminlb-events/src/dissolve_cause.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The reason why a group stopped serving and was dissolved.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "cause", rename_all = "snake_case")]
 #[derive(thiserror::Error)]
 pub enum DissolveCause {
--- a/crates/cuminlb-events/src/event.rs
+++ b/crates/cuminlb-events/src/event.rs
@@ -8,7 +8,8 @@
 use crate::{EventKind, HybridTime};
 
 /// One decision: when, where and what.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// The place in the causal order over all nodes.
     pub time: HybridTime,
--- a/crates/cuminlb-events/src/event_filter.rs
+++ b/crates/cuminlb-events/src/event_filter.rs
@@ -6,7 +6,8 @@
 use crate::{Event, HybridTime};
 
 /// Selects events; a field that is absent selects all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EventFilter {
     /// Only events about this request.
     pub request: Option<RequestId>,
--- a/crates/cuminlb-events/src/event_kind.rs
+++ b/crates/cuminlb-events/src/event_kind.rs
@@ -7,7 +7,8 @@
 use crate::{DissolveCause, RequestOutcome};
 
 /// What was decided and why.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[derive(thiserror::Error)]
 pub enum EventKind {
--- a/crates/cuminlb-events/src/hybrid_time.rs
+++ b/crates/cuminlb-events/src/hybrid_time.rs
@@ -6,9 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A point of the hybrid logical clock: wall-clock time and a counter that breaks ties.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct HybridTime {
     /// The highest wall-clock time seen so far.
     pub wall_ms: UnixMillis,
--- a/crates/cuminlb-events/src/request_outcome.rs
+++ b/crates/cuminlb-events/src/request_outcome.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestOutcome {
     /// The caller has the whole answer.
--- /dev/null
+++ b/crates/cuminlb-fleet/src/lease/mod.rs
@@ -0,0 +1,13 @@
+//! Leases with fencing numbers.
+//!
+//! A lease is one row of the table. Its holder measures it on its own clock from before the
+//! write was sent, and stops early by a margin. A taker waits the full length after it first saw
+//! the row unchanged. Clocks of different machines are never compared.
+
+mod held_lease;
+mod lease_terms;
+mod seen_lease;
+
+pub use self::held_lease::HeldLease;
+pub use self::lease_terms::LeaseTerms;
+pub use self::seen_lease::SeenLease;
--- /dev/null
+++ b/crates/cuminlb-fleet/src/rows/keys.rs
@@ -0,0 +1,69 @@
+//! [`RowKeys`].
+
+use std::fmt::Display;
+
+use cuminlb_types::prelude::*;
+use smol_str::format_smolstr;
+
+/// The keys of the rows; the only place that spells them.
+#[derive(Clone, Copy, Debug)]
+pub struct RowKeys;
+
+impl RowKeys {
+    /// Returns the key of the configuration in force.
+    pub fn config_head() -> RowKey {
+        Self::join("config", &"head")
+    }
+
+    /// Returns the key of the groups of a service.
+    pub fn roster(service: &ServiceId) -> RowKey {
+        Self::join("roster", service)
+    }
+
+    /// Returns the key of the row that says which group an instance is in.
+    pub fn instance(instance: &InstanceId) -> RowKey {
+        Self::join("instance", instance)
+    }
+
+    /// Returns the key of a lease.
+    pub fn lease(lease: &LeaseName) -> RowKey {
+        Self::join("lease", lease)
+    }
+
+    /// Returns the name of the lease whose holder plans the groups of a service.
+    pub fn plan_lease(service: &ServiceId) -> LeaseName {
+        Self::lease_name("plan", service)
+    }
+
+    /// Returns the name of the lease whose holder owns a group.
+    pub fn group_lease(group: &GroupId) -> LeaseName {
+        Self::lease_name("group", group)
+    }
+
+    #[expect(
+        clippy::expect_used,
+        reason = "an id with a short prefix is a valid key"
+    )]
+    fn join(prefix: &str, id: &impl Display) -> RowKey {
+        let text = truncate(&format_smolstr!("{prefix}/{id}"));
+        text.parse().expect("a prefix and an id form a key")
+    }
+
+    #[expect(
+        clippy::expect_used,
+        reason = "an id with a short prefix is a valid name"
+    )]
+    fn lease_name(prefix: &str, id: &impl Display) -> LeaseName {
+        let text = truncate(&format_smolstr!("{prefix}/{id}"));
+        text.parse().expect("a prefix and an id form a name")
+    }
+}
+
+/// Shortens a key that is too long to its head and a hash of the whole.
+fn truncate(text: &str) -> String {
+    if text.len() <= MAX_ID_LEN_BYTES - 16 {
+        return text.to_owned();
+    }
+    let hash = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
+    format!("{}:{hash:016x}", &text[..MAX_ID_LEN_BYTES - 40])
+}
--- /dev/null
+++ b/crates/cuminlb-fleet/src/rows/mod.rs
@@ -0,0 +1,24 @@
+//! The rows that the system keeps in the platform's table.
+//!
+//! | row | written by | when |
+//! |---|---|---|
+//! | `config/head` | the node that an operator applies through | an apply |
+//! | `roster/SERVICE` | the holder of `lease/plan/SERVICE`, owners of its groups | a group changes |
+//! | `instance/INSTANCE` | with the roster, in the same transaction | an instance joins or leaves a group |
+//! | `lease/NAME` | its holder | each renewal |
+
+mod config_row;
+mod group_record;
+mod group_state;
+mod instance_row;
+mod keys;
+mod lease_row;
+mod roster;
+
+pub use self::config_row::ConfigRow;
+pub use self::group_record::GroupRecord;
+pub use self::group_state::GroupState;
+pub use self::instance_row::InstanceRow;
+pub use self::keys::RowKeys;
+pub use self::lease_row::LeaseRow;
+pub use self::roster::Roster;
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -1,1 +1,23 @@
 //! The edge between the nodes: one tarpc conversation for each peer.
+//!
+//! [`PeerApi`] lists the calls. [`PeerLink`] holds the client's end of one conversation and opens
+//! it again after a failure; [`serve_peers`] runs the server's end, one task for each connection,
+//! and hands each call to a [`PeerHandler`]. Both ends show the peer token before the first call.
+
+mod handshake;
+mod message;
+mod peer_api;
+mod peer_error;
+mod peer_handler;
+mod peer_link;
+mod peer_server;
+
+pub use crate::handshake::PeerToken;
+pub use crate::message::{
+    EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
+};
+pub use crate::peer_api::{PeerApi, PeerApiClient};
+pub use crate::peer_error::PeerError;
+pub use crate::peer_handler::PeerHandler;
+pub use crate::peer_link::PeerLink;
+pub use crate::peer_server::serve_peers;
--- /dev/null
+++ b/crates/cuminlb-peer/src/message/mod.rs
@@ -0,0 +1,13 @@
+//! The messages between nodes.
+
+mod events_query;
+mod peer_statement;
+mod slot_grant;
+mod slot_release;
+mod slot_request;
+
+pub use self::events_query::EventsQuery;
+pub use self::peer_statement::PeerStatement;
+pub use self::slot_grant::{SlotAnswer, SlotGrant};
+pub use self::slot_release::SlotRelease;
+pub use self::slot_request::SlotRequest;
--- /dev/null
+++ b/crates/cuminlb-peer/src/message/peer_statement.rs
@@ -0,0 +1,22 @@
+//! [`PeerStatement`].
+
+use cuminlb_events::HybridTime;
+use cuminlb_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What a node says of itself: soft state, on which nothing is agreed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PeerStatement {
+    /// The node.
+    pub node: NodeId,
+    /// Tells this start of the node from earlier ones.
+    pub incarnation: Incarnation,
+    /// The time of the node's hybrid clock.
+    pub time: HybridTime,
+    /// The configuration in force on the node.
+    pub config: ConfigVersion,
+    /// How long ago the node last heard the table, directly or through a peer; `None` where it
+    /// has not heard it since its start.
+    pub table_age_ms: Option<Millis>,
+}
--- /dev/null
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -0,0 +1,21 @@
+//! [`PeerApi`].
+
+use cuminlb_events::Event;
+
+use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+
+/// The calls between nodes.
+#[tarpc::service]
+pub trait PeerApi {
+    /// Exchanges statements; the answer is that of the node called.
+    async fn exchange(statement: PeerStatement) -> PeerStatement;
+
+    /// Asks the owner of a group for a slot.
+    async fn acquire_slot(request: SlotRequest) -> SlotAnswer;
+
+    /// Gives a slot back.
+    async fn release_slot(release: SlotRelease);
+
+    /// Returns the newest events of the node called.
+    async fn events(query: EventsQuery) -> Vec<Event>;
+}
--- /dev/null
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -0,0 +1,22 @@
+//! [`PeerHandler`].
+
+use std::future::Future;
+
+use cuminlb_events::Event;
+
+use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+
+/// What a node does with the calls of its peers.
+pub trait PeerHandler: Clone + Send + Sync + 'static {
+    /// Takes in the statement of a peer and returns that of this node.
+    fn exchange(&self, statement: PeerStatement) -> PeerStatement;
+
+    /// Grants a slot or says why not.
+    fn acquire_slot(&self, request: SlotRequest) -> impl Future<Output = SlotAnswer> + Send;
+
+    /// Takes a slot back.
+    fn release_slot(&self, release: SlotRelease);
+
+    /// Returns the newest events of this node.
+    fn events(&self, query: EventsQuery) -> Vec<Event>;
+}
--- /dev/null
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -0,0 +1,143 @@
+//! [`PeerLink`].
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use cuminlb_events::Event;
+use cuminlb_types::prelude::*;
+use smol_str::ToSmolStr;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+
+use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::{PeerApiClient, PeerError, PeerToken};
+
+/// The client's end of the conversation with one peer.
+///
+/// The connection is opened by the first call and opened again by the next call after a failure.
+#[derive(Debug)]
+pub struct PeerLink {
+    address: SocketAddr,
+    token: PeerToken,
+    timeout_ms: Millis,
+    client: Mutex<Option<PeerApiClient>>,
+}
+
+impl PeerLink {
+    /// Prepares a link; each call may take `timeout_ms`.
+    pub fn new(address: SocketAddr, token: PeerToken, timeout_ms: Millis) -> Self {
+        Self {
+            address,
+            token,
+            timeout_ms,
+            client: Mutex::new(None),
+        }
+    }
+
+    /// Returns the address of the peer.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Exchanges statements with the peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn exchange(&self, statement: PeerStatement) -> Result<PeerStatement, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.exchange(context, statement).await
+        })
+        .await
+    }
+
+    /// Asks the peer for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came; the slot may be granted all the same.
+    pub async fn acquire_slot(&self, request: SlotRequest) -> Result<SlotAnswer, PeerError> {
+        let wait_ms = request.wait_ms;
+        self.call(wait_ms, async |client, context| {
+            client.acquire_slot(context, request).await
+        })
+        .await
+    }
+
+    /// Gives a slot back to the peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn release_slot(&self, release: SlotRelease) -> Result<(), PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.release_slot(context, release).await
+        })
+        .await
+    }
+
+    /// Asks the peer for its newest events.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn events(&self, query: EventsQuery) -> Result<Vec<Event>, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.events(context, query).await
+        })
+        .await
+    }
+
+    /// Runs one call; `extra_ms` is the time that the peer may take on purpose.
+    async fn call<T>(
+        &self,
+        extra_ms: Millis,
+        call: impl AsyncFnOnce(PeerApiClient, Context) -> Result<T, RpcError>,
+    ) -> Result<T, PeerError> {
+        let timeout_ms = self.timeout_ms + extra_ms;
+        let client = self.connected().await?;
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + timeout_ms.duration();
+        match call(client, context).await {
+            Ok(answer) => Ok(answer),
+            Err(error) => {
+                *self.client.lock().await = None;
+                Err(PeerError::NoAnswer {
+                    timeout_ms,
+                    reason: error.to_smolstr(),
+                })
+            }
+        }
+    }
+
+    async fn connected(&self) -> Result<PeerApiClient, PeerError> {
+        let mut slot = self.client.lock().await;
+        if let Some(client) = slot.as_ref() {
+            return Ok(client.clone());
+        }
+        let client = self.open().await?;
+        *slot = Some(client.clone());
+        Ok(client)
+    }
+
+    async fn open(&self) -> Result<PeerApiClient, PeerError> {
+        let not_connected = |reason| PeerError::NotConnected { reason };
+        let connect = TcpStream::connect(self.address);
+        let stream = tokio::time::timeout(self.timeout_ms.duration(), connect).await;
+        let mut stream = stream
+            .map_err(|_| not_connected("the connection did not open in time".into()))?
+            .map_err(|error| not_connected(error.to_smolstr()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| not_connected(error.to_smolstr()))?;
+        self.token.greet(&mut stream).await?;
+        let framed = LengthDelimitedCodec::builder().new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
+        Ok(PeerApiClient::new(tarpc::client::Config::default(), transport).spawn())
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -0,0 +1,88 @@
+//! [`serve_peers`].
+
+use cuminlb_events::Event;
+use futures_util::StreamExt;
+use log::{debug, warn};
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::{PeerApi, PeerHandler, PeerToken};
+
+/// The number of calls of one peer that may run at once.
+const MAX_CALLS_PER_PEER: usize = 4_096;
+
+/// Serves peers until `stop` is cancelled; one task for each connection, all joined at the end.
+pub async fn serve_peers<H: PeerHandler>(
+    listener: TcpListener,
+    token: PeerToken,
+    handler: H,
+    stop: CancellationToken,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve_peer(stream, token.clone(), handler.clone(), stop.clone());
+                connections.spawn(connection);
+            }
+            Err(error) => warn!("a peer's connection can't be accepted: {error}"),
+        }
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_peer<H: PeerHandler>(
+    mut stream: TcpStream,
+    token: PeerToken,
+    handler: H,
+    stop: CancellationToken,
+) {
+    if let Err(error) = token.answer(&mut stream).await {
+        debug!("a connection to the peer port was closed: {error}");
+        return;
+    }
+    let _ = stream.set_nodelay(true);
+    let framed = LengthDelimitedCodec::builder().new_framed(stream);
+    let transport = serde_transport::new(framed, Bincode::default());
+    let calls = BaseChannel::with_defaults(transport).execute(Server { handler }.serve());
+    let run = calls.for_each_concurrent(MAX_CALLS_PER_PEER, |call| call);
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = run => {}
+    }
+}
+
+#[derive(Clone)]
+struct Server<H> {
+    handler: H,
+}
+
+impl<H: PeerHandler> PeerApi for Server<H> {
+    async fn exchange(self, _: Context, statement: PeerStatement) -> PeerStatement {
+        self.handler.exchange(statement)
+    }
+
+    async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
+        self.handler.acquire_slot(request).await
+    }
+
+    async fn release_slot(self, _: Context, release: SlotRelease) {
+        self.handler.release_slot(release);
+    }
+
+    async fn events(self, _: Context, query: EventsQuery) -> Vec<Event> {
+        self.handler.events(query)
+    }
+}
--- a/crates/cuminlb-platform/src/instances/instance_listing.rs
+++ b/crates/cuminlb-platform/src/instances/instance_listing.rs
@@ -5,7 +5,8 @@
 use super::{InstanceRecord, ListRevision};
 
 /// The instances at one revision of the list.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceListing {
     /// The revision of the list.
     pub revision: ListRevision,
--- a/crates/cuminlb-platform/src/instances/instance_record.rs
+++ b/crates/cuminlb-platform/src/instances/instance_record.rs
@@ -8,7 +8,8 @@
 use super::{InstanceRole, InstanceState};
 
 /// One instance of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceRecord {
     /// The id of the instance.
     pub id: InstanceId,
--- a/crates/cuminlb-platform/src/instances/instance_role.rs
+++ b/crates/cuminlb-platform/src/instances/instance_role.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What runs on an instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceRole {
     /// A node of this system; the id of the node is the id of the instance.
--- a/crates/cuminlb-platform/src/instances/instance_state.rs
+++ b/crates/cuminlb-platform/src/instances/instance_state.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether an instance is live or leaving.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceState {
     /// The instance runs.
--- a/crates/cuminlb-platform/src/instances/list_revision.rs
+++ b/crates/cuminlb-platform/src/instances/list_revision.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The revision of the instance list; every change raises it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ListRevision(pub u64);
 
--- a/crates/cuminlb-platform/src/platform_error.rs
+++ b/crates/cuminlb-platform/src/platform_error.rs
@@ -4,7 +4,8 @@
 use smol_str::SmolStr;
 
 /// The reason why a call to the platform gave no answer.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum PlatformError {
     /// The call did not reach the service; it has had no effect.
     #[error("the platform at {address} can't be reached: {reason}")]
--- a/crates/cuminlb-platform/src/table/commit_outcome.rs
+++ b/crates/cuminlb-platform/src/table/commit_outcome.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The answer of the table to a transaction.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CommitOutcome {
     /// All writes have taken effect; the version is that of every row written.
--- a/crates/cuminlb-platform/src/table/row_check.rs
+++ b/crates/cuminlb-platform/src/table/row_check.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a transaction expects of one row before it writes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RowCheck {
     /// The row.
     pub key: RowKey,
@@ -13,7 +14,8 @@
 }
 
 /// The state that a row must be in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Expected {
     /// There is no such row.
--- a/crates/cuminlb-platform/src/table/row_query.rs
+++ b/crates/cuminlb-platform/src/table/row_query.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Asks for one row, unless the reader knows its present version already.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RowQuery {
     /// The row.
     pub key: RowKey,
@@ -13,7 +14,8 @@
 }
 
 /// The answer to a [`RowQuery`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RowAnswer {
     /// There is no such row.
--- a/crates/cuminlb-platform/src/table/row_write.rs
+++ b/crates/cuminlb-platform/src/table/row_write.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One row that a transaction changes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RowWrite {
     /// The row.
     pub key: RowKey,
@@ -13,7 +14,8 @@
 }
 
 /// What becomes of a row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RowChange {
     /// The row is written whole; the text is a serialised [`StoredRow`](crate::StoredRow).
--- a/crates/cuminlb-platform/src/table/stored_row.rs
+++ b/crates/cuminlb-platform/src/table/stored_row.rs
@@ -6,7 +6,8 @@
 /// The form of every row in the table: the value and the operation that wrote it.
 ///
 /// The operation lets a writer whose answer was lost see whether the write took effect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredRow<T> {
     /// The operation that wrote the row.
     pub operation: OperationId,
--- a/crates/cuminlb-platform/src/table/table_error.rs
+++ b/crates/cuminlb-platform/src/table/table_error.rs
@@ -6,7 +6,8 @@
 use crate::PlatformError;
 
 /// The reason why an operation on the table has no certain result.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum TableError {
     /// The table could not be asked, and nothing has been written.
     #[error("the table was not reached: {0}")]
--- a/crates/cuminlb-platform/src/table/transaction.rs
+++ b/crates/cuminlb-platform/src/table/transaction.rs
@@ -9,7 +9,8 @@
 ///
 /// Every row that is written is also checked, so that a repeat of the same transaction can never
 /// take effect twice.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Transaction {
     /// The id that the rows written will carry.
     pub operation: OperationId,
--- /dev/null
+++ b/crates/cuminlb-routing/src/choice/mod.rs
@@ -0,0 +1,5 @@
+//! Which group a request should try.
+
+mod group_choice;
+
+pub use self::group_choice::{GroupChoice, choose_group};
--- /dev/null
+++ b/crates/cuminlb-standins/src/engine/mod.rs
@@ -0,0 +1,9 @@
+//! The model engine: one member instance of a group.
+
+mod completion;
+mod options;
+mod server;
+mod state;
+
+pub use self::options::EngineOptions;
+pub use self::server::Engine;
--- /dev/null
+++ b/crates/cuminlb-standins/src/engine/server.rs
@@ -0,0 +1,199 @@
+//! [`Engine`].
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use cuminlb_upstream::{
+    DONE_MARKER, EPOCH_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, RUN_STATE_HEADER, RUN_STATE_NOT_RUN,
+};
+use futures_util::stream::{StreamExt, unfold};
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use super::EngineOptions;
+use super::completion::{chunk, whole};
+use super::state::EngineState;
+use crate::http_server::{AnswerBody, Answers, json, status, text};
+use crate::{Fault, FaultState, StandinError, StandinServer};
+
+/// The stand-in for one member instance of a model.
+#[derive(Debug)]
+pub struct Engine {
+    options: EngineOptions,
+    state: Mutex<EngineState>,
+    fault: FaultState,
+    crashed: CancellationToken,
+}
+
+impl Engine {
+    /// Starts the stand-in. A crash for too much load cancels `crashed`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError`] when the address can't be listened on.
+    pub async fn start(
+        address: SocketAddr,
+        options: EngineOptions,
+        crashed: CancellationToken,
+    ) -> Result<StandinServer, StandinError> {
+        let fault = FaultState::default();
+        let state = Mutex::new(EngineState::new(options));
+        let engine = Self {
+            options,
+            state,
+            fault: fault.clone(),
+            crashed,
+        };
+        StandinServer::start(address, fault, Arc::new(engine)).await
+    }
+
+    fn order(&self, body: &[u8]) -> Response<AnswerBody> {
+        match serde_json::from_slice(body) {
+            Ok(order) => match self.state().take_order(order) {
+                Some(report) => json(&report),
+                None => status(StatusCode::PRECONDITION_FAILED),
+            },
+            Err(error) => text(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    async fn complete(self: Arc<Self>, request: Request<Bytes>) -> Response<AnswerBody> {
+        let header = |name: &str| request.headers().get(name)?.to_str().ok();
+        if !self
+            .state()
+            .serves(header(GROUP_HEADER), header(EPOCH_HEADER))
+        {
+            let mut refusal = status(StatusCode::CONFLICT);
+            let not_run = HeaderValue::from_static(RUN_STATE_NOT_RUN);
+            refusal.headers_mut().insert(RUN_STATE_HEADER, not_run);
+            return refusal;
+        }
+        let Ok(call) = serde_json::from_slice::<Value>(request.body()) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let id = header(REQUEST_ID_HEADER).unwrap_or_default().to_owned();
+        let model = call["model"].as_str().unwrap_or_default().to_owned();
+        let tokens = call["max_tokens"]
+            .as_u64()
+            .unwrap_or(self.options.tokens.get());
+        let running = Running::start(Arc::clone(&self));
+        let Some(running) = running else {
+            self.crashed.cancel();
+            return std::future::pending().await;
+        };
+        if call["stream"] == Value::Bool(true) {
+            return stream(Stream {
+                running,
+                id,
+                model,
+                tokens,
+                next: 0,
+            });
+        }
+        let generated = self.options.token_gap_ms.duration() * u32::try_from(tokens).unwrap_or(0);
+        tokio::time::sleep(self.options.first_token_ms.duration() + generated).await;
+        json(&whole(&id, &model, tokens))
+    }
+
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Answers for Engine {
+    async fn answer(self: Arc<Self>, request: Request<Bytes>) -> Response<AnswerBody> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/control/report") => json(&self.state().report()),
+            (&Method::POST, "/control/order") => self.order(request.body()),
+            (&Method::PUT, "/control/fall-cold") => {
+                self.state().fall_cold();
+                status(StatusCode::NO_CONTENT)
+            }
+            (&Method::GET, "/control/highest") => json(&self.state().highest()),
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                self.complete(request).await
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+/// A request that an engine runs, until it is dropped.
+struct Running {
+    engine: Arc<Engine>,
+}
+
+impl Running {
+    fn start(engine: Arc<Engine>) -> Option<Self> {
+        let bears_it = engine.state().start_request();
+        let running = Self { engine };
+        bears_it.then_some(running)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.engine.state().end_request();
+    }
+}
+
+/// A streamed answer on its way.
+struct Stream {
+    running: Running,
+    id: String,
+    model: String,
+    tokens: u64,
+    next: u64,
+}
+
+fn stream(stream: Stream) -> Response<AnswerBody> {
+    let frames = unfold(stream, |mut stream| async move {
+        let frame = stream.next_frame().await?;
+        Some((frame.map(Frame::data), stream))
+    });
+    let mut response = Response::new(StreamBody::new(frames.boxed()).boxed_unsync());
+    let event_stream = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, event_stream);
+    response
+}
+
+impl Stream {
+    /// Returns the next chunk; `None` ends the stream.
+    async fn next_frame(&mut self) -> Option<io::Result<Bytes>> {
+        let engine = &self.running.engine;
+        if self.next > self.tokens {
+            return None;
+        }
+        let index = self.next;
+        self.next += 1;
+        let options = &engine.options;
+        let pause = if index == 0 {
+            options.first_token_ms
+        } else {
+            options.token_gap_ms
+        };
+        tokio::time::sleep(pause.duration()).await;
+        engine.fault.hold().await;
+        match engine.fault.get() {
+            Fault::BreakStreams { after_chunks } if index >= u64::from(after_chunks) => {
+                return Some(Err(io::ErrorKind::ConnectionReset.into()));
+            }
+            Fault::SilenceStreams { after_chunks } if index >= u64::from(after_chunks) => {
+                std::future::pending::<()>().await;
+            }
+            _ => {}
+        }
+        let text = if index == self.tokens {
+            format!("data: {DONE_MARKER}\n\n")
+        } else {
+            chunk(&self.id, &self.model, index)
+        };
+        Some(Ok(text.into()))
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-standins/src/fault/mod.rs
@@ -0,0 +1,7 @@
+//! Faults that are switched while a stand-in runs.
+
+mod fault_kind;
+mod fault_state;
+
+pub use self::fault_kind::Fault;
+pub use self::fault_state::FaultState;
--- /dev/null
+++ b/crates/cuminlb-standins/src/plain/mod.rs
@@ -0,0 +1,9 @@
+//! A plain service with calls that may not be repeated.
+
+mod options;
+mod reservation;
+mod server;
+
+pub use self::options::PlainOptions;
+pub use self::reservation::Reservation;
+pub use self::server::PlainService;
--- /dev/null
+++ b/crates/cuminlb-standins/src/platform/rows.rs
@@ -0,0 +1,67 @@
+//! [`Rows`].
+
+use std::collections::BTreeMap;
+
+use cuminlb_platform::{
+    CommitOutcome, Expected, RowAnswer, RowChange, RowCheck, RowQuery, Transaction,
+};
+use cuminlb_types::prelude::*;
+
+/// The rows of the table; each transaction is checked and written in one step.
+#[derive(Debug, Default)]
+pub(super) struct Rows {
+    last_version: RowVersion,
+    rows: BTreeMap<RowKey, (RowVersion, String)>,
+}
+
+impl Rows {
+    pub(super) fn read(&self, queries: &[RowQuery]) -> Vec<RowAnswer> {
+        queries.iter().map(|query| self.read_one(query)).collect()
+    }
+
+    pub(super) fn commit(&mut self, transaction: Transaction) -> CommitOutcome {
+        let failed = transaction.checks.iter().find(|check| !self.holds(check));
+        if let Some(RowCheck { key, .. }) = failed {
+            return CommitOutcome::Conflict {
+                key: key.clone(),
+                found: self.version(key),
+            };
+        }
+        self.last_version = self.last_version.next();
+        for write in transaction.writes {
+            match write.change {
+                RowChange::Put(text) => {
+                    self.rows.insert(write.key, (self.last_version, text));
+                }
+                RowChange::Delete => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+        CommitOutcome::Committed {
+            version: self.last_version,
+        }
+    }
+
+    fn read_one(&self, query: &RowQuery) -> RowAnswer {
+        match self.rows.get(&query.key) {
+            None => RowAnswer::Absent,
+            Some((version, _)) if Some(*version) == query.known => RowAnswer::Unchanged,
+            Some((version, text)) => RowAnswer::Found {
+                version: *version,
+                text: text.clone(),
+            },
+        }
+    }
+
+    fn holds(&self, check: &RowCheck) -> bool {
+        match check.expected {
+            Expected::Absent => !self.rows.contains_key(&check.key),
+            Expected::Version(version) => self.version(&check.key) == Some(version),
+        }
+    }
+
+    fn version(&self, key: &RowKey) -> Option<RowVersion> {
+        self.rows.get(key).map(|(version, _)| *version)
+    }
+}
--- a/crates/cuminlb-test-support/src/lib.rs
+++ b/crates/cuminlb-test-support/src/lib.rs
@@ -1,1 +1,22 @@
 //! Fluent support for tests that run whole sites as processes.
+//!
+//! [`SiteBuilder`] describes a site: nodes, model services and plain services in availability
+//! zones. [`Site`] runs it, every node and stand-in a process of its own on loopback addresses
+//! that no other site uses. [`TestClient`] is a caller.
+
+mod http_client;
+mod process;
+mod service_plan;
+mod site;
+mod site_builder;
+mod site_error;
+mod site_files;
+mod wait;
+
+pub use crate::http_client::{Answer, TestClient};
+pub use crate::process::{Process, Programs};
+pub use crate::service_plan::{ModelPlan, PlainPlan};
+pub use crate::site::{Site, SiteNode, SiteUpstream};
+pub use crate::site_builder::SiteBuilder;
+pub use crate::site_error::SiteError;
+pub use crate::wait::wait_until;
--- a/crates/cuminlb-types/src/id/parse_id_error.rs
+++ b/crates/cuminlb-types/src/id/parse_id_error.rs
@@ -6,7 +6,8 @@
 pub const MAX_ID_LEN_BYTES: usize = 128;
 
 /// The reason why a text is not an id.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum ParseIdError {
     /// The text is empty.
     #[error("{kind} must not be empty")]
--- a/crates/cuminlb-types/src/time/millis.rs
+++ b/crates/cuminlb-types/src/time/millis.rs
@@ -13,9 +13,8 @@
 ///
 /// Its text form is that of the settings: `250ms`, `2s`, `1m 30s`. It is serialised as the
 /// number of milliseconds.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
--- a/crates/cuminlb-types/src/time/unix_millis.rs
+++ b/crates/cuminlb-types/src/time/unix_millis.rs
@@ -9,9 +9,8 @@
 use crate::ParseNumberError;
 
 /// A point of wall-clock time, in milliseconds since the Unix epoch.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct UnixMillis(pub u64);
 
--- a/crates/cuminlb-upstream/src/order/engine_order.rs
+++ b/crates/cuminlb-upstream/src/order/engine_order.rs
@@ -6,7 +6,8 @@
 use super::{GroupMember, Membership};
 
 /// An order to an engine, with the fencing number of the lease under which it is given.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineOrder {
     /// The fencing number; some engines refuse an order with an old one.
     pub fencing: FencingNumber,
@@ -15,7 +16,8 @@
 }
 
 /// What an engine should do.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderKind {
     /// Load its part of the model and join a group.
--- a/crates/cuminlb-upstream/src/order/engine_report.rs
+++ b/crates/cuminlb-upstream/src/order/engine_report.rs
@@ -6,7 +6,8 @@
 use super::Membership;
 
 /// What an instance says of itself; its load lags behind.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineReport {
     /// Tells this start of the process from earlier ones.
     pub incarnation: Incarnation,
--- a/crates/cuminlb-upstream/src/order/membership.rs
+++ b/crates/cuminlb-upstream/src/order/membership.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The group that an instance is in, and at which epoch.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Membership {
     /// The group.
     pub group: GroupId,
--- a/crates/cuminlb-upstream/src/order/order_error.rs
+++ b/crates/cuminlb-upstream/src/order/order_error.rs
@@ -4,7 +4,8 @@
 use smol_str::SmolStr;
 
 /// The reason why an engine gave no report or did not carry out an order.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum OrderError {
     /// The instance can't be reached.
     #[error("the instance can't be reached: {reason}")]
--- a/crates/cuminlb-upstream/src/stream/chunk_id.rs
+++ b/crates/cuminlb-upstream/src/stream/chunk_id.rs
@@ -4,7 +4,8 @@
 use smol_str::SmolStr;
 
 /// The id in a chunk, by which a stream is matched to its own request.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct ChunkId {
     /// The id of the request that the chunk answers.
     pub id: SmolStr,
--- a/crates/cuminlb-upstream/src/stream/stream_error.rs
+++ b/crates/cuminlb-upstream/src/stream/stream_error.rs
@@ -4,7 +4,8 @@
 use smol_str::SmolStr;
 
 /// The reason why a stream can't be passed on.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum StreamError {
     /// One event is longer than allowed.
     #[error("an event of the stream is longer than {max_len_bytes}")]
--- a/crates/cuminlb-upstream/src/upstream_error.rs
+++ b/crates/cuminlb-upstream/src/upstream_error.rs
@@ -4,7 +4,8 @@
 use smol_str::SmolStr;
 
 /// The reason why an upstream gave no whole answer.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum UpstreamError {
     /// The request never left this node.
     #[error("the upstream can't be reached: {reason}")]
--- /dev/null
+++ b/src/bin/cuminctl/cli.rs
@@ -0,0 +1,113 @@
+//! The command line of operators.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use cuminlb::ops::OperatorClient;
+use gumdrop::Options;
+
+use crate::commands::{self, CommandError};
+
+/// The environment variable that holds the operator token.
+const TOKEN_VARIABLE: &str = "CUMINCTL_TOKEN";
+
+/// The environment variable that holds the addresses of nodes, separated by commas.
+const NODES_VARIABLE: &str = "CUMINCTL_NODES";
+
+#[derive(Debug, Options)]
+struct CtlOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the operator address of a node; may be repeated (or CUMINCTL_NODES)")]
+    node: Vec<SocketAddr>,
+    #[options(help = "the operator token (or CUMINCTL_TOKEN, which no process list shows)")]
+    token: Option<String>,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check a fleet file without a node")]
+    Check(commands::check::CheckOptions),
+    #[options(help = "put a fleet file in force as a whole")]
+    Apply(commands::apply::ApplyOptions),
+    #[options(help = "print the fleet file in force")]
+    Show(commands::show::ShowOptions),
+    #[options(help = "print the state of nodes and groups")]
+    Status(commands::status::StatusOptions),
+    #[options(help = "print the merged events of all nodes")]
+    Timeline(commands::timeline::TimelineOptions),
+}
+
+/// What every subcommand needs: how to reach a node and how to print.
+#[derive(Clone, Debug)]
+pub(crate) struct CommandContext {
+    /// Calls the first node that answers.
+    pub(crate) client: OperatorClient,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+}
+
+/// Reads the command line and does what it says.
+pub(crate) fn main() -> ExitCode {
+    let options = CtlOptions::parse_args_default_or_exit();
+    let Some(command) = options.command else {
+        eprintln!(
+            "Usage: cuminctl [OPTIONS] COMMAND\n\n{}",
+            CtlOptions::usage()
+        );
+        eprintln!("\nCommands:\n{}", Command::usage());
+        return CommandError::Usage.exit_code();
+    };
+    let nodes = if options.node.is_empty() {
+        nodes_of_environment()
+    } else {
+        options.node
+    };
+    let token = options
+        .token
+        .or_else(|| std::env::var(TOKEN_VARIABLE).ok())
+        .unwrap_or_default();
+    let context = CommandContext {
+        client: OperatorClient::new(nodes, token.into()),
+        json: options.json,
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(exec(&context, command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+async fn exec(context: &CommandContext, command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Check(options) => commands::check::exec(context, &options),
+        Command::Apply(options) => commands::apply::exec(context, &options).await,
+        Command::Show(options) => commands::show::exec(context, &options).await,
+        Command::Status(options) => commands::status::exec(context, &options).await,
+        Command::Timeline(options) => commands::timeline::exec(context, &options).await,
+    }
+}
+
+fn nodes_of_environment() -> Vec<SocketAddr> {
+    let nodes = std::env::var(NODES_VARIABLE).unwrap_or_default();
+    nodes
+        .split(',')
+        .filter_map(|node| node.trim().parse().ok())
+        .collect()
+}
--- /dev/null
+++ b/src/bin/cuminctl/commands/check.rs
@@ -0,0 +1,40 @@
+//! `cuminctl check`: checks a fleet file without a node.
+
+use std::path::PathBuf;
+
+use cuminlb::ops::check_fleet;
+use gumdrop::Options;
+use serde_json::json;
+
+use super::output::{print_json, print_line};
+use crate::cli::CommandContext;
+use crate::commands::CommandError;
+
+/// The arguments of `cuminctl check`.
+#[derive(Debug, Options)]
+pub(crate) struct CheckOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the fleet file (TOML)")]
+    file: PathBuf,
+}
+
+pub(crate) fn exec(context: &CommandContext, options: &CheckOptions) -> Result<(), CommandError> {
+    let (_, spec) = check_fleet(&options.file)?;
+    if context.json {
+        print_json(&json!({
+            "zones": spec.zones.len(),
+            "teams": spec.teams.len(),
+            "services": spec.services.len(),
+        }));
+    } else {
+        print_line(&format!(
+            "{}: ok, {} zones, {} teams, {} services",
+            options.file.display(),
+            spec.zones.len(),
+            spec.teams.len(),
+            spec.services.len()
+        ));
+    }
+    Ok(())
+}
--- a/src/bin/cuminctl/main.rs
+++ b/src/bin/cuminctl/main.rs
@@ -1,2 +1,10 @@
-//! The operator program.
-fn main() {}
+//! `cuminctl`: the tool of operators.
+
+mod cli;
+mod commands;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/src/bin/cuminlb/cli.rs
@@ -0,0 +1,107 @@
+//! The command line of a node.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use cuminlb::ops::{check_settings, init_logging, run_node};
+use cuminlb_config::NodeSettings;
+use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// The exit status for a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+#[derive(Debug, Options)]
+struct NodeOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(no_short, help = "check the settings and exit")]
+    check: bool,
+    #[options(free, help = "the settings file (TOML)")]
+    settings: Option<PathBuf>,
+}
+
+/// Reads the command line and does what it says.
+pub(crate) fn main() -> ExitCode {
+    let options = NodeOptions::parse_args_default_or_exit();
+    if options.version {
+        eprintln!("cuminlb {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = options.settings else {
+        eprintln!(
+            "Usage: cuminlb [--check] SETTINGS\n\n{}",
+            NodeOptions::usage()
+        );
+        return ExitCode::from(EXIT_USAGE);
+    };
+    match check_settings(&path) {
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        Ok(_) if options.check => {
+            eprintln!("{}: ok", path.display());
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => run(settings),
+    }
+}
+
+fn run(settings: NodeSettings) -> ExitCode {
+    if let Err(error) = init_logging(&settings.log) {
+        eprintln!("logging can't start: {error}");
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        let node = run_node(settings, stop.clone());
+        let signals = async {
+            wait_for_signal().await;
+            stop.cancel();
+        };
+        let (outcome, ()) = tokio::join!(
+            async {
+                let outcome = node.await;
+                stop.cancel();
+                outcome
+            },
+            async {
+                tokio::select! {
+                    () = signals => {}
+                    () = stop.cancelled() => {}
+                }
+            }
+        );
+        match outcome {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
+
+/// Waits for the signal to shut down: SIGTERM or SIGINT.
+async fn wait_for_signal() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/src/bin/cuminlb/main.rs
+++ b/src/bin/cuminlb/main.rs
@@ -1,2 +1,9 @@
-//! The node program.
-fn main() {}
+//! `cuminlb`: one node of the system.
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/src/cuminlb/control/fleet_poller.rs
@@ -0,0 +1,133 @@
+//! Reads the configuration and the rosters, and puts what is new in force on this node.
+
+use std::sync::Arc;
+
+use cuminlb_config::FleetSpec;
+use cuminlb_events::EventKind;
+use cuminlb_fleet::rows::{ConfigRow, Roster, RowKeys};
+use cuminlb_platform::{Row, RowAnswer, RowQuery, Table, TableError};
+use cuminlb_types::prelude::*;
+use log::{error, warn};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::node::{ConfigInForce, FleetView, Node, RosterInForce};
+
+/// Reads the table once a period, or at once when [`Node::poll_now`] is told.
+pub async fn poll_fleet(node: Arc<Node>, stop: CancellationToken) {
+    let period = node.settings.control.poll_period_ms.duration();
+    loop {
+        if let Err(error) = poll_fleet_once(&node).await {
+            warn!("the configuration can't be read: {error}");
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.poll_now.notified() => {}
+            () = tokio::time::sleep(period) => {}
+        }
+    }
+}
+
+/// Reads the configuration and the rosters once.
+///
+/// # Errors
+///
+/// Returns [`TableError`] when the table could not be read or a row could not be decoded.
+pub async fn poll_fleet_once(node: &Node) -> Result<(), TableError> {
+    let view = node.view();
+    let services: Vec<ServiceId> = view
+        .spec()
+        .map(|spec| {
+            spec.services
+                .iter()
+                .map(|service| service.id.clone())
+                .collect()
+        })
+        .unwrap_or_default();
+    let queries = fleet_queries(&view, &services);
+    let sent_at = Instant::now();
+    let answers = node.table.query(&queries).await?;
+    let mut answers = queries.iter().map(|query| &query.key).zip(answers);
+    let mut services_changed = false;
+    if let Some((key, answer)) = answers.next() {
+        services_changed = take_config(node, key, answer)?;
+    }
+    for (service, (key, answer)) in services.iter().zip(answers) {
+        take_roster(node, service, key, answer)?;
+    }
+    node.knowledge.note(sent_at);
+    if services_changed {
+        node.poll_now.notify_one();
+    }
+    Ok(())
+}
+
+fn fleet_queries(view: &FleetView, services: &[ServiceId]) -> Vec<RowQuery> {
+    let known = view.config.as_ref().map(|config| config.row);
+    let config = RowQuery {
+        key: RowKeys::config_head(),
+        known,
+    };
+    let rosters = services.iter().map(|service| RowQuery {
+        key: RowKeys::roster(service),
+        known: view.rosters.get(service).map(|roster| roster.row),
+    });
+    std::iter::once(config).chain(rosters).collect()
+}
+
+/// Puts a configuration in force if it is newer, and tells whether it was.
+fn take_config(node: &Node, key: &RowKey, answer: RowAnswer) -> Result<bool, TableError> {
+    let Some(row): Option<Row<ConfigRow>> = Table::decode(key, answer)? else {
+        return Ok(false);
+    };
+    if row.value.version <= node.view.borrow().config_version() {
+        return Ok(false);
+    }
+    let version = row.value.version;
+    match FleetSpec::parse("config/head", &row.value.body) {
+        Err(mistakes) => {
+            error!("configuration {version} can't be read and is not put in force: {mistakes}");
+            Ok(false)
+        }
+        Ok(spec) => {
+            let config = ConfigInForce {
+                version,
+                row: row.version,
+                body: row.value.body,
+                spec,
+            };
+            node.view
+                .send_modify(|view| view.config = Some(Arc::new(config)));
+            node.events.record(EventKind::ConfigInForce { version });
+            Ok(true)
+        }
+    }
+}
+
+fn take_roster(
+    node: &Node,
+    service: &ServiceId,
+    key: &RowKey,
+    answer: RowAnswer,
+) -> Result<(), TableError> {
+    if let Some(Row { version, value, .. }) = Table::decode::<Roster>(key, answer)? {
+        put_roster(node, service, version, value);
+    }
+    Ok(())
+}
+
+/// Puts a roster in force on this node unless it is older than the one there.
+pub(super) fn put_roster(node: &Node, service: &ServiceId, row: RowVersion, roster: Roster) {
+    node.view.send_if_modified(|view| {
+        if view
+            .rosters
+            .get(service)
+            .is_some_and(|known| known.row >= row)
+        {
+            return false;
+        }
+        view.rosters
+            .insert(service.clone(), Arc::new(RosterInForce { row, roster }));
+        true
+    });
+}
--- /dev/null
+++ b/src/cuminlb/control/mod.rs
@@ -0,0 +1,25 @@
+//! The tasks by which a node watches the platform, its peers and its groups.
+//!
+//! Each task is written straight down as one loop that ends when its token is cancelled, and is
+//! joined by the task that spawned it.
+
+mod fleet_poller;
+mod group_keeper;
+mod group_supervisor;
+mod instance_poller;
+mod lease_seat;
+mod peer_supervisor;
+mod peer_task;
+mod plan_supervisor;
+mod plan_transactions;
+mod planner;
+mod slot_releaser;
+
+pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
+pub use self::group_supervisor::supervise_groups;
+pub use self::instance_poller::poll_instances;
+pub use self::lease_seat::{LeaseSeat, SeatError};
+pub use self::peer_supervisor::supervise_peers;
+pub use self::plan_supervisor::supervise_plans;
+pub use self::plan_transactions::PlanTransactions;
+pub use self::slot_releaser::release_slots;
--- /dev/null
+++ b/src/cuminlb/node/fleet_view.rs
@@ -0,0 +1,68 @@
+//! [`FleetView`].
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cuminlb_config::{FleetSpec, ServiceSpec};
+use cuminlb_fleet::rows::GroupRecord;
+use cuminlb_platform::{InstanceListing, InstanceRecord};
+use cuminlb_types::prelude::*;
+
+use super::{ConfigInForce, KnownNodes, RosterInForce};
+
+/// What a node knows of the fleet: a snapshot that its readers share.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// The configuration; `None` until one has been read.
+    pub config: Option<Arc<ConfigInForce>>,
+    /// The groups of each service.
+    pub rosters: BTreeMap<ServiceId, Arc<RosterInForce>>,
+    /// The platform's list of instances.
+    pub listing: Arc<InstanceListing>,
+}
+
+impl FleetView {
+    /// Returns the version of the configuration in force, 0 before the first.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config
+            .as_ref()
+            .map_or(ConfigVersion(0), |config| config.version)
+    }
+
+    /// Returns the fleet file in force.
+    pub fn spec(&self) -> Option<&FleetSpec> {
+        self.config.as_ref().map(|config| &config.spec)
+    }
+
+    /// Returns a service of the fleet file in force.
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceSpec> {
+        self.spec()?.service(id)
+    }
+
+    /// Returns the groups of a service.
+    pub fn groups(&self, service: &ServiceId) -> &[GroupRecord] {
+        self.rosters
+            .get(service)
+            .map_or(&[], |roster| &roster.roster.groups)
+    }
+
+    /// Returns one group.
+    pub fn group(&self, service: &ServiceId, group: &GroupId) -> Option<&GroupRecord> {
+        self.groups(service)
+            .iter()
+            .find(|record| record.id == *group)
+    }
+
+    /// Returns the record of an instance.
+    pub fn instance(&self, id: &InstanceId) -> Option<&InstanceRecord> {
+        self.listing
+            .instances
+            .iter()
+            .find(|record| record.id == *id)
+    }
+
+    /// Returns the nodes of the system.
+    pub fn nodes(&self) -> KnownNodes<'_> {
+        KnownNodes::new(&self.listing)
+    }
+}
--- /dev/null
+++ b/src/cuminlb/node/known_nodes.rs
@@ -0,0 +1,39 @@
+//! [`KnownNodes`].
+
+use cuminlb_fleet::planning::OwnerRanking;
+use cuminlb_platform::{InstanceListing, InstanceRecord, InstanceRole, InstanceState};
+use cuminlb_types::prelude::*;
+use std::fmt::Display;
+
+/// The nodes of the system, out of the platform's list.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownNodes<'a> {
+    listing: &'a InstanceListing,
+}
+
+impl<'a> KnownNodes<'a> {
+    /// Looks at the nodes of a list.
+    pub const fn new(listing: &'a InstanceListing) -> Self {
+        Self { listing }
+    }
+
+    /// Returns each live node with its record.
+    pub fn iter(self) -> impl Iterator<Item = (NodeId, &'a InstanceRecord)> {
+        self.listing
+            .instances
+            .iter()
+            .filter(|record| record.role == InstanceRole::Node)
+            .filter(|record| record.state == InstanceState::Live)
+            .filter_map(|record| Some((record.id.as_str().parse().ok()?, record)))
+    }
+
+    /// Ranks the nodes that may own what `key` names.
+    pub fn rank_owners(self, key: &impl Display, near: Option<&ZoneId>) -> OwnerRanking {
+        let nodes: Vec<(NodeId, &InstanceRecord)> = self.iter().collect();
+        OwnerRanking::new(
+            key,
+            near,
+            nodes.iter().map(|(node, record)| (node, &record.zone)),
+        )
+    }
+}
--- /dev/null
+++ b/src/cuminlb/node/node_state.rs
@@ -0,0 +1,151 @@
+//! [`Node`].
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use cuminlb_config::NodeSettings;
+use cuminlb_events::EventLog;
+use cuminlb_peer::{PeerStatement, SlotRelease};
+use cuminlb_platform::{
+    HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
+};
+use cuminlb_types::prelude::*;
+use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
+use smol_str::format_smolstr;
+use tokio::sync::{Notify, mpsc, watch};
+
+use super::{FleetView, OwnedGroups, Peers, TableKnowledge};
+
+/// The number of events that a node keeps.
+const EVENT_CAPACITY: usize = 8_192;
+
+/// The state that the tasks of one node share.
+pub struct Node {
+    /// The settings.
+    pub settings: NodeSettings,
+    /// Tells this start of the node from earlier ones.
+    pub incarnation: Incarnation,
+    /// The events of this node.
+    pub events: EventLog,
+    /// The platform's table.
+    pub table: Table,
+    /// The platform's object store.
+    pub objects: Arc<dyn ObjectStore>,
+    /// The platform's instance list.
+    pub instances: Arc<dyn InstanceList>,
+    /// Orders to engines.
+    pub engines: Arc<dyn EngineControl>,
+    /// Requests to upstreams.
+    pub upstreams: UpstreamClient,
+    /// What this node knows of the fleet.
+    pub view: watch::Sender<FleetView>,
+    /// When this node last heard the table.
+    pub knowledge: TableKnowledge,
+    /// The links to the other nodes.
+    pub peers: Peers,
+    /// The groups that this node owns.
+    pub owned: OwnedGroups,
+    /// Told when the table should be read at once.
+    pub poll_now: Notify,
+    /// Takes the slots to give back, with the owner that granted each.
+    pub releases: mpsc::UnboundedSender<(NodeId, SlotRelease)>,
+    draining: AtomicBool,
+    last_request: AtomicU64,
+}
+
+impl Node {
+    /// Creates the state of a node that talks to the platform and the upstreams over HTTP, and
+    /// the receiver of the slots to give back.
+    pub fn new(settings: NodeSettings) -> (Self, mpsc::UnboundedReceiver<(NodeId, SlotRelease)>) {
+        let platform = &settings.platform;
+        let timeout_ms = platform.timeout_ms;
+        let control = &settings.control;
+        let (releases, released) = mpsc::unbounded_channel();
+        let node = Self {
+            incarnation: Incarnation(UnixMillis::now().get()),
+            events: EventLog::new(settings.id.clone(), settings.zone.clone(), EVENT_CAPACITY),
+            table: Table::new(Arc::new(HttpTable::new(platform.table, timeout_ms))),
+            objects: Arc::new(HttpObjectStore::new(platform.objects, timeout_ms)),
+            instances: Arc::new(HttpInstanceList::new(platform.instances, timeout_ms)),
+            engines: Arc::new(HttpEngineControl::new(control.proof_max_age_ms)),
+            upstreams: UpstreamClient::new(control.peer_timeout_ms, settings.limits.stream_idle_ms),
+            view: watch::Sender::new(FleetView::default()),
+            knowledge: TableKnowledge::default(),
+            peers: Peers::default(),
+            owned: OwnedGroups::default(),
+            poll_now: Notify::new(),
+            releases,
+            draining: AtomicBool::new(false),
+            last_request: AtomicU64::new(0),
+            settings,
+        };
+        (node, released)
+    }
+
+    /// Returns the id of this node.
+    pub const fn id(&self) -> &NodeId {
+        &self.settings.id
+    }
+
+    /// Returns a snapshot of what this node knows of the fleet.
+    pub fn view(&self) -> FleetView {
+        self.view.borrow().clone()
+    }
+
+    /// Takes no new requests any more.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Tells whether this node takes no new requests any more.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Tells whether this node may act on the configuration that it has.
+    pub fn is_config_confirmed(&self) -> bool {
+        self.knowledge
+            .is_fresh(self.settings.control.knowledge_max_age_ms)
+    }
+
+    /// Tells whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.is_config_confirmed() && self.view.borrow().config.is_some()
+    }
+
+    /// Returns a new request id, unique over all nodes and starts.
+    ///
+    /// # Panics
+    ///
+    /// Never: ids of nodes and numbers form valid ids.
+    #[expect(clippy::expect_used, reason = "a node id and numbers form a valid id")]
+    pub fn new_request_id(&self) -> RequestId {
+        let number = self.last_request.fetch_add(1, Ordering::Relaxed);
+        let id = format_smolstr!(
+            "{:.64}-{:x}-{number:x}",
+            self.id().as_str(),
+            self.incarnation.get()
+        );
+        id.try_into()
+            .expect("a node id and numbers form a valid id")
+    }
+
+    /// Returns what this node says of itself to a peer.
+    pub fn statement(&self) -> PeerStatement {
+        PeerStatement {
+            node: self.id().clone(),
+            incarnation: self.incarnation,
+            time: self.events.clock().tick(),
+            config: self.view.borrow().config_version(),
+            table_age_ms: self.knowledge.age_ms(),
+        }
+    }
+
+    /// Takes in what a peer says of itself.
+    pub fn take_statement(&self, statement: &PeerStatement) {
+        self.events.clock().observe(statement.time);
+        if statement.config > self.view.borrow().config_version() {
+            self.poll_now.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/src/cuminlb/node/owned_group.rs
@@ -0,0 +1,112 @@
+//! [`OwnedGroup`].
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use cuminlb_config::ServiceSpec;
+use cuminlb_fleet::lease::HeldLease;
+use cuminlb_fleet::rows::GroupRecord;
+use cuminlb_routing::{SlotDenial, SlotLedger};
+use cuminlb_types::prelude::*;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use super::Proof;
+
+/// A group that this node owns at one epoch: its lease, its proofs and its slots.
+#[derive(Debug)]
+pub struct OwnedGroup {
+    /// The service of the group.
+    pub service: ServiceId,
+    /// The group as it stands in the roster.
+    pub record: GroupRecord,
+    /// When this node began to own the group at this epoch.
+    pub owned_since: Instant,
+    lease: watch::Receiver<HeldLease>,
+    proofs: Mutex<HashMap<InstanceId, Proof>>,
+    ledger: Mutex<SlotLedger>,
+    /// Told when a slot came free or the group began to serve.
+    pub changed: Notify,
+}
+
+impl OwnedGroup {
+    /// Starts to own a group; it serves once every member is proved to be up.
+    pub fn new(service: ServiceId, record: GroupRecord, lease: watch::Receiver<HeldLease>) -> Self {
+        let ledger = Mutex::new(SlotLedger::new(record.epoch));
+        Self {
+            service,
+            record,
+            owned_since: Instant::now(),
+            lease,
+            proofs: Mutex::default(),
+            ledger,
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the lease as last renewed.
+    pub fn lease(&self) -> HeldLease {
+        *self.lease.borrow()
+    }
+
+    /// Notes the proof of a member.
+    pub fn note_proof(&self, member: &InstanceId, proof: Proof) {
+        lock(&self.proofs).insert(member.clone(), proof);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the newest proof of a member.
+    pub fn proof(&self, member: &InstanceId) -> Option<Proof> {
+        lock(&self.proofs).get(member).copied()
+    }
+
+    /// Tells whether the lease is valid and every member is freshly proved to be up.
+    pub fn is_serving(&self, now: Instant, proof_max_age_ms: Millis) -> bool {
+        let proofs = lock(&self.proofs);
+        let fresh = |proof: &Proof| proof.is_fresh(now, proof_max_age_ms);
+        let is_proved = |member| proofs.get(member).is_some_and(fresh);
+        self.lease().is_valid(now) && self.record.members.iter().all(is_proved)
+    }
+
+    /// Tells whether every member has left its cold start behind.
+    pub fn is_warm(&self) -> bool {
+        let proofs = lock(&self.proofs);
+        let is_warm = |member| proofs.get(member).is_some_and(|proof: &Proof| proof.warm);
+        self.record.members.iter().all(is_warm)
+    }
+
+    /// Grants a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SlotDenial`] when the group does not serve or all slots are taken.
+    pub fn grant(
+        &self,
+        spec: &ServiceSpec,
+        request: &RequestId,
+        node: &NodeId,
+        epoch: Epoch,
+        proof_max_age_ms: Millis,
+    ) -> Result<(), SlotDenial> {
+        if !self.is_serving(Instant::now(), proof_max_age_ms) {
+            return Err(SlotDenial::NotServing);
+        }
+        let limit = spec.slots(self.is_warm());
+        lock(&self.ledger).grant(request, node, epoch, limit)
+    }
+
+    /// Takes a slot back.
+    pub fn release(&self, request: &RequestId) {
+        lock(&self.ledger).release(request);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the number of slots that are taken.
+    pub fn taken(&self) -> SlotCount {
+        lock(&self.ledger).taken()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/cuminlb/ops/mod.rs
@@ -0,0 +1,17 @@
+//! The operations behind the command lines of `cuminlb` and `cuminctl`.
+
+mod check_files;
+mod logging;
+mod operator_client;
+mod operator_client_error;
+mod read_error;
+mod run_error;
+mod run_node;
+
+pub use self::check_files::{check_fleet, check_settings};
+pub use self::logging::init_logging;
+pub use self::operator_client::OperatorClient;
+pub use self::operator_client_error::OperatorClientError;
+pub use self::read_error::ReadError;
+pub use self::run_error::RunError;
+pub use self::run_node::run_node;
