--- a/crates/cuminlb-caller/src/caller/serve.rs
+++ b/crates/cuminlb-caller/src/caller/serve.rs
@@ -23,7 +23,7 @@
     stop: CancellationToken,
     drain_ms: Millis,
 ) -> Result<(), ServeError> {
-    let acceptor = bind(address).await?;
+    let acceptor = bind(address)?;
     let router = Router::new()
         .push(Router::with_path("healthz").get(HealthEndpoint))
         .push(Router::with_path("readyz").get(ReadyEndpoint {
--- a/crates/cuminlb-caller/src/operator/serve.rs
+++ b/crates/cuminlb-caller/src/operator/serve.rs
@@ -25,7 +25,7 @@
     handler: H,
     stop: CancellationToken,
 ) -> Result<(), ServeError> {
-    let acceptor = bind(address).await?;
+    let acceptor = bind(address)?;
     let endpoint = |call| OperatorEndpoint {
         call,
         token: token.clone(),
