Measure what control costs a node at several sizes

Cause: the target bounds control at 1.5% of a core, 32 MB and 2 KB/s a node, and nothing measured it.

--- a/crates/cuminlb-standins/src/http_server.rs
+++ b/crates/cuminlb-standins/src/http_server.rs
@@ -17,6 +17,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 
+use crate::traffic::{CountingStream, Traffic};
 use crate::{Fault, FaultState, StandinError};
 
 /// The body of a stand-in's answer.
@@ -85,29 +86,30 @@
     answers: Arc<A>,
     stop: CancellationToken,
 ) {
+    let endpoint = Arc::new(Endpoint {
+        fault,
+        traffic: Arc::default(),
+        answers,
+    });
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             () = stop.cancelled() => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                connections.spawn(serve(stream, fault.clone(), Arc::clone(&answers), stop.clone()));
+                connections.spawn(serve(stream, Arc::clone(&endpoint), stop.clone()));
             },
         }
     }
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve<A: Answers>(
-    stream: TcpStream,
-    fault: FaultState,
-    answers: Arc<A>,
-    stop: CancellationToken,
-) {
+async fn serve<A: Answers>(stream: TcpStream, endpoint: Arc<Endpoint<A>>, stop: CancellationToken) {
     let _ = stream.set_nodelay(true);
+    let stream = CountingStream::new(stream, Arc::clone(&endpoint.traffic));
     let service = service_fn(|request: Request<Incoming>| {
-        let (fault, answers) = (fault.clone(), Arc::clone(&answers));
-        async move { Ok::<_, Infallible>(answer(request, &fault, answers).await) }
+        let endpoint = Arc::clone(&endpoint);
+        async move { Ok::<_, Infallible>(endpoint.answer(request).await) }
     });
     let connection =
         hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -117,27 +119,35 @@
     }
 }
 
-async fn answer<A: Answers>(
-    request: Request<Incoming>,
-    fault: &FaultState,
+/// What the connections of one stand-in share.
+struct Endpoint<A> {
+    fault: FaultState,
+    traffic: Arc<Traffic>,
     answers: Arc<A>,
-) -> Response<AnswerBody> {
-    let (head, body) = request.into_parts();
-    let Ok(body) = body.collect().await else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    let body = body.to_bytes();
-    if head.method == Method::PUT && head.uri.path() == "/fault" {
-        return switch_fault(fault, &body);
-    }
-    fault.hold().await;
-    match fault.get() {
-        Fault::Refusing => status(StatusCode::SERVICE_UNAVAILABLE),
-        Fault::AnswerLost => {
-            let _ = answers.answer(Request::from_parts(head, body)).await;
-            std::future::pending().await
+}
+
+impl<A: Answers> Endpoint<A> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let body = body.to_bytes();
+        match (&head.method, head.uri.path()) {
+            (&Method::PUT, "/fault") => return switch_fault(&self.fault, &body),
+            (&Method::GET, "/traffic") => return json(&self.traffic.report()),
+            (_, path) => self.traffic.count_call(path),
+        }
+        self.fault.hold().await;
+        let answers = Arc::clone(&self.answers);
+        match self.fault.get() {
+            Fault::Refusing => status(StatusCode::SERVICE_UNAVAILABLE),
+            Fault::AnswerLost => {
+                let _ = answers.answer(Request::from_parts(head, body)).await;
+                std::future::pending().await
+            }
+            _ => answers.answer(Request::from_parts(head, body)).await,
         }
-        _ => answers.answer(Request::from_parts(head, body)).await,
     }
 }
 
--- a/crates/cuminlb-standins/src/lib.rs
+++ b/crates/cuminlb-standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod plain;
 mod platform;
 mod standin_error;
+mod traffic;
 
 pub use crate::engine::{Engine, EngineOptions};
 pub use crate::fault::{Fault, FaultState};
@@ -17,3 +18,4 @@
 pub use crate::plain::{PlainOptions, PlainService, Reservation};
 pub use crate::platform::{Platform, PlatformOptions};
 pub use crate::standin_error::StandinError;
+pub use crate::traffic::TrafficReport;
--- a/crates/cuminlb-test-support/src/site.rs
+++ b/crates/cuminlb-test-support/src/site.rs
@@ -5,7 +5,7 @@
 
 use cuminlb_caller::{ApplyReport, ApplyRequest, FleetDocument, NodeStatus};
 use cuminlb_platform::{InstanceRecord, InstanceRole, InstanceState};
-use cuminlb_standins::Fault;
+use cuminlb_standins::{Fault, TrafficReport};
 use cuminlb_types::prelude::*;
 use http::Method;
 use serde_json::json;
@@ -336,6 +336,29 @@
         self.client.call(method, &url, &[], "").await
     }
 
+    /// Returns the traffic that the platform has counted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::Http`] when the platform does not answer.
+    pub async fn platform_traffic(&self) -> Result<TrafficReport, SiteError> {
+        let url = format!("http://{}:{PLATFORM_PORT}/traffic", self.ip);
+        parse(&self.client.call(Method::GET, &url, &[], "").await?)
+    }
+
+    /// Returns the traffic that an engine or a worker has counted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::Http`] when the upstream does not answer.
+    pub async fn upstream_traffic(&self, upstream: usize) -> Result<TrafficReport, SiteError> {
+        parse(
+            &self
+                .call_upstream(upstream, Method::GET, "/traffic")
+                .await?,
+        )
+    }
+
     /// Returns the index of an instance among the upstreams.
     pub fn upstream_index(&self, instance: &InstanceId) -> Option<usize> {
         self.upstreams
