--- a/crates/cuminlb-caller/src/caller/caller_handler.rs
+++ b/crates/cuminlb-caller/src/caller/caller_handler.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 
+use cuminlb_routing::Refusal;
 use cuminlb_types::prelude::*;
 
 use super::{CallerAnswer, CallerRequest};
@@ -11,6 +12,9 @@
     /// Answers a request.
     fn handle(&self, request: CallerRequest) -> impl Future<Output = CallerAnswer> + Send;
 
+    /// Notes a request that was refused because it can't be read.
+    fn note_rejected(&self, request: &RequestId, refusal: &Refusal);
+
     /// Returns a new request id.
     fn new_request_id(&self) -> RequestId;
 
@@ -22,7 +26,4 @@
 
     /// Tells whether the balancer should send requests here.
     fn is_ready(&self) -> bool;
-
-    /// Returns the metrics in the text format.
-    fn metrics_text(&self) -> String;
 }
--- a/crates/cuminlb-caller/src/caller/endpoint.rs
+++ b/crates/cuminlb-caller/src/caller/endpoint.rs
@@ -96,7 +96,10 @@
         let id = self.handler.new_request_id();
         let answer = match self.decode(&id, req).await {
             Ok(request) => self.handler.handle(request).await,
-            Err(refusal) => CallerAnswer::Refused(refusal),
+            Err(refusal) => {
+                self.handler.note_rejected(&id, &refusal);
+                CallerAnswer::Refused(refusal)
+            }
         };
         encode(&id, answer, res);
     }
--- a/crates/cuminlb-caller/src/caller/serve.rs
+++ b/crates/cuminlb-caller/src/caller/serve.rs
@@ -29,9 +29,6 @@
         .push(Router::with_path("readyz").get(ReadyEndpoint {
             handler: handler.clone(),
         }))
-        .push(Router::with_path("metrics").get(MetricsEndpoint {
-            handler: handler.clone(),
-        }))
         .push(Router::with_path("{**path}").goal(CallerEndpoint::new(handler)));
     serve_until(acceptor, router, stop, drain_ms.duration()).await;
     Ok(())
@@ -75,21 +72,3 @@
         }
     }
 }
-
-struct MetricsEndpoint<H> {
-    handler: H,
-}
-
-#[salvo::async_trait]
-impl<H: CallerHandler> Handler for MetricsEndpoint<H> {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        res.status_code(StatusCode::OK);
-        res.body(self.handler.metrics_text());
-    }
-}
--- a/crates/cuminlb-caller/src/lib.rs
+++ b/crates/cuminlb-caller/src/lib.rs
@@ -15,7 +15,8 @@
     RefusalBody, StreamPart, TIMEOUT_HEADER, serve_callers,
 };
 pub use crate::operator::{
-    ApplyError, ApplyReport, ApplyRequest, EventsRequest, FleetDocument, GroupStatus, NodeStatus,
-    OperatorHandler, OperatorToken, OwnedGroupStatus, ServiceStatus, serve_operators,
+    ApplyError, ApplyReport, ApplyRequest, EventsReport, EventsRequest, FleetDocument, FleetStatus,
+    GroupStatus, NodeStatus, OperatorHandler, OperatorToken, OwnedGroupStatus, ServiceStatus,
+    ZoneStatus, serve_operators,
 };
 pub use crate::serve_error::ServeError;
--- a/crates/cuminlb-caller/src/operator/endpoints.rs
+++ b/crates/cuminlb-caller/src/operator/endpoints.rs
@@ -14,8 +14,10 @@
 pub(super) enum OperatorCall {
     /// Puts a fleet file in force.
     Apply,
-    /// Shows the state.
+    /// Shows the state that the node sees.
     Status,
+    /// Shows the state of the whole fleet.
+    FleetStatus,
     /// Shows the configuration in force.
     Fleet,
     /// Shows the merged time line.
@@ -46,6 +48,7 @@
         match self.call {
             OperatorCall::Apply => self.apply(req, res).await,
             OperatorCall::Status => res.render(Json(self.handler.status())),
+            OperatorCall::FleetStatus => res.render(Json(self.handler.fleet_status().await)),
             OperatorCall::Fleet => res.render(Json(self.handler.fleet())),
             OperatorCall::Events => self.events(req, res).await,
         }
--- a/crates/cuminlb-caller/src/operator/group_status.rs
+++ b/crates/cuminlb-caller/src/operator/group_status.rs
@@ -19,6 +19,16 @@
     pub members: Vec<InstanceId>,
     /// Members that the owner reported missing.
     pub missing: Vec<InstanceId>,
-    /// What the node knows as the owner, where it is the owner.
+    /// The node that owns the group, where it is known.
+    #[serde(default)]
+    pub owner: Option<NodeId>,
+    /// What the owner knows; of a single node, only where it is the owner.
     pub owned: Option<OwnedGroupStatus>,
 }
+
+impl GroupStatus {
+    /// Tells whether the owner says that the group serves.
+    pub fn is_serving(&self) -> bool {
+        self.owned.is_some_and(|owned| owned.serving)
+    }
+}
--- a/crates/cuminlb-config/src/fleet/mod.rs
+++ b/crates/cuminlb-config/src/fleet/mod.rs
@@ -10,6 +10,8 @@
 mod service_kind;
 mod service_spec;
 mod team_spec;
+mod zone_edit;
+mod zone_edit_error;
 mod zone_spec;
 mod zone_state;
 
@@ -23,5 +25,7 @@
 pub use self::service_kind::ServiceKind;
 pub use self::service_spec::ServiceSpec;
 pub use self::team_spec::TeamSpec;
+pub use self::zone_edit::set_zone_state;
+pub use self::zone_edit_error::ZoneEditError;
 pub use self::zone_spec::ZoneSpec;
 pub use self::zone_state::ZoneState;
--- /dev/null
+++ b/crates/cuminlb-events/src/denial_cause.rs
@@ -0,0 +1,34 @@
+//! [`DenialCause`].
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The reason why a group granted no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DenialCause {
+    /// All slots are taken.
+    Full,
+    /// The owner has no fresh proof that every member is up.
+    NotServing,
+    /// The node that was asked does not own the group.
+    NotOwner,
+    /// The group has another epoch by now.
+    EpochChanged,
+    /// The owner gave no answer.
+    NoAnswer,
+}
+
+impl fmt::Display for DenialCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Full => "full",
+            Self::NotServing => "not_serving",
+            Self::NotOwner => "not_owner",
+            Self::EpochChanged => "epoch_changed",
+            Self::NoAnswer => "no_answer",
+        })
+    }
+}
--- a/crates/cuminlb-events/src/dissolve_cause.rs
+++ b/crates/cuminlb-events/src/dissolve_cause.rs
@@ -6,7 +6,7 @@
 /// The reason why a group stopped serving and was dissolved.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(tag = "cause", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 #[derive(thiserror::Error)]
 pub enum DissolveCause {
     /// A member gave no proof that it is up.
--- a/crates/cuminlb-events/src/event_filter.rs
+++ b/crates/cuminlb-events/src/event_filter.rs
@@ -15,8 +15,14 @@
     pub group: Option<GroupId>,
     /// Only events about this team.
     pub team: Option<TeamId>,
-    /// Only events of nodes in this availability zone.
+    /// Only events about this service.
+    pub service: Option<ServiceId>,
+    /// Only events of nodes in this availability zone, or about the zone itself.
     pub zone: Option<ZoneId>,
+    /// Only events at or after this wall-clock time.
+    pub since_ms: Option<UnixMillis>,
+    /// Only events at or before this wall-clock time.
+    pub until_ms: Option<UnixMillis>,
     /// Only events after this time.
     pub after: Option<HybridTime>,
 }
@@ -27,10 +33,24 @@
         fn matches<T: PartialEq>(wanted: Option<&T>, found: Option<&T>) -> bool {
             wanted.is_none() || wanted == found
         }
-        matches(self.request.as_ref(), event.kind.request())
-            && matches(self.group.as_ref(), event.kind.group())
-            && matches(self.team.as_ref(), event.kind.team())
-            && matches(self.zone.as_ref(), Some(&event.zone))
-            && self.after.is_none_or(|after| event.time > after)
+        let kind = &event.kind;
+        matches(self.request.as_ref(), kind.request())
+            && matches(self.group.as_ref(), kind.group())
+            && matches(self.team.as_ref(), kind.team())
+            && matches(self.service.as_ref(), kind.service())
+            && self.selects_zone(event)
+            && self.selects_time(event.time)
+    }
+
+    fn selects_zone(&self, event: &Event) -> bool {
+        self.zone
+            .as_ref()
+            .is_none_or(|zone| *zone == event.zone || Some(zone) == event.kind.target_zone())
+    }
+
+    fn selects_time(&self, time: HybridTime) -> bool {
+        self.after.is_none_or(|after| time > after)
+            && self.since_ms.is_none_or(|since| time.wall_ms >= since)
+            && self.until_ms.is_none_or(|until| time.wall_ms <= until)
     }
 }
--- a/crates/cuminlb-events/src/event_log.rs
+++ b/crates/cuminlb-events/src/event_log.rs
@@ -1,32 +1,45 @@
 //! [`EventLog`].
 
-use std::collections::VecDeque;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cuminlb_types::prelude::*;
 
-use crate::{Event, EventFilter, EventKind, HybridClock};
+use crate::event_ring::EventRing;
+use crate::{Event, EventFilter, EventKind, EventMetrics, HybridClock};
 
-/// The newest events of one node, in a ring of bounded size.
+/// The newest events of one node, in two rings of bounded size.
+///
+/// Events about requests have a ring of their own, so that many requests don't push out the
+/// events that say why a group went down.
 #[derive(Debug)]
 pub struct EventLog {
     node: NodeId,
     zone: ZoneId,
     clock: HybridClock,
-    capacity: usize,
-    ring: Mutex<VecDeque<Event>>,
+    metrics: EventMetrics,
+    rings: Mutex<Rings>,
+}
+
+#[derive(Debug)]
+struct Rings {
+    requests: EventRing,
+    fleet: EventRing,
 }
 
 impl EventLog {
-    /// Creates an empty log that keeps at most `capacity` events.
+    /// Creates an empty log that keeps at most `capacity` events, half of them about requests.
     pub fn new(node: NodeId, zone: ZoneId, capacity: usize) -> Self {
-        let ring = Mutex::new(VecDeque::with_capacity(capacity.min(1_024)));
+        let fleet_capacity = capacity / 2;
+        let rings = Rings {
+            requests: EventRing::new(capacity - fleet_capacity),
+            fleet: EventRing::new(fleet_capacity),
+        };
         Self {
             node,
             zone,
             clock: HybridClock::default(),
-            capacity,
-            ring,
+            metrics: EventMetrics::default(),
+            rings: Mutex::new(rings),
         }
     }
 
@@ -35,33 +48,48 @@
         &self.clock
     }
 
-    /// Records an event that happens now; the oldest event gives way when the ring is full.
+    /// Returns the counts of the events.
+    pub const fn metrics(&self) -> &EventMetrics {
+        &self.metrics
+    }
+
+    /// Records an event that happens now; the oldest event gives way when its ring is full.
     pub fn record(&self, kind: EventKind) {
-        let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
-        let time = self.clock.tick();
+        self.metrics.count(&kind);
+        let mut rings = self.lock();
         let event = Event {
-            time,
+            time: self.clock.tick(),
             node: self.node.clone(),
             zone: self.zone.clone(),
             kind,
         };
-        if ring.len() >= self.capacity {
-            ring.pop_front();
+        if event.kind.request().is_some() {
+            rings.requests.push(event);
+        } else {
+            rings.fleet.push(event);
         }
-        ring.push_back(event);
     }
 
-    /// Returns the newest events that a filter selects, oldest first, at most `limit`.
+    /// Returns at most `limit` events that a filter selects, oldest first.
+    ///
+    /// Those are the newest, or with [`EventFilter::after`] the first after that time, so that a
+    /// reader who goes on from the last event misses none that is still kept.
     pub fn select(&self, filter: &EventFilter, limit: usize) -> Vec<Event> {
-        let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut found: Vec<Event> = ring
-            .iter()
-            .rev()
-            .filter(|event| filter.selects(event))
-            .take(limit)
-            .cloned()
-            .collect();
-        found.reverse();
+        let mut found: Vec<Event> = {
+            let rings = self.lock();
+            let all = rings.requests.iter().chain(rings.fleet.iter());
+            all.filter(|event| filter.selects(event)).cloned().collect()
+        };
+        found.sort_by_key(|event| event.time);
+        if filter.after.is_some() {
+            found.truncate(limit);
+        } else {
+            found.drain(..found.len().saturating_sub(limit));
+        }
         found
     }
+
+    fn lock(&self) -> MutexGuard<'_, Rings> {
+        self.rings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/cuminlb-events/src/hybrid_clock.rs
+++ b/crates/cuminlb-events/src/hybrid_clock.rs
@@ -30,10 +30,7 @@
                 counter: 0,
             }
         } else {
-            HybridTime {
-                wall_ms: last.wall_ms,
-                counter: last.counter.saturating_add(1),
-            }
+            last.next()
         };
         *last
     }
--- a/crates/cuminlb-events/src/hybrid_time.rs
+++ b/crates/cuminlb-events/src/hybrid_time.rs
@@ -15,6 +15,20 @@
     pub counter: u32,
 }
 
+impl HybridTime {
+    /// Returns the next later time; a counter at its end goes over into the next millisecond.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        match self.counter.checked_add(1) {
+            Some(counter) => Self { counter, ..self },
+            None => Self {
+                wall_ms: UnixMillis(self.wall_ms.get().saturating_add(1)),
+                counter: 0,
+            },
+        }
+    }
+}
+
 impl fmt::Display for HybridTime {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}+{}", self.wall_ms, self.counter)
--- a/crates/cuminlb-events/src/lib.rs
+++ b/crates/cuminlb-events/src/lib.rs
@@ -1,23 +1,33 @@
 //! Typed events, the hybrid logical clock and the bounded ring behind the time line.
 //!
 //! Every decision that a person on call would ask about is an [`Event`]. A node records its
-//! events in its [`EventLog`], a bounded ring; `cuminctl timeline` merges the rings of all nodes
+//! events in its [`EventLog`], which is bounded; `cuminctl timeline` merges the rings of all nodes
 //! in the order of their [`HybridTime`], which is causal even where the wall clocks differ.
 
+mod denial_cause;
+mod denial_tally;
 mod dissolve_cause;
 mod event;
 mod event_filter;
 mod event_kind;
 mod event_log;
+mod event_metrics;
+mod event_ring;
+mod event_subjects;
 mod hybrid_clock;
 mod hybrid_time;
+mod report;
 mod request_outcome;
 
+pub use crate::denial_cause::DenialCause;
+pub use crate::denial_tally::DenialTally;
 pub use crate::dissolve_cause::DissolveCause;
 pub use crate::event::Event;
 pub use crate::event_filter::EventFilter;
 pub use crate::event_kind::EventKind;
 pub use crate::event_log::EventLog;
+pub use crate::event_metrics::EventMetrics;
 pub use crate::hybrid_clock::HybridClock;
 pub use crate::hybrid_time::HybridTime;
+pub use crate::report::{GroupReport, NodeReport, ServiceReport, TeamReport};
 pub use crate::request_outcome::RequestOutcome;
--- /dev/null
+++ b/crates/cuminlb-events/src/report/mod.rs
@@ -0,0 +1,11 @@
+//! What a node reports of itself to operators.
+
+mod group_report;
+mod node_report;
+mod service_report;
+mod team_report;
+
+pub use self::group_report::GroupReport;
+pub use self::node_report::NodeReport;
+pub use self::service_report::ServiceReport;
+pub use self::team_report::TeamReport;
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! it again after a failure; [`serve_peers`] runs the server's end, one task for each connection,
 //! and hands each call to a [`PeerHandler`]. Both ends show the peer token before the first call.
 
+mod call_counts;
 mod handshake;
 mod message;
 mod peer_api;
@@ -12,6 +13,7 @@
 mod peer_link;
 mod peer_server;
 
+pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
     EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -1,6 +1,6 @@
 //! [`PeerApi`].
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 
 use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
 
@@ -18,4 +18,7 @@
 
     /// Returns the newest events of the node called.
     async fn events(query: EventsQuery) -> Vec<Event>;
+
+    /// Returns what the node called reports of itself.
+    async fn report() -> NodeReport;
 }
--- a/crates/cuminlb-peer/src/peer_handler.rs
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 
 use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
 
@@ -19,4 +19,10 @@
 
     /// Returns the newest events of this node.
     fn events(&self, query: EventsQuery) -> Vec<Event>;
+
+    /// Returns what this node reports of itself.
+    fn report(&self) -> NodeReport;
+
+    /// Notes that a message has come in; `kind` is the name of the call.
+    fn note_received(&self, kind: &'static str);
 }
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -1,9 +1,10 @@
 //! [`PeerLink`].
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 use cuminlb_types::prelude::*;
 use smol_str::ToSmolStr;
 use tarpc::client::RpcError;
@@ -15,7 +16,7 @@
 use tokio::sync::Mutex;
 
 use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
-use crate::{PeerApiClient, PeerError, PeerToken};
+use crate::{CallCounts, PeerApiClient, PeerError, PeerToken};
 
 /// The client's end of the conversation with one peer.
 ///
@@ -26,6 +27,7 @@
     token: PeerToken,
     timeout_ms: Millis,
     client: Mutex<Option<PeerApiClient>>,
+    counts: Arc<CallCounts>,
 }
 
 impl PeerLink {
@@ -36,9 +38,17 @@
             token,
             timeout_ms,
             client: Mutex::new(None),
+            counts: Arc::default(),
         }
     }
 
+    /// Counts the calls together with those of other links.
+    #[must_use]
+    pub fn counted_by(mut self, counts: Arc<CallCounts>) -> Self {
+        self.counts = counts;
+        self
+    }
+
     /// Returns the address of the peer.
     pub const fn address(&self) -> SocketAddr {
         self.address
@@ -93,6 +103,18 @@
         .await
     }
 
+    /// Asks the peer what it reports of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn report(&self) -> Result<NodeReport, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.report(context).await
+        })
+        .await
+    }
+
     /// Runs one call; `extra_ms` is the time that the peer may take on purpose.
     async fn call<T>(
         &self,
@@ -100,12 +122,17 @@
         call: impl AsyncFnOnce(PeerApiClient, Context) -> Result<T, RpcError>,
     ) -> Result<T, PeerError> {
         let timeout_ms = self.timeout_ms + extra_ms;
-        let client = self.connected().await?;
+        self.counts.note_sent();
+        let client = self
+            .connected()
+            .await
+            .inspect_err(|_| self.counts.note_failed())?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + timeout_ms.duration();
         match call(client, context).await {
             Ok(answer) => Ok(answer),
             Err(error) => {
+                self.counts.note_failed();
                 *self.client.lock().await = None;
                 Err(PeerError::NoAnswer {
                     timeout_ms,
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! [`serve_peers`].
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 use futures_util::StreamExt;
 use log::{debug, warn};
 use tarpc::context::Context;
@@ -71,18 +71,27 @@
 
 impl<H: PeerHandler> PeerApi for Server<H> {
     async fn exchange(self, _: Context, statement: PeerStatement) -> PeerStatement {
+        self.handler.note_received("exchange");
         self.handler.exchange(statement)
     }
 
     async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
+        self.handler.note_received("acquire_slot");
         self.handler.acquire_slot(request).await
     }
 
     async fn release_slot(self, _: Context, release: SlotRelease) {
+        self.handler.note_received("release_slot");
         self.handler.release_slot(release);
     }
 
     async fn events(self, _: Context, query: EventsQuery) -> Vec<Event> {
+        self.handler.note_received("events");
         self.handler.events(query)
     }
+
+    async fn report(self, _: Context) -> NodeReport {
+        self.handler.note_received("report");
+        self.handler.report()
+    }
 }
--- a/src/bin/cuminctl/cli.rs
+++ b/src/bin/cuminctl/cli.rs
@@ -14,7 +14,7 @@
 /// The environment variable that holds the addresses of nodes, separated by commas.
 const NODES_VARIABLE: &str = "CUMINCTL_NODES";
 
-#[derive(Debug, Options)]
+#[derive(Options)]
 struct CtlOptions {
     #[options(help = "print this help")]
     help: bool,
@@ -40,12 +40,16 @@
     Status(commands::status::StatusOptions),
     #[options(help = "print the merged events of all nodes")]
     Timeline(commands::timeline::TimelineOptions),
+    #[options(help = "show zones, queues, teams and groups, again and again")]
+    Top(commands::top::TopOptions),
+    #[options(help = "take an availability zone out of service or bring it back")]
+    Zone(commands::zone::ZoneOptions),
 }
 
 /// What every subcommand needs: how to reach a node and how to print.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct CommandContext {
-    /// Calls the first node that answers.
+    /// Calls the first of the nodes that answers.
     pub(crate) client: OperatorClient,
     /// Whether to print JSON.
     pub(crate) json: bool,
@@ -65,7 +69,14 @@
     let nodes = if options.node.is_empty() {
         nodes_of_environment()
     } else {
-        options.node
+        Ok(options.node)
+    };
+    let nodes = match nodes {
+        Ok(nodes) => nodes,
+        Err(error) => {
+            eprintln!("{error}");
+            return error.exit_code();
+        }
     };
     let token = options
         .token
@@ -101,13 +112,19 @@
         Command::Show(options) => commands::show::exec(context, &options).await,
         Command::Status(options) => commands::status::exec(context, &options).await,
         Command::Timeline(options) => commands::timeline::exec(context, &options).await,
+        Command::Top(options) => commands::top::exec(context, &options).await,
+        Command::Zone(options) => commands::zone::exec(context, &options).await,
     }
 }
 
-fn nodes_of_environment() -> Vec<SocketAddr> {
+fn nodes_of_environment() -> Result<Vec<SocketAddr>, CommandError> {
     let nodes = std::env::var(NODES_VARIABLE).unwrap_or_default();
+    let nodes = nodes.split(',').map(str::trim);
     nodes
-        .split(',')
-        .filter_map(|node| node.trim().parse().ok())
+        .filter(|node| !node.is_empty())
+        .map(|node| {
+            node.parse()
+                .map_err(|_| CommandError::BadAddress { text: node.into() })
+        })
         .collect()
 }
--- a/src/bin/cuminctl/commands/apply.rs
+++ b/src/bin/cuminctl/commands/apply.rs
@@ -2,10 +2,11 @@
 
 use std::path::PathBuf;
 
-use cuminlb::ops::check_fleet;
+use cuminlb::ops::{DiffLine, check_fleet, diff_lines, with_context};
 use cuminlb_caller::{ApplyReport, ApplyRequest};
 use cuminlb_types::prelude::*;
 use gumdrop::Options;
+use serde_json::json;
 
 use super::output::{print_json, print_line};
 use crate::cli::CommandContext;
@@ -16,6 +17,10 @@
 pub(crate) struct ApplyOptions {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+    #[options(no_short, help = "print what would change and change nothing")]
+    dry_run: bool,
     #[options(help = "the version that you edited; by default the one in force now")]
     base: Option<u64>,
     #[options(free, required, help = "the fleet file (TOML)")]
@@ -26,19 +31,62 @@
     context: &CommandContext,
     options: &ApplyOptions,
 ) -> Result<(), CommandError> {
+    let json = context.json || options.json;
     let (body, _) = check_fleet(&options.file)?;
+    if options.dry_run {
+        let document = context.client.fleet().await?;
+        print_difference(&document.body, &body, json);
+        return Ok(());
+    }
     let base = match options.base {
         Some(base) => ConfigVersion(base),
         None => context.client.fleet().await?.version,
     };
     let base = Some(base).filter(|base| *base > ConfigVersion(0));
     let report = context.client.apply(&ApplyRequest { base, body }).await?;
-    if context.json {
-        print_json(&report);
+    finish(&report, json)
+}
+
+/// Prints a report and tells whether every node has confirmed the configuration.
+pub(super) fn finish(report: &ApplyReport, json: bool) -> Result<(), CommandError> {
+    if json {
+        print_json(report);
     } else {
-        print_report(&report);
+        print_report(report);
+    }
+    if report.not_confirmed.is_empty() {
+        return Ok(());
+    }
+    let version = report.version;
+    Err(CommandError::NotConfirmed { version })
+}
+
+/// Prints the lines that an apply would change.
+pub(super) fn print_difference(old: &str, new: &str, json: bool) {
+    let lines = diff_lines(old, new);
+    if json {
+        let text = |wanted: fn(&DiffLine<'_>) -> bool| -> Vec<String> {
+            let changed = lines.iter().filter(|line| wanted(line));
+            changed
+                .map(|line| line.to_string()[2..].to_owned())
+                .collect()
+        };
+        print_json(&json!({
+            "removed": text(|line| matches!(line, DiffLine::Removed(_))),
+            "added": text(|line| matches!(line, DiffLine::Added(_))),
+        }));
+        return;
+    }
+    if lines.iter().all(DiffLine::is_same) {
+        print_line("no difference from the configuration in force");
+        return;
+    }
+    for line in with_context(&lines) {
+        match line {
+            Some(line) => print_line(&line.to_string()),
+            None => print_line("  ..."),
+        }
     }
-    Ok(())
 }
 
 fn print_report(report: &ApplyReport) {
--- a/src/bin/cuminctl/commands/check.rs
+++ b/src/bin/cuminctl/commands/check.rs
@@ -15,13 +15,15 @@
 pub(crate) struct CheckOptions {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
     #[options(free, required, help = "the fleet file (TOML)")]
     file: PathBuf,
 }
 
 pub(crate) fn exec(context: &CommandContext, options: &CheckOptions) -> Result<(), CommandError> {
     let (_, spec) = check_fleet(&options.file)?;
-    if context.json {
+    if context.json || options.json {
         print_json(&json!({
             "zones": spec.zones.len(),
             "teams": spec.teams.len(),
--- a/src/bin/cuminctl/commands/mod.rs
+++ b/src/bin/cuminctl/commands/mod.rs
@@ -6,6 +6,9 @@
 mod output;
 pub(crate) mod show;
 pub(crate) mod status;
+mod text_table;
 pub(crate) mod timeline;
+pub(crate) mod top;
+pub(crate) mod zone;
 
 pub(crate) use self::command_error::CommandError;
--- a/src/bin/cuminctl/commands/show.rs
+++ b/src/bin/cuminctl/commands/show.rs
@@ -11,18 +11,23 @@
 pub(crate) struct ShowOptions {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
 }
 
 pub(crate) async fn exec(
     context: &CommandContext,
-    _options: &ShowOptions,
+    options: &ShowOptions,
 ) -> Result<(), CommandError> {
     let document = context.client.fleet().await?;
-    if context.json {
+    if context.json || options.json {
         print_json(&document);
-    } else {
-        print_line(&format!("# configuration {}", document.version));
-        print_line(document.body.trim_end());
+        return Ok(());
     }
+    eprintln!(
+        "configuration {version}; after editing, run `cuminctl apply --base {version} FILE`",
+        version = document.version
+    );
+    print_line(document.body.trim_end());
     Ok(())
 }
--- a/src/cuminlb/control/fleet_poller.rs
+++ b/src/cuminlb/control/fleet_poller.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::node::{ConfigInForce, FleetView, Node, RosterInForce};
+use crate::observing::record_zone_changes;
 
 /// Reads the table once a period, or at once when [`Node::poll_now`] is told.
 pub async fn poll_fleet(node: Arc<Node>, stop: CancellationToken) {
@@ -20,6 +21,7 @@
         if let Err(error) = poll_fleet_once(&node).await {
             warn!("the configuration can't be read: {error}");
         }
+        node.standing_trail.observe(&node);
         tokio::select! {
             () = stop.cancelled() => return,
             () = node.poll_now.notified() => {}
@@ -96,6 +98,12 @@
                 body: row.value.body,
                 spec,
             };
+            record_zone_changes(
+                &node.events,
+                node.view.borrow().spec(),
+                &config.spec,
+                version,
+            );
             node.view
                 .send_modify(|view| view.config = Some(Arc::new(config)));
             node.events.record(EventKind::ConfigInForce { version });
--- a/src/cuminlb/control/group_keeper.rs
+++ b/src/cuminlb/control/group_keeper.rs
@@ -53,6 +53,7 @@
         };
         let held = keeper.keep(&mut seat, acquired, &stop).await;
         node.owned.remove(&group);
+        node.group_trail.forget(&group);
         if stop.is_cancelled() {
             seat.release(held).await;
             return;
@@ -122,6 +123,7 @@
             .iter()
             .map(|member| self.probe(&owned, member, held));
         join_all(probes).await;
+        self.node.group_trail.observe(&self.node, &owned);
         self.report_missing(&owned, held).await;
         let next = round_started + control.probe_period_ms.duration();
         tokio::time::sleep_until(next).await;
@@ -190,9 +192,11 @@
             let GroupRecord {
                 id: group, epoch, ..
             } = owned.record.clone();
-            self.node
-                .events
-                .record(EventKind::GroupServing { group, epoch });
+            self.node.events.record(EventKind::GroupServing {
+                service: self.service.clone(),
+                group,
+                epoch,
+            });
         }
     }
 
@@ -248,6 +252,7 @@
                     id: group, epoch, ..
                 } = owned.record.clone();
                 self.node.events.record(EventKind::GroupDissolved {
+                    service: self.service.clone(),
                     group,
                     epoch,
                     cause,
--- a/src/cuminlb/control/peer_supervisor.rs
+++ b/src/cuminlb/control/peer_supervisor.rs
@@ -65,7 +65,8 @@
             continue;
         }
         let token = PeerToken::new(security.peer_token.clone());
-        let link = PeerLink::new(*address, token, node.settings.control.peer_timeout_ms);
+        let link = PeerLink::new(*address, token, node.settings.control.peer_timeout_ms)
+            .counted_by(Arc::clone(&node.metrics.peer_calls));
         node.peers.insert(id.clone(), Arc::new(link));
     }
     for (id, _) in node.peers.all() {
--- /dev/null
+++ b/src/cuminlb/metrics/peer_metrics.rs
@@ -0,0 +1,36 @@
+//! [`PeerMetrics`].
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+/// Counts the messages that peers send to this node.
+#[derive(Clone, Debug, Default)]
+pub struct PeerMetrics {
+    received: Family<MessageLabels, Counter>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct MessageLabels {
+    message: &'static str,
+}
+
+impl PeerMetrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "peer_messages_received",
+            "Messages that came in from peers, by message",
+            self.received.clone(),
+        );
+    }
+
+    /// Counts a message.
+    pub fn received(&self, message: &'static str) {
+        self.received
+            .get_or_create(&MessageLabels { message })
+            .inc();
+    }
+}
--- /dev/null
+++ b/src/cuminlb/metrics/request_metrics.rs
@@ -0,0 +1,129 @@
+//! [`RequestMetrics`].
+
+use cuminlb_types::prelude::*;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// Counts and times the requests that a node has.
+#[derive(Clone, Debug)]
+pub struct RequestMetrics {
+    pub(super) in_flight: Family<ServiceLabels, Gauge>,
+    pub(super) waiting: Family<ServiceLabels, Gauge>,
+    pub(super) team_in_flight: Family<TeamLabels, Gauge>,
+    pub(super) queue_waits: Durations,
+    pub(super) first_bytes: Durations,
+    pub(super) durations: Durations,
+}
+
+/// A histogram of durations for each service.
+type Durations = Family<ServiceLabels, Histogram, fn() -> Histogram>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct ServiceLabels {
+    service: String,
+}
+
+impl ServiceLabels {
+    pub(super) fn new(service: &ServiceId) -> Self {
+        let service = service.to_string();
+        Self { service }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct TeamLabels {
+    team: String,
+}
+
+impl TeamLabels {
+    pub(super) fn new(team: &TeamId) -> Self {
+        let team = team.to_string();
+        Self { team }
+    }
+}
+
+impl Default for RequestMetrics {
+    fn default() -> Self {
+        Self {
+            in_flight: Family::default(),
+            waiting: Family::default(),
+            team_in_flight: Family::default(),
+            queue_waits: Family::new_with_constructor(short_histogram),
+            first_bytes: Family::new_with_constructor(short_histogram),
+            durations: Family::new_with_constructor(long_histogram),
+        }
+    }
+}
+
+/// From 1 ms to about 16 s.
+fn short_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 15))
+}
+
+/// From 10 ms to about 10 min.
+fn long_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.01, 2.0, 17))
+}
+
+impl RequestMetrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "requests_in_flight",
+            "Requests that have not ended, by service",
+            self.in_flight.clone(),
+        );
+        registry.register(
+            "requests_waiting",
+            "Requests that wait in the queue for a slot, by service",
+            self.waiting.clone(),
+        );
+        registry.register(
+            "team_requests_in_flight",
+            "Requests that have not ended, by team",
+            self.team_in_flight.clone(),
+        );
+        registry.register_with_unit(
+            "request_queue_wait",
+            "Time from the start of a request to its first sending to a group",
+            Unit::Seconds,
+            self.queue_waits.clone(),
+        );
+        registry.register_with_unit(
+            "request_time_to_first_byte",
+            "Time from the start of a request to the first byte of its answer",
+            Unit::Seconds,
+            self.first_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "request_duration",
+            "Time from the start of a request to its end",
+            Unit::Seconds,
+            self.durations.clone(),
+        );
+    }
+
+    /// Returns the number of requests to a service that have not ended.
+    pub fn in_flight(&self, service: &ServiceId) -> u64 {
+        count(&self.in_flight.get_or_create(&ServiceLabels::new(service)))
+    }
+
+    /// Returns the number of requests to a service that have not been sent yet.
+    pub fn waiting(&self, service: &ServiceId) -> u64 {
+        count(&self.waiting.get_or_create(&ServiceLabels::new(service)))
+    }
+
+    /// Returns the number of requests of a team that have not ended.
+    pub fn team_in_flight(&self, team: &TeamId) -> u64 {
+        count(&self.team_in_flight.get_or_create(&TeamLabels::new(team)))
+    }
+}
+
+fn count(gauge: &Gauge) -> u64 {
+    u64::try_from(gauge.get()).unwrap_or_default()
+}
--- /dev/null
+++ b/src/cuminlb/metrics/state_gauges.rs
@@ -0,0 +1,214 @@
+//! [`StateGauges`].
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cuminlb_config::{FleetSpec, ServiceSpec};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::{Registry, Unit};
+use tokio::time::Instant;
+
+use super::request_metrics::{ServiceLabels, TeamLabels};
+use crate::node::Node;
+
+/// A gauge of a number that is no integer.
+type FloatGauge = Gauge<f64, AtomicU64>;
+
+/// Gauges that are read from the state of a node when the metrics are asked for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StateGauges {
+    ready: Gauge,
+    draining: Gauge,
+    config_version: Gauge,
+    table_age: FloatGauge,
+    nodes_listed: Gauge,
+    peers_linked: Gauge,
+    peer_calls: Counter,
+    peer_calls_failed: Counter,
+    queue_limit: Gauge,
+    leases_held: Gauge,
+    groups_wanted: Family<ServiceLabels, Gauge>,
+    groups_formed: Family<ServiceLabels, Gauge>,
+    groups_serving: Family<ServiceLabels, Gauge>,
+    slots_taken: Family<ServiceLabels, Gauge>,
+    slots_limit: Family<ServiceLabels, Gauge>,
+    team_rate_limit: Family<TeamLabels, FloatGauge>,
+    zone_in: Family<ZoneLabels, Gauge>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ZoneLabels {
+    zone: String,
+}
+
+impl StateGauges {
+    /// Adds the gauges to a registry.
+    pub(super) fn register(&self, registry: &mut Registry) {
+        self.register_node(registry);
+        self.register_fleet(registry);
+    }
+
+    fn register_node(&self, registry: &mut Registry) {
+        registry.register(
+            "node_ready",
+            "1 while the balancer should send requests to this node",
+            self.ready.clone(),
+        );
+        registry.register(
+            "node_draining",
+            "1 while this node shuts down",
+            self.draining.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force on this node",
+            self.config_version.clone(),
+        );
+        registry.register_with_unit(
+            "table_age",
+            "Time since this node last heard the platform's table; -1 before the first time",
+            Unit::Seconds,
+            self.table_age.clone(),
+        );
+        registry.register(
+            "nodes_listed",
+            "Live nodes in the platform's instance list",
+            self.nodes_listed.clone(),
+        );
+        registry.register(
+            "peers_linked",
+            "Other nodes that this node can call",
+            self.peers_linked.clone(),
+        );
+        registry.register("peer_calls", "Calls to peers", self.peer_calls.clone());
+        registry.register(
+            "peer_calls_failed",
+            "Calls to peers that got no answer",
+            self.peer_calls_failed.clone(),
+        );
+        registry.register(
+            "requests_limit",
+            "Requests that this node holds at once at most",
+            self.queue_limit.clone(),
+        );
+    }
+
+    fn register_fleet(&self, registry: &mut Registry) {
+        registry.register(
+            "group_leases_held",
+            "Groups that this node owns by a valid lease",
+            self.leases_held.clone(),
+        );
+        registry.register(
+            "groups_wanted",
+            "Groups that the fleet file asks for, by service",
+            self.groups_wanted.clone(),
+        );
+        registry.register(
+            "groups_formed",
+            "Groups that have their members, as this node sees it, by service",
+            self.groups_formed.clone(),
+        );
+        registry.register(
+            "groups_serving",
+            "Groups that this node owns and that serve, by service",
+            self.groups_serving.clone(),
+        );
+        registry.register(
+            "slots_taken",
+            "Slots taken at the groups that this node owns, by service",
+            self.slots_taken.clone(),
+        );
+        registry.register(
+            "slots_limit",
+            "Slots of the groups that this node owns, by service",
+            self.slots_limit.clone(),
+        );
+        registry.register(
+            "team_rate_limit_per_second",
+            "Requests a second that a team may send over all nodes",
+            self.team_rate_limit.clone(),
+        );
+        registry.register(
+            "zone_in",
+            "1 while the availability zone is in service, 0 while operators have taken it out",
+            self.zone_in.clone(),
+        );
+    }
+
+    /// Reads the state of a node.
+    pub(super) fn read(&self, node: &Node) {
+        let view = node.view();
+        self.ready.set(i64::from(node.is_ready()));
+        self.draining.set(i64::from(node.is_draining()));
+        self.config_version.set(int(view.config_version().get()));
+        let table_age_ms = node.knowledge.age_ms();
+        let table_age_s = table_age_ms.map(|age_ms| age_ms.duration().as_secs_f64());
+        self.table_age.set(table_age_s.unwrap_or(-1.0));
+        self.nodes_listed.set(int(view.nodes().iter().count()));
+        self.peers_linked.set(int(node.peers.all().len()));
+        let peer_calls = &node.metrics.peer_calls;
+        let store = |counter: &Counter, count| counter.inner().store(count, Ordering::Relaxed);
+        store(&self.peer_calls, peer_calls.sent());
+        store(&self.peer_calls_failed, peer_calls.failed());
+        self.queue_limit
+            .set(i64::from(node.settings.limits.max_queued.get()));
+        self.read_leases(node);
+        if let Some(spec) = view.spec() {
+            self.read_fleet(spec);
+            for service in &spec.services {
+                let formed = view.groups(&service.id).len();
+                self.read_service(node, service, formed);
+            }
+        }
+    }
+
+    fn read_leases(&self, node: &Node) {
+        let now = Instant::now();
+        let owned = node.owned.all();
+        let held = owned.iter().filter(|group| group.lease().is_valid(now));
+        self.leases_held.set(int(held.count()));
+    }
+
+    fn read_fleet(&self, spec: &FleetSpec) {
+        self.team_rate_limit.clear();
+        for team in &spec.teams {
+            let gauge = self
+                .team_rate_limit
+                .get_or_create_owned(&TeamLabels::new(&team.id));
+            gauge.set(team.rate.get());
+        }
+        self.zone_in.clear();
+        for zone in &spec.zones {
+            let labels = ZoneLabels {
+                zone: zone.id.to_string(),
+            };
+            let is_in = i64::from(spec.zone_is_in(&zone.id));
+            self.zone_in.get_or_create(&labels).set(is_in);
+        }
+    }
+
+    fn read_service(&self, node: &Node, service: &ServiceSpec, formed: usize) {
+        let labels = ServiceLabels::new(&service.id);
+        let wanted = i64::from(service.replicas.get());
+        self.groups_wanted.get_or_create(&labels).set(wanted);
+        self.groups_formed.get_or_create(&labels).set(int(formed));
+        let (mut serving, mut taken, mut limit) = (0, 0, 0);
+        for report in node.group_reports(service) {
+            serving += i64::from(report.serving);
+            taken += i64::from(report.taken.get());
+            limit += i64::from(report.limit.get());
+        }
+        self.groups_serving.get_or_create(&labels).set(serving);
+        self.slots_taken.get_or_create(&labels).set(taken);
+        self.slots_limit.get_or_create(&labels).set(limit);
+    }
+}
+
+/// Returns a count as the number that gauges hold.
+fn int(count: impl TryInto<i64>) -> i64 {
+    count.try_into().unwrap_or(i64::MAX)
+}
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use cuminlb_config::NodeSettings;
-use cuminlb_events::EventLog;
+use cuminlb_events::{DenialTally, EventLog};
 use cuminlb_peer::{PeerStatement, SlotRelease};
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
@@ -15,6 +15,8 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::{FleetView, OwnedGroups, Peers, TableKnowledge};
+use crate::metrics::{MeteredInstances, MeteredObjects, MeteredTable, NodeMetrics};
+use crate::observing::{GroupTrail, StandingTrail};
 
 /// The number of events that a node keeps.
 const EVENT_CAPACITY: usize = 8_192;
@@ -49,6 +51,14 @@
     pub poll_now: Notify,
     /// Takes the slots to give back, with the owner that granted each.
     pub releases: mpsc::UnboundedSender<(NodeId, SlotRelease)>,
+    /// The metrics of this node.
+    pub metrics: NodeMetrics,
+    /// Gathers slot denials for the time line.
+    pub denials: DenialTally,
+    /// What was last recorded about the owned groups.
+    pub group_trail: GroupTrail,
+    /// What was last recorded about the node's standing.
+    pub standing_trail: StandingTrail,
     draining: AtomicBool,
     last_request: AtomicU64,
 }
@@ -61,12 +71,17 @@
         let timeout_ms = platform.timeout_ms;
         let control = &settings.control;
         let (releases, released) = mpsc::unbounded_channel();
+        let events = EventLog::new(settings.id.clone(), settings.zone.clone(), EVENT_CAPACITY);
+        let metrics = NodeMetrics::new(&events);
+        let table = HttpTable::new(platform.table, timeout_ms);
+        let objects = HttpObjectStore::new(platform.objects, timeout_ms);
+        let instances = HttpInstanceList::new(platform.instances, timeout_ms);
         let node = Self {
             incarnation: Incarnation(UnixMillis::now().get()),
-            events: EventLog::new(settings.id.clone(), settings.zone.clone(), EVENT_CAPACITY),
-            table: Table::new(Arc::new(HttpTable::new(platform.table, timeout_ms))),
-            objects: Arc::new(HttpObjectStore::new(platform.objects, timeout_ms)),
-            instances: Arc::new(HttpInstanceList::new(platform.instances, timeout_ms)),
+            events,
+            table: Table::new(Arc::new(MeteredTable::new(table, metrics.platform.clone()))),
+            objects: Arc::new(MeteredObjects::new(objects, metrics.platform.clone())),
+            instances: Arc::new(MeteredInstances::new(instances, metrics.platform.clone())),
             engines: Arc::new(HttpEngineControl::new(control.proof_max_age_ms)),
             upstreams: UpstreamClient::new(control.peer_timeout_ms, settings.limits.stream_idle_ms),
             view: watch::Sender::new(FleetView::default()),
@@ -75,6 +90,10 @@
             owned: OwnedGroups::default(),
             poll_now: Notify::new(),
             releases,
+            metrics,
+            denials: DenialTally::default(),
+            group_trail: GroupTrail::default(),
+            standing_trail: StandingTrail::default(),
             draining: AtomicBool::new(false),
             last_request: AtomicU64::new(0),
             settings,
--- /dev/null
+++ b/src/cuminlb/observing/rejections.rs
@@ -0,0 +1,19 @@
+//! Records requests that were refused before their team and service were known.
+
+use cuminlb_events::EventKind;
+use cuminlb_routing::Refusal;
+use cuminlb_types::prelude::*;
+use smol_str::ToSmolStr;
+
+use crate::node::Node;
+
+impl Node {
+    /// Records that a request was refused before its team and service were known.
+    pub fn note_rejected(&self, request: &RequestId, refusal: &Refusal) {
+        self.events.record(EventKind::RequestRejected {
+            request: request.clone(),
+            code: refusal.kind.code().into(),
+            reason: refusal.kind.to_smolstr(),
+        });
+    }
+}
--- a/src/cuminlb/operating/mod.rs
+++ b/src/cuminlb/operating/mod.rs
@@ -1,6 +1,8 @@
 //! Answers operators.
 
 mod apply;
+mod events;
+mod fleet_status;
 mod operator_service;
 mod status;
 
--- a/src/cuminlb/operating/operator_service.rs
+++ b/src/cuminlb/operating/operator_service.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 
 use cuminlb_caller::{
-    ApplyError, ApplyReport, ApplyRequest, EventsRequest, FleetDocument, NodeStatus,
-    OperatorHandler,
+    ApplyError, ApplyReport, ApplyRequest, EventsReport, EventsRequest, FleetDocument, FleetStatus,
+    NodeStatus, OperatorHandler,
 };
-use cuminlb_events::Event;
-use cuminlb_peer::EventsQuery;
-use futures_util::future::join_all;
 
 use super::apply::apply;
+use super::events::merged_events;
+use super::fleet_status::fleet_status;
 use super::status::node_status;
 use crate::node::Node;
 
@@ -49,17 +48,19 @@
         }
     }
 
-    async fn events(&self, request: EventsRequest) -> Vec<Event> {
-        let query = EventsQuery {
-            filter: request.filter,
-            limit: request.limit,
-        };
-        let limit = usize::try_from(query.limit).unwrap_or(usize::MAX);
-        let mut events = self.node.events.select(&query.filter, limit);
-        let peers = self.node.peers.all();
-        let calls = peers.iter().map(|(_, link)| link.events(query.clone()));
-        events.extend(join_all(calls).await.into_iter().flatten().flatten());
-        events.sort_by(|a, b| (a.time, &a.node).cmp(&(b.time, &b.node)));
-        events
+    async fn fleet_status(&self) -> FleetStatus {
+        fleet_status(&self.node).await
+    }
+
+    async fn events(&self, request: EventsRequest) -> EventsReport {
+        merged_events(&self.node, &request).await
+    }
+
+    fn is_ready(&self) -> bool {
+        self.node.is_ready()
+    }
+
+    fn metrics_text(&self) -> String {
+        self.node.metrics.encode(&self.node)
     }
 }
--- a/src/cuminlb/operating/status.rs
+++ b/src/cuminlb/operating/status.rs
@@ -48,6 +48,10 @@
         zone: group.zone.clone(),
         members: group.members.clone(),
         missing,
+        owner: match &owned {
+            Some(_) => Some(node.id().clone()),
+            None => node.owned.seen_owner(&group.id),
+        },
         owned: owned.map(|owned| owned_status(node, service, &owned)),
     }
 }
--- a/src/cuminlb/ops/mod.rs
+++ b/src/cuminlb/ops/mod.rs
@@ -7,6 +7,8 @@
 mod read_error;
 mod run_error;
 mod run_node;
+mod text_diff;
+mod time_point;
 
 pub use self::check_files::{check_fleet, check_settings};
 pub use self::logging::init_logging;
@@ -15,3 +17,5 @@
 pub use self::read_error::ReadError;
 pub use self::run_error::RunError;
 pub use self::run_node::run_node;
+pub use self::text_diff::{DiffLine, diff_lines, with_context};
+pub use self::time_point::TimePoint;
--- a/src/cuminlb/ops/operator_client.rs
+++ b/src/cuminlb/ops/operator_client.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use cuminlb_caller::{
-    ApplyError, ApplyReport, ApplyRequest, EventsRequest, FleetDocument, NodeStatus,
+    ApplyError, ApplyReport, ApplyRequest, EventsReport, EventsRequest, FleetDocument, FleetStatus,
 };
-use cuminlb_events::Event;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -25,14 +24,24 @@
 /// The time that a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The largest answer that is read.
+const MAX_ANSWER_LEN_BYTES: usize = 256 << 20;
+
 /// Calls the operators' API of the first node that answers.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct OperatorClient {
     client: Client<HttpConnector, Full<Bytes>>,
     nodes: Vec<SocketAddr>,
     token: SmolStr,
 }
 
+/// The reason why one node gave no answer.
+struct NoAnswer {
+    /// Whether the node may have acted on the call.
+    may_have_acted: bool,
+    reason: SmolStr,
+}
+
 impl OperatorClient {
     /// Prepares calls to one of several nodes.
     pub fn new(nodes: Vec<SocketAddr>, token: SmolStr) -> Self {
@@ -46,101 +55,153 @@
         }
     }
 
-    /// Returns the state of the fleet.
+    /// Returns the state of the whole fleet.
     ///
     /// # Errors
     ///
     /// Returns [`OperatorClientError`] when no node answered or the token was refused.
-    pub async fn status(&self) -> Result<NodeStatus, OperatorClientError> {
-        self.get("/status").await
+    pub async fn fleet_status(&self) -> Result<FleetStatus, OperatorClientError> {
+        self.ask(Method::GET, "/fleet-status", Bytes::new()).await
     }
 
     /// Returns the configuration in force.
     ///
     /// # Errors
     ///
-    /// As [`Self::status`].
+    /// As [`Self::fleet_status`].
     pub async fn fleet(&self) -> Result<FleetDocument, OperatorClientError> {
-        self.get("/fleet").await
+        self.ask(Method::GET, "/fleet", Bytes::new()).await
     }
 
-    /// Puts a fleet file in force.
+    /// Returns the merged events of all nodes.
     ///
     /// # Errors
     ///
-    /// As [`Self::status`], and [`OperatorClientError::Apply`] when the file was not accepted.
-    pub async fn apply(&self, request: &ApplyRequest) -> Result<ApplyReport, OperatorClientError> {
-        let (status, body) = self.call(Method::POST, "/apply", json(request)?).await?;
-        if status.is_success() {
-            return parse(&body);
-        }
-        Err(parse::<ApplyError>(&body)?.into())
+    /// As [`Self::fleet_status`].
+    pub async fn events(
+        &self,
+        request: &EventsRequest,
+    ) -> Result<EventsReport, OperatorClientError> {
+        self.ask(Method::POST, "/events", json(request)?).await
     }
 
-    /// Returns the merged events of all nodes.
+    /// Puts a fleet file in force.
     ///
     /// # Errors
     ///
-    /// As [`Self::status`].
-    pub async fn events(&self, request: &EventsRequest) -> Result<Vec<Event>, OperatorClientError> {
-        let (_, body) = self.call(Method::POST, "/events", json(request)?).await?;
-        parse(&body)
-    }
-
-    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, OperatorClientError> {
-        let (_, body) = self.call(Method::GET, path, Bytes::new()).await?;
-        parse(&body)
+    /// As [`Self::fleet_status`], and [`OperatorClientError::Apply`] when the file was not
+    /// accepted or it is not known whether it was.
+    pub async fn apply(&self, request: &ApplyRequest) -> Result<ApplyReport, OperatorClientError> {
+        let body = json(request)?;
+        let mut failures = Vec::new();
+        for node in &self.nodes {
+            match self.call(*node, Method::POST, "/apply", body.clone()).await {
+                Ok((status, body)) if status.is_success() => return parse(&body),
+                Ok((status, body)) => return Err(apply_refusal(status, &body)?),
+                Err(NoAnswer {
+                    may_have_acted: true,
+                    reason,
+                }) => return Err(ApplyError::Unknown { reason }.into()),
+                Err(failure) => failures.push((*node, failure.reason)),
+            }
+        }
+        Err(no_node(&failures))
     }
 
-    /// Calls the nodes in turn until one can be connected to.
-    async fn call(
+    /// Asks the nodes in turn until one answers; the call changes nothing.
+    async fn ask<T: DeserializeOwned>(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), OperatorClientError> {
-        let mut reason = SmolStr::new_static("no address was given");
+    ) -> Result<T, OperatorClientError> {
+        let mut failures = Vec::new();
         for node in &self.nodes {
-            let request = Request::builder()
-                .method(method.clone())
-                .uri(format!("http://{node}{path}"))
-                .header(
-                    http::header::AUTHORIZATION,
-                    format!("Bearer {}", self.token),
-                )
-                .body(Full::new(body.clone()))
-                .map_err(|error| malformed(&error))?;
-            let exchange = async {
-                let response = self
-                    .client
-                    .request(request)
-                    .await
-                    .map_err(|error| (error.is_connect(), format_smolstr!("{error}")))?;
-                let status = response.status();
-                let body = response.into_body().collect().await;
-                let body = body.map_err(|error| (false, error.to_smolstr()))?;
-                Ok::<_, (bool, SmolStr)>((status, body.to_bytes()))
-            };
-            match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
-                Ok(Ok((StatusCode::UNAUTHORIZED, _))) => return Err(OperatorClientError::BadToken),
-                Ok(Ok(answer)) => return Ok(answer),
-                Ok(Err((true, error))) => reason = error,
-                Ok(Err((false, error))) => return Err(self.no_node(error)),
-                Err(_elapsed) => return Err(self.no_node("no answer in time".into())),
+            match self.call(*node, method.clone(), path, body.clone()).await {
+                Ok((StatusCode::UNAUTHORIZED, _)) => return Err(OperatorClientError::BadToken),
+                Ok((status, body)) if status.is_success() => return parse(&body),
+                Ok((status, _)) => failures.push((*node, format_smolstr!("status {status}"))),
+                Err(failure) => failures.push((*node, failure.reason)),
             }
         }
-        Err(self.no_node(reason))
+        Err(no_node(&failures))
     }
 
-    fn no_node(&self, reason: SmolStr) -> OperatorClientError {
-        let tried: Vec<String> = self.nodes.iter().map(ToString::to_string).collect();
-        OperatorClientError::NoNode {
-            tried: tried.join(", ").into(),
+    async fn call(
+        &self,
+        node: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), NoAnswer> {
+        let not_sent = |reason: SmolStr| NoAnswer {
+            may_have_acted: false,
+            reason,
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{node}{path}"))
+            .header(
+                http::header::AUTHORIZATION,
+                format!("Bearer {}", self.token),
+            )
+            .body(Full::new(body))
+            .map_err(|error| not_sent(error.to_smolstr()))?;
+        let lost = |reason: SmolStr| NoAnswer {
+            may_have_acted: true,
             reason,
+        };
+        let exchange = async {
+            let response = self.client.request(request).await;
+            let response = response.map_err(|error| NoAnswer {
+                may_have_acted: !error.is_connect(),
+                reason: failure_reason(&error),
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_LEN_BYTES);
+            let body = body.collect().await;
+            let body = body.map_err(|error| lost(error.to_smolstr()))?;
+            Ok((status, body.to_bytes()))
+        };
+        match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
+            Ok(answer) => answer,
+            Err(_elapsed) => Err(lost("no answer in time".into())),
         }
     }
 }
 
+/// Returns what an apply was refused with.
+fn apply_refusal(
+    status: StatusCode,
+    body: &[u8],
+) -> Result<OperatorClientError, OperatorClientError> {
+    if status == StatusCode::UNAUTHORIZED {
+        return Ok(OperatorClientError::BadToken);
+    }
+    Ok(parse::<ApplyError>(body)?.into())
+}
+
+/// Returns an error with its deepest source, which names the cause.
+fn failure_reason(error: &(dyn std::error::Error + 'static)) -> SmolStr {
+    let mut deepest = error;
+    while let Some(source) = deepest.source() {
+        deepest = source;
+    }
+    deepest.to_smolstr()
+}
+
+fn no_node(failures: &[(SocketAddr, SmolStr)]) -> OperatorClientError {
+    if failures.is_empty() {
+        return OperatorClientError::NoAddress;
+    }
+    let tried = failures
+        .iter()
+        .map(|(node, reason)| format!("\n  - {node}: {reason}"));
+    OperatorClientError::NoNode {
+        tried: tried.collect::<String>().into(),
+    }
+}
+
 fn json<T: Serialize>(value: &T) -> Result<Bytes, OperatorClientError> {
     serde_json::to_vec(value)
         .map(Bytes::from)
--- a/src/cuminlb/serving/peer_service.rs
+++ b/src/cuminlb/serving/peer_service.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 use cuminlb_peer::{
     EventsQuery, PeerHandler, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
 };
@@ -42,8 +42,17 @@
 
     fn events(&self, query: EventsQuery) -> Vec<Event> {
         let limit = usize::try_from(query.limit).unwrap_or(usize::MAX);
+        self.node.flush_denials();
         self.node.events.select(&query.filter, limit)
     }
+
+    fn report(&self) -> NodeReport {
+        self.node.report()
+    }
+
+    fn note_received(&self, kind: &'static str) {
+        self.node.metrics.peers.received(kind);
+    }
 }
 
 impl Node {
--- a/src/cuminlb/serving/request_trail.rs
+++ b/src/cuminlb/serving/request_trail.rs
@@ -7,6 +7,7 @@
 use cuminlb_types::prelude::*;
 use smol_str::{SmolStr, ToSmolStr};
 
+use crate::metrics::RequestMeter;
 use crate::node::Node;
 
 /// Records the end of one request exactly once, also when the caller leaves.
@@ -15,21 +16,26 @@
     request: RequestId,
     team: TeamId,
     service: ServiceId,
+    meter: RequestMeter,
+    attempts: u32,
     ended: bool,
 }
 
 impl RequestTrail {
-    pub(super) const fn new(
+    pub(super) fn new(
         node: Arc<Node>,
         request: RequestId,
         team: TeamId,
         service: ServiceId,
     ) -> Self {
+        let meter = node.metrics.requests.start(&team, &service);
         Self {
             node,
             request,
             team,
             service,
+            meter,
+            attempts: 0,
             ended: false,
         }
     }
@@ -40,18 +46,27 @@
     }
 
     /// Records that the request was sent to a group.
-    pub(super) fn sent(&self, group: &GroupId, epoch: Epoch) {
-        let (request, group) = (self.request.clone(), group.clone());
+    pub(super) fn sent(&mut self, group: &GroupId, epoch: Epoch) {
+        self.attempts += 1;
+        self.meter.sent();
         self.node.events.record(EventKind::RequestSent {
-            request,
-            group,
+            request: self.request.clone(),
+            service: self.service.clone(),
+            attempt: self.attempts,
+            group: group.clone(),
             epoch,
         });
     }
 
+    /// Notes the first byte of the answer.
+    pub(super) fn first_byte(&mut self) {
+        self.meter.first_byte();
+    }
+
     /// Records that the caller has the whole answer.
     pub(super) fn answered(&mut self) {
-        self.end(RequestOutcome::Answered, "whole answer".into());
+        self.first_byte();
+        self.end(RequestOutcome::Answered, "ok", "whole answer".into());
     }
 
     /// Records a refusal.
@@ -60,10 +75,10 @@
             RunState::NotRun => RequestOutcome::NotRun,
             RunState::Unknown => RequestOutcome::Unknown,
         };
-        self.end(outcome, refusal.kind.to_smolstr());
+        self.end(outcome, refusal.kind.code(), refusal.kind.to_smolstr());
     }
 
-    fn end(&mut self, outcome: RequestOutcome, reason: SmolStr) {
+    fn end(&mut self, outcome: RequestOutcome, code: &'static str, reason: SmolStr) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
@@ -72,6 +87,7 @@
             team: self.team.clone(),
             service: self.service.clone(),
             outcome,
+            code: code.into(),
             reason,
         });
     }
@@ -81,6 +97,7 @@
     fn drop(&mut self) {
         self.end(
             RequestOutcome::CallerLeft,
+            "caller_left",
             "the connection was closed".into(),
         );
     }
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -44,7 +44,9 @@
     }
 
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, Refusal> {
-        let (team, destination) = self.resolve(&request)?;
+        let resolved = self.resolve(&request);
+        let (team, destination) =
+            resolved.inspect_err(|refusal| self.note_rejected(&request.id, refusal))?;
         let service = destination.service.id.clone();
         let node = Arc::clone(&self.node);
         let mut trail = RequestTrail::new(node, request.id.clone(), team.id, service.clone());
@@ -225,6 +227,10 @@
             .unwrap_or_else(CallerAnswer::Refused)
     }
 
+    fn note_rejected(&self, request: &RequestId, refusal: &Refusal) {
+        self.node.note_rejected(request, refusal);
+    }
+
     fn new_request_id(&self) -> RequestId {
         self.node.new_request_id()
     }
@@ -240,8 +246,4 @@
     fn is_ready(&self) -> bool {
         self.node.is_ready()
     }
-
-    fn metrics_text(&self) -> String {
-        String::new()
-    }
 }
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -99,10 +99,12 @@
                     candidates.extend(hint.filter(|hint| !candidates.contains(hint)));
                 }
                 Some(Err(denial)) => {
+                    self.node
+                        .note_denial(self.service, &choice.group, Some(&denial));
                     debug!("group {} grants no slot: {denial}", choice.group);
                     return None;
                 }
-                None => {}
+                None => self.node.note_denial(self.service, &choice.group, None),
             }
         }
         None
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -105,6 +105,7 @@
             })?
             .ok_or_else(|| StreamError::Incomplete.to_smolstr())?
             .map_err(|error| error.to_smolstr())?;
+        self.trail.first_byte();
         Ok(frame.into_data().unwrap_or_default())
     }
 
