--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod latency;
 mod timeline;
 mod whole_path;
 mod wrong_files;
