Prove the command line, the metrics, the operator token and the decoders of calls

Cause: the commands, the metrics, the token and the decoders of callers' and operators' calls had no tests; help went to the standard error stream; arguments that are no UTF-8 panicked.

Change: both programs read their command line in one place and print help to the standard output. Tests with processes of the exit statuses, conflict, dry run, zone out and in, merged status, top, metrics and JSON logs; tests with real connections of every way in which a wrong token is refused, and properties of the decoders of calls.

Conclusion: what an operator types and reads is tested from outside.

--- /dev/null
+++ b/crates/cuminlb-caller/tests/edge/operator_input.rs
@@ -0,0 +1,83 @@
+//! Operators' calls are read or refused, and never panic.
+
+use cuminlb_caller::{ApplyRequest, EventsReport, EventsRequest, FleetDocument, FleetStatus};
+use proptest::prelude::*;
+use tokio::runtime::Runtime;
+
+use crate::fake_operators::{OperatorServer, TOKEN};
+use crate::raw_http::{exchange, request};
+use crate::support::config;
+
+/// JSON of any shape, with the names that the calls use.
+fn json() -> impl Strategy<Value = String> {
+    let leaf = prop_oneof![
+        Just("null".to_owned()),
+        any::<i64>().prop_map(|number| number.to_string()),
+        Just("1e999".to_owned()),
+        any::<String>().prop_map(|text| serde_json::to_string(&text).unwrap()),
+    ];
+    leaf.prop_recursive(4, 24, 4, |inner| {
+        let name = "(base|body|filter|limit|seen|after|wall_ms|counter|request|group|zone|x)";
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..4)
+                .prop_map(|items| format!("[{}]", items.join(","))),
+            prop::collection::vec((name, inner), 0..5).prop_map(|fields| {
+                let fields = fields
+                    .iter()
+                    .map(|(name, value)| format!("\"{name}\":{value}"));
+                format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+            }),
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn any_json_is_decoded_or_refused(text in json(), bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        for input in [text.as_bytes(), &bytes] {
+            let _ = serde_json::from_slice::<ApplyRequest>(input);
+            let _ = serde_json::from_slice::<EventsRequest>(input);
+            let _ = serde_json::from_slice::<EventsReport>(input);
+            let _ = serde_json::from_slice::<FleetDocument>(input);
+            let _ = serde_json::from_slice::<FleetStatus>(input);
+        }
+    }
+}
+
+#[test]
+fn any_body_of_a_call_gets_a_typed_answer() {
+    let runtime = Runtime::new().unwrap();
+    let server = runtime.block_on(OperatorServer::start());
+    let address = server.address;
+    let authorization = format!("Bearer {TOKEN}");
+    let mut runner = proptest::test_runner::TestRunner::new(config(48));
+    let bodies = prop_oneof![
+        json().prop_map(String::into_bytes),
+        prop::collection::vec(any::<u8>(), 0..300),
+    ];
+    let paths = prop_oneof![Just("/apply"), Just("/events")];
+    runner
+        .run(&(paths, bodies), |(path, body)| {
+            let headers = [("authorization", authorization.as_bytes())];
+            let bytes = request("POST", path, &headers, &body);
+            let answer = runtime.block_on(exchange(address, &bytes));
+            // A readable apply meets the conflict of the fake handler.
+            prop_assert!(
+                [200, 400, 409].contains(&answer.status),
+                "{} to {path} {body:?}",
+                answer.status
+            );
+            Ok(())
+        })
+        .unwrap();
+    let deep = format!("{{\"filter\":{}", "[".repeat(200_000));
+    let headers = [("authorization", authorization.as_bytes())];
+    let answer = runtime.block_on(exchange(
+        address,
+        &request("POST", "/events", &headers, deep.as_bytes()),
+    ));
+    assert_eq!(answer.status, 400);
+    runtime.block_on(server.stop());
+}
--- a/src/bin/cuminctl/cli.rs
+++ b/src/bin/cuminctl/cli.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use cuminlb::ops::OperatorClient;
+use cuminlb::ops::{OperatorClient, read_command_line};
 use gumdrop::Options;
 
 use crate::commands::{self, CommandError};
@@ -14,6 +14,9 @@
 /// The environment variable that holds the addresses of nodes, separated by commas.
 const NODES_VARIABLE: &str = "CUMINCTL_NODES";
 
+/// The line of help that shows the shape of the command line.
+const SYNOPSIS: &str = "cuminctl [OPTIONS] COMMAND [ARGUMENTS]";
+
 #[derive(Options)]
 struct CtlOptions {
     #[options(help = "print this help")]
@@ -57,14 +60,13 @@
 
 /// Reads the command line and does what it says.
 pub(crate) fn main() -> ExitCode {
-    let options = CtlOptions::parse_args_default_or_exit();
+    let options: CtlOptions = match read_command_line(SYNOPSIS) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     let Some(command) = options.command else {
-        eprintln!(
-            "Usage: cuminctl [OPTIONS] COMMAND\n\n{}",
-            CtlOptions::usage()
-        );
-        eprintln!("\nCommands:\n{}", Command::usage());
-        return CommandError::Usage.exit_code();
+        eprintln!("{}", CommandError::NoCommand);
+        return CommandError::NoCommand.exit_code();
     };
     let nodes = if options.node.is_empty() {
         nodes_of_environment()
--- a/src/bin/cuminctl/commands/apply.rs
+++ b/src/bin/cuminctl/commands/apply.rs
@@ -12,7 +12,7 @@
 use crate::cli::CommandContext;
 use crate::commands::CommandError;
 
-/// The arguments of `cuminctl apply`.
+/// Puts a fleet file in force as a whole.
 #[derive(Debug, Options)]
 pub(crate) struct ApplyOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminctl/commands/check.rs
+++ b/src/bin/cuminctl/commands/check.rs
@@ -10,7 +10,7 @@
 use crate::cli::CommandContext;
 use crate::commands::CommandError;
 
-/// The arguments of `cuminctl check`.
+/// Checks a fleet file without a node.
 #[derive(Debug, Options)]
 pub(crate) struct CheckOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminctl/commands/command_error.rs
+++ b/src/bin/cuminctl/commands/command_error.rs
@@ -12,9 +12,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub(crate) enum CommandError {
-    /// The command line is wrong.
-    #[error("the command line is wrong; see `cuminctl --help`")]
-    Usage,
+    /// No subcommand is named.
+    #[error("name a command; see `cuminctl --help`")]
+    NoCommand,
     /// `cuminctl zone` needs two words.
     #[error("write `cuminctl zone out ZONE` or `cuminctl zone in ZONE`")]
     ZoneUsage,
@@ -52,7 +52,7 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Node(OperatorClientError::Malformed { .. }) => 1,
-            Self::Usage
+            Self::NoCommand
             | Self::ZoneUsage
             | Self::BadAddress { .. }
             | Self::File(_)
--- a/src/bin/cuminctl/commands/show.rs
+++ b/src/bin/cuminctl/commands/show.rs
@@ -6,7 +6,7 @@
 use crate::cli::CommandContext;
 use crate::commands::CommandError;
 
-/// The arguments of `cuminctl show`.
+/// Prints the fleet file in force.
 #[derive(Debug, Options)]
 pub(crate) struct ShowOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminctl/commands/status.rs
+++ b/src/bin/cuminctl/commands/status.rs
@@ -9,7 +9,7 @@
 use crate::cli::CommandContext;
 use crate::commands::CommandError;
 
-/// The arguments of `cuminctl status`.
+/// Prints the state of all nodes and groups.
 #[derive(Debug, Options)]
 pub(crate) struct StatusOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminctl/commands/timeline.rs
+++ b/src/bin/cuminctl/commands/timeline.rs
@@ -23,7 +23,7 @@
 /// The pause between two looks while following.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
 
-/// The arguments of `cuminctl timeline`.
+/// Prints the merged events of all nodes.
 #[derive(Debug, Options)]
 pub(crate) struct TimelineOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminctl/commands/top.rs
+++ b/src/bin/cuminctl/commands/top.rs
@@ -18,7 +18,7 @@
 /// Clears the screen and goes to its first line.
 const CLEAR_SCREEN: &str = "\x1b[2J\x1b[H";
 
-/// The arguments of `cuminctl top`.
+/// Shows zones, queues, teams and groups, again and again.
 #[derive(Debug, Options)]
 pub(crate) struct TopOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminctl/commands/zone.rs
+++ b/src/bin/cuminctl/commands/zone.rs
@@ -10,7 +10,7 @@
 use crate::cli::CommandContext;
 use crate::commands::CommandError;
 
-/// The arguments of `cuminctl zone`.
+/// Takes an availability zone out of service, or brings it back.
 #[derive(Debug, Options)]
 pub(crate) struct ZoneOptions {
     #[options(help = "print this help")]
--- a/src/bin/cuminlb/cli.rs
+++ b/src/bin/cuminlb/cli.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use cuminlb::ops::{check_settings, init_logging, run_node};
+use cuminlb::ops::{check_settings, init_logging, read_command_line, run_node};
 use cuminlb_config::NodeSettings;
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
@@ -12,6 +12,9 @@
 /// The exit status for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
 
+/// The line of help that shows the shape of the command line.
+const SYNOPSIS: &str = "cuminlb [OPTIONS] SETTINGS";
+
 #[derive(Debug, Options)]
 struct NodeOptions {
     #[options(help = "print this help")]
@@ -26,16 +29,16 @@
 
 /// Reads the command line and does what it says.
 pub(crate) fn main() -> ExitCode {
-    let options = NodeOptions::parse_args_default_or_exit();
+    let options: NodeOptions = match read_command_line(SYNOPSIS) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     if options.version {
         eprintln!("cuminlb {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let Some(path) = options.settings else {
-        eprintln!(
-            "Usage: cuminlb [--check] SETTINGS\n\n{}",
-            NodeOptions::usage()
-        );
+        eprintln!("name a settings file; see `cuminlb --help`");
         return ExitCode::from(EXIT_USAGE);
     };
     match check_settings(&path) {
--- a/src/cuminlb/metrics/platform_metrics.rs
+++ b/src/cuminlb/metrics/platform_metrics.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 
 use cuminlb_platform::PlatformError;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
@@ -12,7 +12,6 @@
 
 /// A call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelValue)]
 pub enum PlatformCall {
     /// A read of table rows.
     TableRead,
@@ -26,28 +25,30 @@
     InstanceList,
 }
 
-/// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelValue)]
-enum CallOutcome {
-    Answered,
-    Unreachable,
-    NoAnswer,
-    Refused,
-    Malformed,
+impl PlatformCall {
+    /// Returns the word by which metrics name the call.
+    const fn word(self) -> &'static str {
+        match self {
+            Self::TableRead => "table_read",
+            Self::TableCommit => "table_commit",
+            Self::ObjectGet => "object_get",
+            Self::ObjectPut => "object_put",
+            Self::InstanceList => "instance_list",
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct CallLabels {
-    call: PlatformCall,
+    call: &'static str,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct OutcomeLabels {
-    call: PlatformCall,
-    outcome: CallOutcome,
+    call: &'static str,
+    outcome: &'static str,
 }
 
 /// Counts and times the calls to the platform.
@@ -98,7 +99,7 @@
     ) -> Result<T, PlatformError> {
         let started = Instant::now();
         let result = run.await;
-        let outcome = call_outcome(&result);
+        let (call, outcome) = (call.word(), outcome_word(&result));
         let elapsed = started.elapsed().as_secs_f64();
         self.calls
             .get_or_create(&OutcomeLabels { call, outcome })
@@ -110,12 +111,13 @@
     }
 }
 
-const fn call_outcome<T>(result: &Result<T, PlatformError>) -> CallOutcome {
+/// Returns the word by which metrics name the end of a call.
+const fn outcome_word<T>(result: &Result<T, PlatformError>) -> &'static str {
     match result {
-        Ok(_) => CallOutcome::Answered,
-        Err(PlatformError::Unreachable { .. }) => CallOutcome::Unreachable,
-        Err(PlatformError::NoAnswer { .. }) => CallOutcome::NoAnswer,
-        Err(PlatformError::Refused { .. }) => CallOutcome::Refused,
-        Err(PlatformError::Malformed { .. }) => CallOutcome::Malformed,
+        Ok(_) => "answered",
+        Err(PlatformError::Unreachable { .. }) => "unreachable",
+        Err(PlatformError::NoAnswer { .. }) => "no_answer",
+        Err(PlatformError::Refused { .. }) => "refused",
+        Err(PlatformError::Malformed { .. }) => "malformed",
     }
 }
--- a/src/cuminlb/ops/mod.rs
+++ b/src/cuminlb/ops/mod.rs
@@ -1,6 +1,7 @@
 //! The operations behind the command lines of `cuminlb` and `cuminctl`.
 
 mod check_files;
+mod command_line;
 mod logging;
 mod operator_client;
 mod operator_client_error;
@@ -11,6 +12,7 @@
 mod time_point;
 
 pub use self::check_files::{check_fleet, check_settings};
+pub use self::command_line::read_command_line;
 pub use self::logging::init_logging;
 pub use self::operator_client::OperatorClient;
 pub use self::operator_client_error::OperatorClientError;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,7 +7,10 @@
     reason = "a test fails by panicking"
 )]
 
+mod command_line;
 mod latency;
+mod metrics;
+mod support;
 mod timeline;
 mod whole_path;
 mod wrong_files;
--- a/tests/testsuite/timeline.rs
+++ b/tests/testsuite/timeline.rs
@@ -1,22 +1,11 @@
 //! The time line tells why a request was refused and why a group went down.
 
-use std::process::Output;
-
 use cuminlb_events::{DissolveCause, Event, EventKind, RequestOutcome};
 use cuminlb_test_support::{ModelPlan, Site, SiteBuilder, wait_until};
 use http::StatusCode;
 use tokio::process::Command;
 
-/// Runs `cuminctl` against all nodes of a site.
-async fn cuminctl(site: &Site, arguments: &[&str]) -> Output {
-    Command::new(site.programs().binary("cuminctl"))
-        .args(arguments)
-        .env("CUMINCTL_NODES", site.operator_addresses())
-        .env("CUMINCTL_TOKEN", site.operator_token())
-        .output()
-        .await
-        .unwrap()
-}
+use crate::support::cuminctl;
 
 /// Returns the events that `cuminctl timeline --json` prints.
 async fn timeline(site: &Site, arguments: &[&str]) -> Vec<Event> {
