Bound the time of operators' bodies, and rates of top by the time between views

Cause: the body of an operator's call had a bound on its size and none on its time; top divided by the wanted pause and not by the time that had passed.

Change: 408 after 5 s, 413 above 4 MiB, each naming the bound; top measures the time.

--- a/crates/cuminlb-caller/src/operator/endpoints.rs
+++ b/crates/cuminlb-caller/src/operator/endpoints.rs
@@ -1,6 +1,9 @@
 //! The endpoints of the operators' API.
 
+use std::time::Duration;
+
 use http::StatusCode;
+use salvo::http::ParseError;
 use salvo::prelude::*;
 use serde::de::DeserializeOwned;
 
@@ -9,6 +12,9 @@
 /// The largest body of an operator's call.
 const MAX_BODY_LEN_BYTES: usize = 4 << 20;
 
+/// The time that an operator has for sending the body of a call.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// One endpoint of the operators' API.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum OperatorCall {
@@ -88,14 +94,23 @@
 
 /// Reads a JSON body, or answers that it can't be read.
 async fn read_json<T: DeserializeOwned>(req: &mut Request, res: &mut Response) -> Option<T> {
-    let reason = match req.payload_with_max_size(MAX_BODY_LEN_BYTES).await {
-        Ok(body) => match serde_json::from_slice(body) {
+    let payload = req.payload_with_max_size(MAX_BODY_LEN_BYTES);
+    let (status, reason) = match tokio::time::timeout(RECEIVE_TIMEOUT, payload).await {
+        Ok(Ok(body)) => match serde_json::from_slice(body) {
             Ok(value) => return Some(value),
-            Err(error) => error.to_string(),
+            Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
         },
-        Err(error) => error.to_string(),
+        Ok(Err(ParseError::PayloadTooLarge)) => (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("it is larger than {MAX_BODY_LEN_BYTES} bytes"),
+        ),
+        Ok(Err(error)) => (StatusCode::BAD_REQUEST, error.to_string()),
+        Err(_elapsed) => (
+            StatusCode::REQUEST_TIMEOUT,
+            format!("it did not arrive within {} s", RECEIVE_TIMEOUT.as_secs()),
+        ),
     };
-    res.status_code(StatusCode::BAD_REQUEST);
+    res.status_code(status);
     res.body(format!("the body can't be read: {reason}\n"));
     None
 }
--- a/crates/cuminlb-caller/tests/edge/operator_input.rs
+++ b/crates/cuminlb-caller/tests/edge/operator_input.rs
@@ -31,6 +31,27 @@
     })
 }
 
+#[tokio::test]
+async fn a_body_that_is_too_long_or_never_ends_is_refused() {
+    let server = OperatorServer::start().await;
+    let head = format!(
+        "POST /apply HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+         authorization: Bearer {TOKEN}\r\ncontent-length: "
+    );
+    let too_long = format!(
+        "{head}{}\r\n\r\n{}",
+        (4 << 20) + 1,
+        " ".repeat((4 << 20) + 1)
+    );
+    let answer = exchange(server.address, too_long.as_bytes()).await;
+    assert_eq!(answer.status, 413, "{answer:?}");
+    let unended = format!("{head}100\r\n\r\n{{");
+    let answer = exchange(server.address, unended.as_bytes()).await;
+    assert_eq!(answer.status, 408, "{answer:?}");
+    assert_eq!(server.calls(), 0);
+    server.stop().await;
+}
+
 proptest! {
     #![proptest_config(config(256))]
 
--- a/src/bin/cuminctl/commands/top.rs
+++ b/src/bin/cuminctl/commands/top.rs
@@ -6,6 +6,7 @@
 use cuminlb_events::TeamReport;
 use cuminlb_types::prelude::*;
 use gumdrop::Options;
+use tokio::time::Instant;
 
 use super::output::{print_json, print_line, try_print_line};
 use super::text_table::TextTable;
@@ -31,6 +32,12 @@
     every: Option<Millis>,
 }
 
+/// A view and when it was taken, from which the next one computes rates.
+struct View {
+    status: FleetStatus,
+    taken_at: Instant,
+}
+
 /// What is counted for each availability zone and each service.
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
@@ -45,26 +52,27 @@
     options: &TopOptions,
 ) -> Result<(), CommandError> {
     let every_ms = options.every.unwrap_or(DEFAULT_EVERY);
-    let mut last: Option<FleetStatus> = None;
+    let mut last: Option<View> = None;
     loop {
         let status = context.client.fleet_status().await?;
+        let taken_at = Instant::now();
         if !options.once && try_print_line(CLEAR_SCREEN).is_err() {
             return Ok(());
         }
         if context.json || options.json {
             print_json(&status);
         } else {
-            print_view(&status, last.as_ref(), every_ms);
+            print_view(&status, last.as_ref(), taken_at);
         }
         if options.once {
             return Ok(());
         }
-        last = Some(status);
+        last = Some(View { status, taken_at });
         tokio::time::sleep(every_ms.duration()).await;
     }
 }
 
-fn print_view(status: &FleetStatus, last: Option<&FleetStatus>, every_ms: Millis) {
+fn print_view(status: &FleetStatus, last: Option<&View>, taken_at: Instant) {
     let ready = status.nodes.iter().filter(|node| node.ready).count();
     print_line(&format!(
         "configuration {}, {ready} of {} nodes ready, {} silent",
@@ -77,7 +85,7 @@
     print_line("");
     print_services(status);
     print_line("");
-    print_teams(status, last, every_ms);
+    print_teams(status, last, taken_at);
 }
 
 fn print_zones(status: &FleetStatus) {
@@ -129,8 +137,9 @@
     table.print();
 }
 
-fn print_teams(status: &FleetStatus, last: Option<&FleetStatus>, every_ms: Millis) {
-    let before = last.map(team_totals);
+fn print_teams(status: &FleetStatus, last: Option<&View>, taken_at: Instant) {
+    let before = last.map(|last| team_totals(&last.status));
+    let over_s = last.map_or(1.0, |last| (taken_at - last.taken_at).as_secs_f64());
     let mut table = TextTable::new([
         "TEAM",
         "IN FLIGHT",
@@ -147,7 +156,7 @@
                 || "-".to_owned(),
                 |before| {
                     let gained = count(&now).saturating_sub(count(before)) as f64;
-                    format!("{:.1}", gained / every_ms.duration().as_secs_f64())
+                    format!("{:.1}", gained / over_s)
                 },
             )
         };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod latency;
 mod metrics;
 mod support;
+mod text_difference;
 mod timeline;
 mod whole_path;
 mod wrong_files;
