Write the pages for operators and callers, and hold them to the programs

Cause: there was no page on operating the system or on its interfaces.

Change: docs/OPERATIONS.md and docs/API.md. A test compares them with the refusal codes of the code, the exit statuses and the metrics that a node exposes, both ways for the metrics. Counters of a service start at 0, so that the first increase is seen.

Conclusion: a code, status or metric that is not on the pages fails a test.

--- a/crates/cuminlb-events/src/denial_cause.rs
+++ b/crates/cuminlb-events/src/denial_cause.rs
@@ -21,6 +21,17 @@
     NoAnswer,
 }
 
+impl DenialCause {
+    /// Every cause.
+    pub const ALL: [Self; 5] = [
+        Self::Full,
+        Self::NotServing,
+        Self::NotOwner,
+        Self::EpochChanged,
+        Self::NoAnswer,
+    ];
+}
+
 impl fmt::Display for DenialCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/cuminlb-events/src/event_metrics.rs
+++ b/crates/cuminlb-events/src/event_metrics.rs
@@ -6,7 +6,10 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
 
-use crate::{EventKind, RequestOutcome};
+use crate::{DenialCause, EventKind, RequestOutcome};
+
+/// The codes of the most usual refusals before team and service are known.
+const REJECTION_CODES: [&str; 3] = ["bad_request", "unauthenticated", "unknown_service"];
 
 /// Counts events; the labels are names from the fleet file and words of the code, never ids of
 /// requests.
@@ -63,6 +66,10 @@
 impl EventMetrics {
     /// Adds the metrics to a registry.
     pub fn register(&self, registry: &mut Registry) {
+        for code in REJECTION_CODES {
+            let code = code.to_owned();
+            let _ = self.rejected.get_or_create(&RejectedLabels { code });
+        }
         registry.register(
             "events",
             "Events recorded in the time line, by kind",
@@ -95,6 +102,18 @@
         );
     }
 
+    /// Creates the series of a service at 0, so that their first increase is seen as one.
+    pub fn prepare(&self, service: &ServiceId) {
+        let service = service.to_string();
+        for cause in DenialCause::ALL {
+            let _ = self.denials.get_or_create(&DenialLabels {
+                service: service.clone(),
+                cause: cause.to_string(),
+            });
+        }
+        let _ = self.retries.get_or_create(&ServiceLabels { service });
+    }
+
     /// Returns the number of requests of a team that ended in one way.
     pub fn ended_by_team(&self, team: &TeamId, outcome: RequestOutcome) -> u64 {
         let labels = TeamLabels {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod command_line;
 mod latency;
 mod metrics;
+mod pages;
 mod support;
 mod text_difference;
 mod timeline;
