--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,12 @@
     reason = "a test fails by panicking"
 )]
 
+mod command_line;
 mod latency;
+mod metrics;
+mod pages;
+mod support;
+mod text_difference;
+mod timeline;
 mod whole_path;
 mod wrong_files;
