Make the slot ledger sound through owner change, lost releases and dead nodes

Cause: a new owner granted on an empty ledger while requests of the owner before it still ran; a lost release or a cancelled ask leaked its slot for good; a slot was free at once when its caller left, though the engine had not stopped; a new epoch started with an empty ledger.

Change: the ledger keeps two upper bounds (by count, by report) and goes by the lower; a later owner grants nothing until all requests of the one before it show in a report; each ask has its own ticket; nodes renew what they hold in one message per owner; silent holders' slots count as lost until their time is over or the engine reports fewer; the ledger goes on over epochs of one lease. The plain service's stand-in reports its load, on which the second bound rests. One task for each owner passes releases on, so that one that is paused delays no other.

Conclusion: the sum over all nodes holds in the model; processes come next.

--- a/crates/cuminlb-peer/src/message/mod.rs
+++ b/crates/cuminlb-peer/src/message/mod.rs
@@ -2,12 +2,16 @@
 
 mod events_query;
 mod peer_statement;
+mod renewal_answer;
 mod slot_grant;
 mod slot_release;
+mod slot_renewal;
 mod slot_request;
 
 pub use self::events_query::EventsQuery;
 pub use self::peer_statement::PeerStatement;
+pub use self::renewal_answer::RenewalAnswer;
 pub use self::slot_grant::{SlotAnswer, SlotGrant};
-pub use self::slot_release::SlotRelease;
+pub use self::slot_release::{ReleasedSlot, SlotRelease};
+pub use self::slot_renewal::{RenewedGroup, SlotRenewal};
 pub use self::slot_request::SlotRequest;
--- a/crates/cuminlb-peer/src/message/slot_grant.rs
+++ b/crates/cuminlb-peer/src/message/slot_grant.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddr;
 
+use cuminlb_routing::{SlotDenial, SlotLoad};
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use cuminlb_routing::SlotDenial;
-
 /// The right to send one request to a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -15,6 +14,8 @@
     pub epoch: Epoch,
     /// Where the leader of the group listens.
     pub leader: SocketAddr,
+    /// The load of the group with this slot.
+    pub load: SlotLoad,
 }
 
 /// The answer to a [`SlotRequest`](super::SlotRequest).
--- a/crates/cuminlb-peer/src/message/slot_request.rs
+++ b/crates/cuminlb-peer/src/message/slot_request.rs
@@ -1,5 +1,6 @@
 //! [`SlotRequest`].
 
+use cuminlb_routing::SlotId;
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -7,10 +8,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct SlotRequest {
-    /// The node that will send the request.
-    pub node: NodeId,
-    /// The request.
-    pub request: RequestId,
+    /// The slot, named by the node that will send the request and the number of its ask.
+    pub slot: SlotId,
     /// The service of the group.
     pub service: ServiceId,
     /// The group.
--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -2,7 +2,9 @@
 
 use cuminlb_events::Event;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+};
 
 /// The calls between nodes.
 #[tarpc::service]
@@ -13,8 +15,11 @@
     /// Asks the owner of a group for a slot.
     async fn acquire_slot(request: SlotRequest) -> SlotAnswer;
 
-    /// Gives a slot back.
-    async fn release_slot(release: SlotRelease);
+    /// Gives slots back.
+    async fn release_slots(release: SlotRelease);
+
+    /// Tells the owner of groups which of their slots the caller holds.
+    async fn renew_slots(renewal: SlotRenewal) -> RenewalAnswer;
 
     /// Returns the newest events of the node called.
     async fn events(query: EventsQuery) -> Vec<Event>;
--- a/crates/cuminlb-peer/src/peer_handler.rs
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -4,7 +4,9 @@
 
 use cuminlb_events::Event;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+};
 
 /// What a node does with the calls of its peers.
 pub trait PeerHandler: Clone + Send + Sync + 'static {
@@ -14,8 +16,11 @@
     /// Grants a slot or says why not.
     fn acquire_slot(&self, request: SlotRequest) -> impl Future<Output = SlotAnswer> + Send;
 
-    /// Takes a slot back.
-    fn release_slot(&self, release: SlotRelease);
+    /// Takes slots back.
+    fn release_slots(&self, release: SlotRelease);
+
+    /// Takes in what a peer says that it holds.
+    fn renew_slots(&self, renewal: SlotRenewal) -> RenewalAnswer;
 
     /// Returns the newest events of this node.
     fn events(&self, query: EventsQuery) -> Vec<Event>;
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -14,7 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+};
 use crate::{PeerApiClient, PeerError, PeerToken};
 
 /// The client's end of the conversation with one peer.
@@ -69,14 +71,26 @@
         .await
     }
 
-    /// Gives a slot back to the peer.
+    /// Gives slots back to the peer.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError`] when no answer came.
-    pub async fn release_slot(&self, release: SlotRelease) -> Result<(), PeerError> {
+    pub async fn release_slots(&self, release: SlotRelease) -> Result<(), PeerError> {
         self.call(Millis(0), async |client, context| {
-            client.release_slot(context, release).await
+            client.release_slots(context, release).await
+        })
+        .await
+    }
+
+    /// Tells the peer which slots of its groups this node holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn renew_slots(&self, renewal: SlotRenewal) -> Result<RenewalAnswer, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.renew_slots(context, renewal).await
         })
         .await
     }
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -12,7 +12,9 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+};
 use crate::{PeerApi, PeerHandler, PeerToken};
 
 /// The number of calls of one peer that may run at once.
@@ -78,8 +80,12 @@
         self.handler.acquire_slot(request).await
     }
 
-    async fn release_slot(self, _: Context, release: SlotRelease) {
-        self.handler.release_slot(release);
+    async fn release_slots(self, _: Context, release: SlotRelease) {
+        self.handler.release_slots(release);
+    }
+
+    async fn renew_slots(self, _: Context, renewal: SlotRenewal) -> RenewalAnswer {
+        self.handler.renew_slots(renewal)
     }
 
     async fn events(self, _: Context, query: EventsQuery) -> Vec<Event> {
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -15,4 +15,6 @@
 pub use crate::choice::{GroupChoice, choose_group};
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
 pub use crate::retry::RetryBudget;
-pub use crate::slots::{SlotDenial, SlotLedger};
+pub use crate::slots::{
+    HeldRange, LoadReport, SlotDenial, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotLoad, SlotTerms,
+};
--- a/crates/cuminlb-routing/src/slots/mod.rs
+++ b/crates/cuminlb-routing/src/slots/mod.rs
@@ -1,7 +1,24 @@
 //! Slots: the right to have one request at a group.
 
+mod held_range;
+mod holder_slots;
+mod load_report;
+mod lost_slot;
+mod lost_slots;
 mod slot_denial;
+mod slot_end;
+mod slot_holder;
+mod slot_id;
 mod slot_ledger;
+mod slot_load;
+mod slot_terms;
 
+pub use self::held_range::HeldRange;
+pub use self::load_report::LoadReport;
 pub use self::slot_denial::SlotDenial;
+pub use self::slot_end::SlotEnd;
+pub use self::slot_holder::SlotHolder;
+pub use self::slot_id::SlotId;
 pub use self::slot_ledger::SlotLedger;
+pub use self::slot_load::SlotLoad;
+pub use self::slot_terms::SlotTerms;
--- a/crates/cuminlb-routing/src/slots/slot_denial.rs
+++ b/crates/cuminlb-routing/src/slots/slot_denial.rs
@@ -3,6 +3,8 @@
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use super::SlotLoad;
+
 /// The reason why the owner of a group grants no slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -17,6 +19,9 @@
     /// There is no fresh proof that every member is up.
     #[error("the group does not serve")]
     NotServing,
+    /// The owner is new and does not know yet what the owner before it granted.
+    #[error("the owner of the group is still counting the requests that run")]
+    Recovering,
     /// The group has another epoch by now.
     #[error("the group is at epoch {epoch}")]
     EpochChanged {
@@ -24,6 +29,9 @@
         epoch: Epoch,
     },
     /// All slots are taken.
-    #[error("all slots are taken")]
-    Full,
+    #[error("all slots are taken: {} of {}", load.taken, load.limit)]
+    Full {
+        /// The load of the group.
+        load: SlotLoad,
+    },
 }
--- /dev/null
+++ b/crates/cuminlb-routing/tests/slots/world.rs
@@ -0,0 +1,277 @@
+//! [`World`].
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cuminlb_routing::{HeldRange, LoadReport, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotTerms};
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::op::{MAX_REQUEST_MS, MAX_SEND_MS, NODES, Op};
+
+const TERMS: SlotTerms = SlotTerms {
+    max_send_ms: Millis(MAX_SEND_MS),
+    max_report_lag_ms: Millis(500),
+    holder_timeout_ms: Millis(6_000),
+    max_cancel_ms: Millis(1_000),
+    max_request_ms: Millis(MAX_REQUEST_MS),
+};
+
+const WARM_LIMIT: u32 = 5;
+const COLD_LIMIT: u32 = 2;
+
+/// A request that was granted: it starts at the engine, and ends there.
+#[derive(Clone, Debug)]
+struct Request {
+    slot: SlotId,
+    node: usize,
+    starts_at_ms: u64,
+    ends_at_ms: u64,
+    /// Whether its node still answers for it.
+    held: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Asker {
+    incarnation: u64,
+    last: SlotTicket,
+    releases_lost: bool,
+    latest: Option<SlotId>,
+}
+
+/// The nodes, the network, the engine and the owner of one group, on a clock of their own.
+#[derive(Debug)]
+pub struct World {
+    started: Instant,
+    now_ms: u64,
+    ledger: SlotLedger,
+    fencing: FencingNumber,
+    epoch: Epoch,
+    warm: bool,
+    askers: Vec<Asker>,
+    requests: Vec<Request>,
+    ended: Vec<Request>,
+    pub overrun: Option<(usize, u32)>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let started = Instant::now() + Duration::from_secs(3_600);
+        let (fencing, epoch) = (FencingNumber(1), Epoch(1));
+        let asker = Asker {
+            incarnation: 1,
+            last: SlotTicket(0),
+            releases_lost: false,
+            latest: None,
+        };
+        Self {
+            started,
+            now_ms: 0,
+            ledger: SlotLedger::new(fencing, epoch, TERMS, started),
+            fencing,
+            epoch,
+            warm: true,
+            askers: vec![asker; NODES],
+            requests: Vec::new(),
+            ended: Vec::new(),
+            overrun: None,
+        }
+    }
+
+    pub fn limit(&self) -> usize {
+        self.limit_count().get() as usize
+    }
+
+    /// Counts the requests that run or may still start.
+    pub fn outstanding(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub fn apply(&mut self, op: Op) {
+        match op {
+            Op::Ask {
+                node,
+                send_ms,
+                run_ms,
+            } => self.ask(node, send_ms, run_ms),
+            Op::AskInVain { node, release_lost } => self.ask_in_vain(node, release_lost),
+            Op::RepeatAsk { node } => self.repeat_ask(node),
+            Op::Abandon {
+                node,
+                engine_goes_on_ms,
+            } => self.abandon(node, engine_goes_on_ms),
+            Op::Advance { by_ms } => self.advance(by_ms),
+            Op::Renew { node } => self.renew(node),
+            Op::Report { lag_ms } => self.report(lag_ms),
+            Op::LoseReleases { node, lost } => self.askers[node].releases_lost = lost,
+            Op::Die { node } => self.die(node),
+            Op::ChangeOwner => self.change_owner(),
+            Op::ChangeEpoch => {
+                self.epoch = self.epoch.next();
+                self.ledger.set_epoch(self.epoch);
+            }
+            Op::SetWarm { warm } => self.warm = warm,
+        }
+    }
+
+    /// Lets every request end and the nodes and the engine report as they do at rest.
+    pub fn settle(&mut self) {
+        for asker in &mut self.askers {
+            asker.releases_lost = false;
+        }
+        for _ in 0..30 {
+            self.advance(1_000);
+            self.report(0);
+            (0..NODES).for_each(|node| self.renew(node));
+        }
+    }
+
+    /// Counts the slots that the owner grants one after the other.
+    pub fn grantable(&mut self) -> usize {
+        let before = self.requests.len();
+        for _ in 0..=self.limit() {
+            self.ask(0, 0, 10);
+        }
+        self.requests.len() - before
+    }
+
+    fn ask(&mut self, node: usize, send_ms: u64, run_ms: u64) {
+        let slot = self.next_slot(node);
+        if self.grants(&slot) {
+            let starts_at_ms = self.now_ms + send_ms;
+            self.requests.push(Request {
+                slot,
+                node,
+                starts_at_ms,
+                ends_at_ms: starts_at_ms + run_ms,
+                held: true,
+            });
+            if self.requests.len() > self.limit() {
+                self.overrun = Some((self.requests.len(), self.limit_count().get()));
+            }
+        }
+    }
+
+    fn ask_in_vain(&mut self, node: usize, release_lost: bool) {
+        let slot = self.next_slot(node);
+        self.grants(&slot);
+        if !release_lost {
+            self.ledger.release(&slot, SlotEnd::Finished, self.now());
+        }
+    }
+
+    fn repeat_ask(&mut self, node: usize) {
+        if let Some(slot) = self.askers[node].latest.clone() {
+            self.grants(&slot);
+        }
+    }
+
+    fn abandon(&mut self, node: usize, engine_goes_on_ms: u64) {
+        let now_ms = self.now_ms;
+        let running = self
+            .requests
+            .iter_mut()
+            .find(|request| request.node == node && request.held && request.starts_at_ms <= now_ms);
+        if let Some(request) = running {
+            request.held = false;
+            request.ends_at_ms = request.ends_at_ms.min(now_ms + engine_goes_on_ms);
+            let slot = request.slot.clone();
+            self.release(node, &slot, SlotEnd::Abandoned);
+        }
+    }
+
+    fn advance(&mut self, by_ms: u64) {
+        self.now_ms += by_ms;
+        let now_ms = self.now_ms;
+        let is_over = |request: &mut Request| request.ends_at_ms <= now_ms;
+        let over: Vec<Request> = self.requests.extract_if(.., is_over).collect();
+        for request in over {
+            if request.held {
+                self.release(request.node, &request.slot, SlotEnd::Finished);
+            }
+            self.ended.push(request);
+        }
+    }
+
+    fn release(&mut self, node: usize, slot: &SlotId, end: SlotEnd) {
+        if !self.askers[node].releases_lost {
+            self.ledger.release(slot, end, self.now());
+        }
+    }
+
+    fn renew(&mut self, node: usize) {
+        let held: BTreeSet<SlotTicket> = self
+            .requests
+            .iter()
+            .filter(|request| request.node == node && request.held)
+            .map(|request| request.slot.ticket)
+            .collect();
+        let holder = self.holder(node);
+        let last = self.askers[node].last;
+        for range in HeldRange::split(&held, last) {
+            self.ledger.reconcile(&holder, &range, self.now());
+        }
+    }
+
+    fn report(&mut self, lag_ms: u64) {
+        let seen_at_ms = self.now_ms.saturating_sub(lag_ms);
+        let ran = |request: &&Request| {
+            request.starts_at_ms <= seen_at_ms && request.ends_at_ms > seen_at_ms
+        };
+        let running = self.requests.iter().chain(&self.ended).filter(ran).count();
+        let report = LoadReport {
+            sent_at: self.now(),
+            running: SlotCount(u32::try_from(running).unwrap()),
+        };
+        self.ledger.note_report(report, self.now());
+    }
+
+    fn die(&mut self, node: usize) {
+        let now_ms = self.now_ms;
+        // A request that was not sent yet never is; one that runs goes on.
+        self.requests
+            .retain(|request| request.node != node || request.starts_at_ms <= now_ms);
+        for request in &mut self.requests {
+            request.held &= request.node != node;
+        }
+        let asker = &mut self.askers[node];
+        asker.incarnation += 1;
+        asker.last = SlotTicket(0);
+        asker.latest = None;
+    }
+
+    fn change_owner(&mut self) {
+        self.fencing = self.fencing.next();
+        self.ledger = SlotLedger::new(self.fencing, self.epoch, TERMS, self.now());
+    }
+
+    fn grants(&mut self, slot: &SlotId) -> bool {
+        let (limit, now) = (self.limit_count(), self.now());
+        self.ledger.grant(slot, self.epoch, limit, now).is_ok()
+    }
+
+    fn next_slot(&mut self, node: usize) -> SlotId {
+        let asker = &mut self.askers[node];
+        asker.last = asker.last.next();
+        let ticket = asker.last;
+        let holder = self.holder(node);
+        let slot = SlotId { holder, ticket };
+        self.askers[node].latest = Some(slot.clone());
+        slot
+    }
+
+    fn holder(&self, node: usize) -> SlotHolder {
+        SlotHolder {
+            node: format!("node-{node}").parse().unwrap(),
+            incarnation: Incarnation(self.askers[node].incarnation),
+        }
+    }
+
+    fn limit_count(&self) -> SlotCount {
+        SlotCount(if self.warm { WARM_LIMIT } else { COLD_LIMIT })
+    }
+
+    fn now(&self) -> Instant {
+        self.started + Duration::from_millis(self.now_ms)
+    }
+}
--- a/crates/cuminlb-standins/src/plain/mod.rs
+++ b/crates/cuminlb-standins/src/plain/mod.rs
@@ -1,5 +1,6 @@
 //! A plain service with calls that may not be repeated.
 
+mod executing;
 mod options;
 mod reservation;
 mod server;
--- a/crates/cuminlb-standins/src/plain/server.rs
+++ b/crates/cuminlb-standins/src/plain/server.rs
@@ -1,6 +1,7 @@
 //! [`PlainService`].
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use http::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
+use super::executing::Executing;
 use super::{PlainOptions, Reservation};
 use crate::http_server::{AnswerBody, Answers, json as json_answer, status, text};
 use crate::{FaultState, StandinError, StandinServer};
@@ -19,6 +21,7 @@
     options: PlainOptions,
     incarnation: Incarnation,
     executed: Mutex<Vec<Reservation>>,
+    running: AtomicU32,
 }
 
 impl PlainService {
@@ -36,6 +39,7 @@
             options,
             incarnation,
             executed: Mutex::default(),
+            running: AtomicU32::new(0),
         };
         StandinServer::start(address, FaultState::default(), Arc::new(service)).await
     }
@@ -46,12 +50,13 @@
             membership: None,
             fencing: FencingNumber(0),
             warm: true,
-            running: SlotCount(0),
+            running: SlotCount(self.running.load(Ordering::Relaxed)),
         }
     }
 
     /// Executes a call: each execution is one reservation more, also of the same request.
     async fn reserve(&self, request: &Request<Bytes>) -> Response<AnswerBody> {
+        let _executing = Executing::start(&self.running);
         tokio::time::sleep(self.options.call_ms.duration()).await;
         let id = request.headers().get(REQUEST_ID_HEADER);
         let reservation = Reservation {
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -14,6 +14,7 @@
 mod plan_transactions;
 mod planner;
 mod slot_releaser;
+mod slot_reporter;
 
 pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
 pub use self::group_supervisor::supervise_groups;
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -5,20 +5,33 @@
 
 use cuminlb_config::NodeSettings;
 use cuminlb_events::EventLog;
-use cuminlb_peer::{PeerStatement, SlotRelease};
+use cuminlb_peer::{PeerStatement, ReleasedSlot};
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
 };
+use cuminlb_routing::{SlotHolder, SlotTerms};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
 use smol_str::format_smolstr;
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::{FleetView, OwnedGroups, Peers, TableKnowledge};
+use super::{FleetView, OwnedGroups, Peers, SlotHoldings, TableKnowledge};
 
 /// The number of events that a node keeps.
 const EVENT_CAPACITY: usize = 8_192;
 
+/// The longest time that one ask waits at an owner for a slot to come free.
+pub const MAX_WAIT_AT_OWNER_MS: Millis = Millis(100);
+
+/// The longest time by which the load in an engine's report lags behind.
+const MAX_REPORT_LAG_MS: Millis = Millis(500);
+
+/// The longest time that an engine goes on with a request whose connection was closed.
+const MAX_CANCEL_MS: Millis = Millis(1_000);
+
+/// The time from one renewal of the held slots to the next.
+pub const SLOT_RENEWAL_PERIOD_MS: Millis = Millis(2_000);
+
 /// The state that the tasks of one node share.
 pub struct Node {
     /// The settings.
@@ -47,8 +60,10 @@
     pub owned: OwnedGroups,
     /// Told when the table should be read at once.
     pub poll_now: Notify,
-    /// Takes the slots to give back, with the owner that granted each.
-    pub releases: mpsc::UnboundedSender<(NodeId, SlotRelease)>,
+    /// The slots of other groups that this node holds.
+    pub holdings: SlotHoldings,
+    /// Takes the slots to give back, with the owner that was asked for each.
+    pub releases: mpsc::UnboundedSender<(NodeId, ReleasedSlot)>,
     draining: AtomicBool,
     last_request: AtomicU64,
 }
@@ -56,7 +71,7 @@
 impl Node {
     /// Creates the state of a node that talks to the platform and the upstreams over HTTP, and
     /// the receiver of the slots to give back.
-    pub fn new(settings: NodeSettings) -> (Self, mpsc::UnboundedReceiver<(NodeId, SlotRelease)>) {
+    pub fn new(settings: NodeSettings) -> (Self, mpsc::UnboundedReceiver<(NodeId, ReleasedSlot)>) {
         let platform = &settings.platform;
         let timeout_ms = platform.timeout_ms;
         let control = &settings.control;
@@ -72,7 +87,8 @@
             view: watch::Sender::new(FleetView::default()),
             knowledge: TableKnowledge::default(),
             peers: Peers::default(),
-            owned: OwnedGroups::default(),
+            owned: OwnedGroups::new(slot_terms(&settings)),
+            holdings: SlotHoldings::default(),
             poll_now: Notify::new(),
             releases,
             draining: AtomicBool::new(false),
@@ -87,6 +103,19 @@
         &self.settings.id
     }
 
+    /// Returns the name under which this start of the node holds slots.
+    pub fn slot_holder(&self) -> SlotHolder {
+        SlotHolder {
+            node: self.id().clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Returns the longest time from an ask for a slot until the request may be sent.
+    pub fn slot_use_ms(&self) -> Millis {
+        slot_use_ms(&self.settings)
+    }
+
     /// Returns a snapshot of what this node knows of the fleet.
     pub fn view(&self) -> FleetView {
         self.view.borrow().clone()
@@ -149,3 +178,18 @@
         }
     }
 }
+
+fn slot_use_ms(settings: &NodeSettings) -> Millis {
+    settings.control.peer_timeout_ms + MAX_WAIT_AT_OWNER_MS
+}
+
+fn slot_terms(settings: &NodeSettings) -> SlotTerms {
+    let connect_timeout_ms = settings.control.peer_timeout_ms;
+    SlotTerms {
+        max_send_ms: slot_use_ms(settings) + connect_timeout_ms,
+        max_report_lag_ms: MAX_REPORT_LAG_MS,
+        holder_timeout_ms: SLOT_RENEWAL_PERIOD_MS * 3,
+        max_cancel_ms: MAX_CANCEL_MS,
+        max_request_ms: settings.limits.request_timeout_ms,
+    }
+}
--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -6,7 +6,7 @@
 use cuminlb_config::ServiceSpec;
 use cuminlb_fleet::lease::HeldLease;
 use cuminlb_fleet::rows::GroupRecord;
-use cuminlb_routing::{SlotDenial, SlotLedger};
+use cuminlb_routing::{LoadReport, SlotDenial, SlotId, SlotLedger, SlotLoad};
 use cuminlb_types::prelude::*;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -24,7 +24,7 @@
     pub owned_since: Instant,
     lease: watch::Receiver<HeldLease>,
     proofs: Mutex<HashMap<InstanceId, Proof>>,
-    ledger: Mutex<SlotLedger>,
+    ledger: Mutex<Option<SlotLedger>>,
     /// Told when a slot came free or the group began to serve.
     pub changed: Notify,
 }
@@ -32,14 +32,13 @@
 impl OwnedGroup {
     /// Starts to own a group; it serves once every member is proved to be up.
     pub fn new(service: ServiceId, record: GroupRecord, lease: watch::Receiver<HeldLease>) -> Self {
-        let ledger = Mutex::new(SlotLedger::new(record.epoch));
         Self {
             service,
             record,
             owned_since: Instant::now(),
             lease,
             proofs: Mutex::default(),
-            ledger,
+            ledger: Mutex::default(),
             changed: Notify::new(),
         }
     }
@@ -50,8 +49,17 @@
     }
 
     /// Notes the proof of a member.
+    ///
+    /// The leader's load is that of the group, because every request goes to the leader.
     pub fn note_proof(&self, member: &InstanceId, proof: Proof) {
         lock(&self.proofs).insert(member.clone(), proof);
+        if self.record.members.first() == Some(member) {
+            let report = LoadReport {
+                sent_at: proof.at,
+                running: proof.running,
+            };
+            self.with_ledger(|ledger| ledger.note_report(report, Instant::now()));
+        }
         self.changed.notify_waiters();
     }
 
@@ -83,27 +91,41 @@
     pub fn grant(
         &self,
         spec: &ServiceSpec,
-        request: &RequestId,
-        node: &NodeId,
+        slot: &SlotId,
         epoch: Epoch,
         proof_max_age_ms: Millis,
-    ) -> Result<(), SlotDenial> {
-        if !self.is_serving(Instant::now(), proof_max_age_ms) {
+    ) -> Result<SlotLoad, SlotDenial> {
+        let mut ledger = lock(&self.ledger);
+        let now = Instant::now();
+        let Some(ledger) = ledger.as_mut() else {
+            return Err(SlotDenial::NotServing);
+        };
+        if !self.is_serving(now, proof_max_age_ms) {
             return Err(SlotDenial::NotServing);
         }
         let limit = spec.slots(self.is_warm());
-        lock(&self.ledger).grant(request, node, epoch, limit)
-    }
-
-    /// Takes a slot back.
-    pub fn release(&self, request: &RequestId) {
-        lock(&self.ledger).release(request);
-        self.changed.notify_waiters();
+        ledger.grant(slot, epoch, limit, now)
     }
 
     /// Returns the number of slots that are taken.
     pub fn taken(&self) -> SlotCount {
-        lock(&self.ledger).taken()
+        let taken = self.with_ledger(|ledger| ledger.taken());
+        taken.unwrap_or_default()
+    }
+
+    /// Runs a change on the ledger; `None` where the group is not owned any more.
+    pub(super) fn with_ledger<T>(&self, change: impl FnOnce(&mut SlotLedger) -> T) -> Option<T> {
+        lock(&self.ledger).as_mut().map(change)
+    }
+
+    /// Sets the ledger.
+    pub(super) fn open_ledger(&self, ledger: SlotLedger) {
+        *lock(&self.ledger) = Some(ledger);
+    }
+
+    /// Takes the ledger out; nothing is granted from here any more.
+    pub(super) fn close_ledger(&self) -> Option<SlotLedger> {
+        lock(&self.ledger).take()
     }
 }
 
--- a/src/cuminlb/serving/exchange.rs
+++ b/src/cuminlb/serving/exchange.rs
@@ -58,7 +58,7 @@
         }
     };
     insert(REQUEST_ID_HEADER, request.id.as_str());
-    insert(GROUP_HEADER, slot.group.as_str());
+    insert(GROUP_HEADER, slot.group().as_str());
     insert(EPOCH_HEADER, &slot.epoch.to_smolstr());
     headers
 }
--- a/src/cuminlb/serving/held_slot.rs
+++ b/src/cuminlb/serving/held_slot.rs
@@ -1,35 +1,48 @@
 //! [`HeldSlot`].
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
-use cuminlb_peer::SlotRelease;
+use cuminlb_peer::SlotGrant;
+use cuminlb_routing::SlotEnd;
 use cuminlb_types::prelude::*;
+use tokio::time::Instant;
 
-use crate::node::Node;
+use super::asked_slot::AskedSlot;
 
 /// A slot that one request holds at a group; it is given back when this is dropped.
 pub(super) struct HeldSlot {
-    pub(super) node: Arc<Node>,
-    pub(super) owner: NodeId,
-    pub(super) request: RequestId,
-    pub(super) group: GroupId,
+    asked: AskedSlot,
     pub(super) epoch: Epoch,
     pub(super) leader: SocketAddr,
 }
 
-impl Drop for HeldSlot {
-    fn drop(&mut self) {
-        if self.owner == *self.node.id() {
-            if let Some(owned) = self.node.owned.get(&self.group) {
-                owned.release(&self.request);
-            }
-            return;
+impl HeldSlot {
+    /// Holds what was granted.
+    pub(super) const fn new(asked: AskedSlot, grant: &SlotGrant) -> Self {
+        Self {
+            asked,
+            epoch: grant.epoch,
+            leader: grant.leader,
         }
-        let release = SlotRelease {
-            request: self.request.clone(),
-            group: self.group.clone(),
-        };
-        let _ = self.node.releases.send((self.owner.clone(), release));
+    }
+
+    /// Returns the group.
+    pub(super) const fn group(&self) -> &GroupId {
+        &self.asked.group
+    }
+
+    /// Notes that the request is about to be sent, or returns `false` when it is too late for
+    /// that: a new owner of the group may have stopped waiting for this request to show up.
+    pub(super) fn start_use(&mut self) -> bool {
+        let is_in_time = Instant::now() < self.asked.use_by;
+        if is_in_time {
+            self.asked.end = SlotEnd::Abandoned;
+        }
+        is_in_time
+    }
+
+    /// Notes that the engine has given its whole answer or that the request never reached it.
+    pub(super) const fn finish(&mut self) {
+        self.asked.end = SlotEnd::Finished;
     }
 }
--- a/src/cuminlb/serving/peer_service.rs
+++ b/src/cuminlb/serving/peer_service.rs
@@ -4,9 +4,10 @@
 
 use cuminlb_events::Event;
 use cuminlb_peer::{
-    EventsQuery, PeerHandler, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
+    EventsQuery, PeerHandler, PeerStatement, ReleasedSlot, RenewalAnswer, SlotAnswer, SlotGrant,
+    SlotRelease, SlotRenewal, SlotRequest,
 };
-use cuminlb_routing::SlotDenial;
+use cuminlb_routing::{SlotDenial, SlotId};
 use tokio::time::Instant;
 
 use crate::node::Node;
@@ -34,12 +35,19 @@
         self.node.grant_slot(&request).await
     }
 
-    fn release_slot(&self, release: SlotRelease) {
-        if let Some(owned) = self.node.owned.get(&release.group) {
-            owned.release(&release.request);
+    fn release_slots(&self, release: SlotRelease) {
+        let SlotRelease { holder, slots } = release;
+        for ReleasedSlot { group, ticket, end } in slots {
+            let holder = holder.clone();
+            let slot = SlotId { holder, ticket };
+            self.node.owned.release(&group, &slot, end);
         }
     }
 
+    fn renew_slots(&self, renewal: SlotRenewal) -> RenewalAnswer {
+        self.node.take_renewal(&renewal)
+    }
+
     fn events(&self, query: EventsQuery) -> Vec<Event> {
         let limit = usize::try_from(query.limit).unwrap_or(usize::MAX);
         self.node.events.select(&query.filter, limit)
@@ -66,9 +74,8 @@
                 Ok(grant) => return Ok(grant),
                 Err(denial) => denial,
             };
-            if denial != SlotDenial::Full
-                || tokio::time::timeout_at(deadline, changed).await.is_err()
-            {
+            let may_change = matches!(denial, SlotDenial::Full { .. } | SlotDenial::Recovering);
+            if !may_change || tokio::time::timeout_at(deadline, changed).await.is_err() {
                 return Err(denial);
             }
         }
@@ -91,16 +98,22 @@
             return Err(SlotDenial::NotServing);
         };
         let max_age_ms = self.settings.control.proof_max_age_ms;
-        owned.grant(
-            spec,
-            &request.request,
-            &request.node,
-            request.epoch,
-            max_age_ms,
-        )?;
+        let load = owned.grant(spec, &request.slot, request.epoch, max_age_ms)?;
         Ok(SlotGrant {
             epoch: owned.record.epoch,
             leader: leader.address,
+            load,
         })
     }
+
+    /// Takes in what a node says that it holds of the groups that this node owns.
+    pub fn take_renewal(&self, renewal: &SlotRenewal) -> RenewalAnswer {
+        let not_owned = renewal.groups.iter().filter(|renewed| {
+            let (group, range) = (&renewed.group, &renewed.range);
+            !self.owned.reconcile(group, &renewal.holder, range)
+        });
+        RenewalAnswer {
+            not_owned: not_owned.map(|renewed| renewed.group.clone()).collect(),
+        }
+    }
 }
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -124,10 +124,12 @@
             let slots = SlotClient {
                 node: &self.node,
                 service: &destination.service.id,
-                request: &request.id,
             };
-            let slot = slots.acquire(queue_deadline).await?;
-            trail.sent(&slot.group, slot.epoch);
+            let mut slot = slots.acquire(queue_deadline).await?;
+            if !slot.start_use() {
+                continue;
+            }
+            trail.sent(slot.group(), slot.epoch);
             let sent = send(&self.node.upstreams, request, &slot, &destination.path).await;
             let error = match sent {
                 Ok(response) if is_stream(&response) => {
@@ -138,6 +140,7 @@
                     let headers = answer_headers(response.headers());
                     match read_whole(response, limits.stream_idle_ms).await {
                         Ok(body) => {
+                            slot.finish();
                             let answer = CallerAnswer::Whole {
                                 status,
                                 headers,
@@ -150,6 +153,9 @@
                 }
                 Err(error) => error,
             };
+            if !error.may_have_run() {
+                slot.finish();
+            }
             let repeatable = idempotent || !error.may_have_run();
             if !repeatable || tries >= MAX_TRIES {
                 return Err(upstream_refusal(&error));
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -4,17 +4,15 @@
 use std::time::Duration;
 
 use cuminlb_fleet::rows::{GroupRecord, GroupState};
-use cuminlb_peer::{SlotAnswer, SlotGrant, SlotRequest};
+use cuminlb_peer::SlotRequest;
 use cuminlb_routing::{GroupChoice, Refusal, RefusalKind, SlotDenial, choose_group};
 use cuminlb_types::prelude::*;
 use log::debug;
 use tokio::time::Instant;
 
+use super::asked_slot::AskedSlot;
 use super::held_slot::HeldSlot;
-use crate::node::{FleetView, Node};
-
-/// The longest time that one ask waits at an owner for a slot to come free.
-const MAX_WAIT_AT_OWNER: Duration = Duration::from_millis(100);
+use crate::node::{FleetView, MAX_WAIT_AT_OWNER_MS, Node};
 
 /// The pause after no group had a slot.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -26,7 +24,6 @@
 pub(super) struct SlotClient<'a> {
     pub(super) node: &'a Arc<Node>,
     pub(super) service: &'a ServiceId,
-    pub(super) request: &'a RequestId,
 }
 
 impl SlotClient<'_> {
@@ -90,9 +87,9 @@
         while let Some(owner) = candidates.get(next).cloned() {
             next += 1;
             match self.ask(&owner, choice, deadline).await {
-                Some(Ok(grant)) => {
-                    self.node.owned.note_owner(&choice.group, owner.clone());
-                    return Some(self.held(owner, choice, &grant));
+                Some(Ok(slot)) => {
+                    self.node.owned.note_owner(&choice.group, owner);
+                    return Some(slot);
                 }
                 Some(Err(SlotDenial::NotOwner { owner: hint })) => {
                     self.node.owned.forget_owner(&choice.group);
@@ -108,52 +105,35 @@
         None
     }
 
+    /// Asks one node; what it granted is given back unless the grant is used.
     async fn ask(
         &self,
         owner: &NodeId,
         choice: &GroupChoice,
         deadline: Instant,
-    ) -> Option<SlotAnswer> {
+    ) -> Option<Result<HeldSlot, SlotDenial>> {
         let left = deadline.saturating_duration_since(Instant::now());
+        let asked = AskedSlot::new(self.node, owner, &choice.group);
         let request = SlotRequest {
-            node: self.node.id().clone(),
-            request: self.request.clone(),
+            slot: asked.id(),
             service: self.service.clone(),
             group: choice.group.clone(),
             epoch: choice.epoch,
-            wait_ms: left.min(MAX_WAIT_AT_OWNER).into(),
+            wait_ms: Millis::from(left).min(MAX_WAIT_AT_OWNER_MS),
         };
-        if owner == self.node.id() {
-            return Some(self.node.grant_slot(&request).await);
-        }
-        let link = self.node.peers.get(owner)?;
-        match link.acquire_slot(request).await {
-            Ok(answer) => Some(answer),
-            Err(error) => {
-                debug!("owner {owner} of group {}: {error}", choice.group);
-                // The owner may have granted the slot, so it is given back.
-                drop(self.held(
-                    owner.clone(),
-                    choice,
-                    &SlotGrant {
-                        epoch: choice.epoch,
-                        leader: link.address(),
-                    },
-                ));
-                None
+        let answer = if owner == self.node.id() {
+            self.node.grant_slot(&request).await
+        } else {
+            let link = self.node.peers.get(owner)?;
+            match link.acquire_slot(request).await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    debug!("owner {owner} of group {}: {error}", choice.group);
+                    return None;
+                }
             }
-        }
-    }
-
-    fn held(&self, owner: NodeId, choice: &GroupChoice, grant: &SlotGrant) -> HeldSlot {
-        HeldSlot {
-            node: Arc::clone(self.node),
-            owner,
-            request: self.request.clone(),
-            group: choice.group.clone(),
-            epoch: grant.epoch,
-            leader: grant.leader,
-        }
+        };
+        Some(answer.map(|grant| HeldSlot::new(asked, &grant)))
     }
 }
 
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -23,7 +23,7 @@
     idle_ms: Millis,
     ended: bool,
     trail: RequestTrail,
-    _slot: HeldSlot,
+    slot: HeldSlot,
     _permit: AdmissionPermit,
 }
 
@@ -42,7 +42,7 @@
             idle_ms,
             ended: false,
             trail,
-            _slot: slot,
+            slot,
             _permit: permit,
         }
     }
@@ -67,6 +67,7 @@
             },
             Ok(StreamEvent::Done { raw }) => {
                 self.trail.answered();
+                self.slot.finish();
                 StreamPart::Data(raw)
             }
             Err(reason) => self.broken(reason),
