Prove the cold limit with processes; tell asks under way from held slots

Cause: a renewal listed asks that were still waiting, the owner took them for held, and the ask was then granted as a repeat without a look at the limit. The storm test through three nodes found it: the engine crashed. The property then found that a repeated ask was granted again though a report no longer covered it.

Change: a renewal names the state of each ask (asking, held); a repeat is granted as if it were new. tests/testsuite/cold_start.rs: a storm through three nodes, owner SIGKILLed, owner SIGSTOPped while it holds all slots, engine falls cold.

Seen failing: limit always warm (storm and fall-cold: engine crashed), new owner without recovery (killed and paused: engine crashed), asking counted as held (property: 6 running, limit 5).

Conclusion: the limit holds through the faults tested; service returns after the lease has lapsed and the new owner has counted what runs.

--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -16,5 +16,6 @@
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
 pub use crate::retry::RetryBudget;
 pub use crate::slots::{
-    HeldRange, LoadReport, SlotDenial, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotLoad, SlotTerms,
+    AskState, HeldRange, LoadReport, SlotDenial, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotLoad,
+    SlotTerms,
 };
--- a/crates/cuminlb-routing/src/slots/lost_slots.rs
+++ b/crates/cuminlb-routing/src/slots/lost_slots.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::lost_slot::LostSlot;
-use super::{SlotHolder, SlotId};
+use super::{HeldRange, SlotHolder, SlotId};
 
 /// The slots for which nobody answers any more, until their requests have certainly ended.
 #[derive(Debug, Default)]
@@ -40,11 +40,11 @@
         self.slots.retain(|lost| lost.id.as_ref() != Some(id));
     }
 
-    /// Removes the slots of one holder that are listed, in ascending order, in `held`.
-    pub(super) fn remove_held(&mut self, holder: &SlotHolder, held: &[SlotTicket]) {
+    /// Removes the slots of one holder that it says it holds.
+    pub(super) fn remove_held(&mut self, holder: &SlotHolder, range: &HeldRange) {
         self.slots.retain(|lost| {
             let id = lost.id.as_ref().filter(|id| id.holder == *holder);
-            id.is_none_or(|id| held.binary_search(&id.ticket).is_err())
+            id.is_none_or(|id| !range.holds(id.ticket))
         });
     }
 
--- a/crates/cuminlb-routing/src/slots/mod.rs
+++ b/crates/cuminlb-routing/src/slots/mod.rs
@@ -1,5 +1,6 @@
 //! Slots: the right to have one request at a group.
 
+mod ask_state;
 mod held_range;
 mod holder_slots;
 mod load_report;
@@ -13,6 +14,7 @@
 mod slot_load;
 mod slot_terms;
 
+pub use self::ask_state::AskState;
 pub use self::held_range::HeldRange;
 pub use self::load_report::LoadReport;
 pub use self::slot_denial::SlotDenial;
--- a/crates/cuminlb-routing/src/slots/slot_ledger.rs
+++ b/crates/cuminlb-routing/src/slots/slot_ledger.rs
@@ -62,7 +62,8 @@
 
     /// Grants a slot if fewer than `limit` are taken.
     ///
-    /// A repeat of an ask that already holds a slot is granted again.
+    /// A repeat of an ask that already holds a slot is granted again, as if it were new: the
+    /// request may start only now.
     ///
     /// # Errors
     ///
@@ -83,25 +84,23 @@
         if self.recovers_at.is_some() {
             return Err(SlotDenial::Recovering);
         }
-        if !self.holds(slot) {
-            let taken = self.taken();
-            if taken >= limit {
-                let load = SlotLoad { taken, limit };
-                return Err(SlotDenial::Full { load });
+        let earlier = self.take_held(slot);
+        let taken = self.taken();
+        if taken >= limit {
+            if let Some(granted_at) = earlier {
+                self.hold(slot, granted_at);
             }
-            self.hold(slot, now);
+            let load = SlotLoad { taken, limit };
+            return Err(SlotDenial::Full { load });
         }
+        self.hold(slot, now);
         let taken = self.taken();
         Ok(SlotLoad { taken, limit })
     }
 
     /// Takes a slot back; an unknown one changes nothing.
     pub fn release(&mut self, slot: &SlotId, end: SlotEnd, now: Instant) {
-        let Some(granted_at) = self
-            .holders
-            .get_mut(&slot.holder)
-            .and_then(|holder| holder.slots.remove(&slot.ticket))
-        else {
+        let Some(granted_at) = self.take_held(slot) else {
             if end == SlotEnd::Finished {
                 self.lost.remove(slot);
             }
@@ -130,14 +129,14 @@
             .copied()
             .filter(|ticket| range.ends(*ticket))
             .collect();
-        for ticket in &range.held {
-            known.slots.entry(*ticket).or_insert(now);
+        for ticket in range.held() {
+            known.slots.entry(ticket).or_insert(now);
         }
         for ticket in ended {
             let holder = holder.clone();
             self.release(&SlotId { holder, ticket }, SlotEnd::Abandoned, now);
         }
-        self.lost.remove_held(holder, &range.held);
+        self.lost.remove_held(holder, range);
     }
 
     /// Takes in a report of the engine.
@@ -245,16 +244,17 @@
         }
     }
 
-    fn hold(&mut self, slot: &SlotId, now: Instant) {
+    fn hold(&mut self, slot: &SlotId, granted_at: Instant) {
         self.lost.remove(slot);
         let holder = self.holders.entry(slot.holder.clone());
-        let holder = holder.or_insert_with(|| HolderSlots::new(now));
-        holder.slots.insert(slot.ticket, now);
+        let holder = holder.or_insert_with(|| HolderSlots::new(granted_at));
+        holder.slots.insert(slot.ticket, granted_at);
     }
 
-    fn holds(&self, slot: &SlotId) -> bool {
-        let holder = self.holders.get(&slot.holder);
-        holder.is_some_and(|holder| holder.slots.contains_key(&slot.ticket))
+    /// Removes a slot that is held and returns when it was granted.
+    fn take_held(&mut self, slot: &SlotId) -> Option<Instant> {
+        let holder = self.holders.get_mut(&slot.holder)?;
+        holder.slots.remove(&slot.ticket)
     }
 
     fn held(&self) -> impl Iterator<Item = &Instant> {
--- a/crates/cuminlb-routing/tests/slots/op.rs
+++ b/crates/cuminlb-routing/tests/slots/op.rs
@@ -22,6 +22,14 @@
         send_ms: u64,
         run_ms: u64,
     },
+    /// A node asks, and asks again with the same ticket while it is denied.
+    AskAndWait {
+        node: usize,
+        send_ms: u64,
+        run_ms: u64,
+    },
+    /// A node tries its denied asks again.
+    AskAgain { node: usize },
     /// A node asks and no longer waits for the answer; its release is lost or not.
     AskInVain { node: usize, release_lost: bool },
     /// The network delivers the latest ask of a node once more.
@@ -52,11 +60,14 @@
 
 fn op() -> impl Strategy<Value = Op> {
     let node = 0..NODES;
-    let run_ms = prop_oneof![3 => 10..400_u64, 2 => 400..MAX_REQUEST_MS];
+    let run_ms = || prop_oneof![3 => 10..400_u64, 2 => 400..MAX_REQUEST_MS];
     let by_ms = prop_oneof![6 => 1..300_u64, 2 => 300..3_000_u64, 1 => 3_000..25_000_u64];
     prop_oneof![
-        12 => (node.clone(), 0..MAX_SEND_MS, run_ms)
+        12 => (node.clone(), 0..MAX_SEND_MS, run_ms())
             .prop_map(|(node, send_ms, run_ms)| Op::Ask { node, send_ms, run_ms }),
+        5 => (node.clone(), 0..MAX_SEND_MS, run_ms())
+            .prop_map(|(node, send_ms, run_ms)| Op::AskAndWait { node, send_ms, run_ms }),
+        4 => node.clone().prop_map(|node| Op::AskAgain { node }),
         2 => (node.clone(), any::<bool>())
             .prop_map(|(node, release_lost)| Op::AskInVain { node, release_lost }),
         2 => node.clone().prop_map(|node| Op::RepeatAsk { node }),
--- a/crates/cuminlb-routing/tests/slots/world.rs
+++ b/crates/cuminlb-routing/tests/slots/world.rs
@@ -1,9 +1,11 @@
 //! [`World`].
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cuminlb_routing::{HeldRange, LoadReport, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotTerms};
+use cuminlb_routing::{
+    AskState, HeldRange, LoadReport, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotTerms,
+};
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
@@ -37,6 +39,8 @@
     last: SlotTicket,
     releases_lost: bool,
     latest: Option<SlotId>,
+    /// The asks that were denied and are tried again, with the times of their requests.
+    waiting: Vec<(SlotTicket, u64, u64)>,
 }
 
 /// The nodes, the network, the engine and the owner of one group, on a clock of their own.
@@ -63,6 +67,7 @@
             last: SlotTicket(0),
             releases_lost: false,
             latest: None,
+            waiting: Vec::new(),
         };
         Self {
             started,
@@ -94,6 +99,12 @@
                 send_ms,
                 run_ms,
             } => self.ask(node, send_ms, run_ms),
+            Op::AskAndWait {
+                node,
+                send_ms,
+                run_ms,
+            } => self.ask_and_wait(node, send_ms, run_ms),
+            Op::AskAgain { node } => self.ask_again(node),
             Op::AskInVain { node, release_lost } => self.ask_in_vain(node, release_lost),
             Op::RepeatAsk { node } => self.repeat_ask(node),
             Op::Abandon {
@@ -118,6 +129,7 @@
     pub fn settle(&mut self) {
         for asker in &mut self.askers {
             asker.releases_lost = false;
+            asker.waiting.clear();
         }
         for _ in 0..30 {
             self.advance(1_000);
@@ -137,7 +149,31 @@
 
     fn ask(&mut self, node: usize, send_ms: u64, run_ms: u64) {
         let slot = self.next_slot(node);
-        if self.grants(&slot) {
+        self.ask_for(slot, node, send_ms, run_ms);
+    }
+
+    fn ask_and_wait(&mut self, node: usize, send_ms: u64, run_ms: u64) {
+        let slot = self.next_slot(node);
+        let ticket = slot.ticket;
+        if !self.ask_for(slot, node, send_ms, run_ms) {
+            self.askers[node].waiting.push((ticket, send_ms, run_ms));
+        }
+    }
+
+    fn ask_again(&mut self, node: usize) {
+        let waiting = std::mem::take(&mut self.askers[node].waiting);
+        for (ticket, send_ms, run_ms) in waiting {
+            let holder = self.holder(node);
+            let slot = SlotId { holder, ticket };
+            if !self.ask_for(slot, node, send_ms, run_ms) {
+                self.askers[node].waiting.push((ticket, send_ms, run_ms));
+            }
+        }
+    }
+
+    fn ask_for(&mut self, slot: SlotId, node: usize, send_ms: u64, run_ms: u64) -> bool {
+        let is_granted = self.grants(&slot);
+        if is_granted {
             let starts_at_ms = self.now_ms + send_ms;
             self.requests.push(Request {
                 slot,
@@ -150,6 +186,7 @@
                 self.overrun = Some((self.requests.len(), self.limit_count().get()));
             }
         }
+        is_granted
     }
 
     fn ask_in_vain(&mut self, node: usize, release_lost: bool) {
@@ -200,15 +237,17 @@
     }
 
     fn renew(&mut self, node: usize) {
-        let held: BTreeSet<SlotTicket> = self
+        let held = self
             .requests
             .iter()
             .filter(|request| request.node == node && request.held)
-            .map(|request| request.slot.ticket)
-            .collect();
+            .map(|request| (request.slot.ticket, AskState::Held));
+        let asking = self.askers[node].waiting.iter();
+        let asking = asking.map(|(ticket, _, _)| (*ticket, AskState::Asking));
+        let asks: BTreeMap<SlotTicket, AskState> = asking.chain(held).collect();
         let holder = self.holder(node);
         let last = self.askers[node].last;
-        for range in HeldRange::split(&held, last) {
+        for range in HeldRange::split(&asks, last) {
             self.ledger.reconcile(&holder, &range, self.now());
         }
     }
@@ -238,6 +277,7 @@
         asker.incarnation += 1;
         asker.last = SlotTicket(0);
         asker.latest = None;
+        asker.waiting.clear();
     }
 
     fn change_owner(&mut self) {
--- a/src/cuminlb/node/slot_holdings.rs
+++ b/src/cuminlb/node/slot_holdings.rs
@@ -1,10 +1,10 @@
 //! [`SlotHoldings`].
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cuminlb_peer::RenewedGroup;
-use cuminlb_routing::HeldRange;
+use cuminlb_routing::{AskState, HeldRange};
 use cuminlb_types::prelude::*;
 
 /// The asks for slots of this node that are under way or hold a slot.
@@ -16,7 +16,7 @@
 #[derive(Debug, Default)]
 struct Holdings {
     last: SlotTicket,
-    held: HashMap<GroupId, BTreeSet<SlotTicket>>,
+    held: HashMap<GroupId, BTreeMap<SlotTicket, AskState>>,
     /// The last ask of each group at each owner that has not taken in a renewal since.
     open: HashMap<(NodeId, GroupId), SlotTicket>,
 }
@@ -28,12 +28,21 @@
         let ticket = holdings.last.next();
         holdings.last = ticket;
         let held = holdings.held.entry(group.clone()).or_default();
-        held.insert(ticket);
+        held.insert(ticket, AskState::Asking);
         let key = (owner.clone(), group.clone());
         holdings.open.insert(key, ticket);
         ticket
     }
 
+    /// Notes that an ask was granted a slot.
+    pub fn hold(&self, group: &GroupId, ticket: SlotTicket) {
+        let mut holdings = self.lock();
+        let asks = holdings.held.get_mut(group);
+        if let Some(state) = asks.and_then(|asks| asks.get_mut(&ticket)) {
+            *state = AskState::Held;
+        }
+    }
+
     /// Notes that an ask holds no slot any more.
     pub fn end(&self, group: &GroupId, ticket: SlotTicket) {
         let mut holdings = self.lock();
@@ -64,7 +73,7 @@
         let mut renewals: HashMap<NodeId, Vec<RenewedGroup>> = HashMap::new();
         for (owner, group) in holdings.open.keys() {
             let ranges = holdings.held.get(group).map_or_else(
-                || HeldRange::split(&BTreeSet::new(), last),
+                || HeldRange::split(&BTreeMap::new(), last),
                 |held| HeldRange::split(held, last),
             );
             let renewed = ranges.into_iter().map(|range| RenewedGroup {
--- a/src/cuminlb/serving/asked_slot.rs
+++ b/src/cuminlb/serving/asked_slot.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Notes that the owner granted the slot.
+    pub(super) fn hold(&self) {
+        self.node.holdings.hold(&self.group, self.ticket);
+    }
+
     /// Returns the name of the slot.
     pub(super) fn id(&self) -> SlotId {
         SlotId {
--- a/src/cuminlb/serving/held_slot.rs
+++ b/src/cuminlb/serving/held_slot.rs
@@ -18,7 +18,8 @@
 
 impl HeldSlot {
     /// Holds what was granted.
-    pub(super) const fn new(asked: AskedSlot, grant: &SlotGrant) -> Self {
+    pub(super) fn new(asked: AskedSlot, grant: &SlotGrant) -> Self {
+        asked.hold();
         Self {
             asked,
             epoch: grant.epoch,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod cold_start;
 mod latency;
 mod whole_path;
 mod wrong_files;
