--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -1,6 +1,6 @@
 //! [`PeerApi`].
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 
 use crate::message::{
     EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
@@ -23,4 +23,7 @@
 
     /// Returns the newest events of the node called.
     async fn events(query: EventsQuery) -> Vec<Event>;
+
+    /// Returns what the node called reports of itself.
+    async fn report() -> NodeReport;
 }
--- a/src/bin/cuminctl/cli.rs
+++ b/src/bin/cuminctl/cli.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use cuminlb::ops::OperatorClient;
+use cuminlb::ops::{OperatorClient, read_command_line};
 use gumdrop::Options;
 
 use crate::commands::{self, CommandError};
@@ -14,7 +14,10 @@
 /// The environment variable that holds the addresses of nodes, separated by commas.
 const NODES_VARIABLE: &str = "CUMINCTL_NODES";
 
-#[derive(Debug, Options)]
+/// The line of help that shows the shape of the command line.
+const SYNOPSIS: &str = "cuminctl [OPTIONS] COMMAND [ARGUMENTS]";
+
+#[derive(Options)]
 struct CtlOptions {
     #[options(help = "print this help")]
     help: bool,
@@ -40,12 +43,16 @@
     Status(commands::status::StatusOptions),
     #[options(help = "print the merged events of all nodes")]
     Timeline(commands::timeline::TimelineOptions),
+    #[options(help = "show zones, queues, teams and groups, again and again")]
+    Top(commands::top::TopOptions),
+    #[options(help = "take an availability zone out of service or bring it back")]
+    Zone(commands::zone::ZoneOptions),
 }
 
 /// What every subcommand needs: how to reach a node and how to print.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct CommandContext {
-    /// Calls the first node that answers.
+    /// Calls the first of the nodes that answers.
     pub(crate) client: OperatorClient,
     /// Whether to print JSON.
     pub(crate) json: bool,
@@ -53,19 +60,25 @@
 
 /// Reads the command line and does what it says.
 pub(crate) fn main() -> ExitCode {
-    let options = CtlOptions::parse_args_default_or_exit();
+    let options: CtlOptions = match read_command_line(SYNOPSIS) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     let Some(command) = options.command else {
-        eprintln!(
-            "Usage: cuminctl [OPTIONS] COMMAND\n\n{}",
-            CtlOptions::usage()
-        );
-        eprintln!("\nCommands:\n{}", Command::usage());
-        return CommandError::Usage.exit_code();
+        eprintln!("{}", CommandError::NoCommand);
+        return CommandError::NoCommand.exit_code();
     };
     let nodes = if options.node.is_empty() {
         nodes_of_environment()
     } else {
-        options.node
+        Ok(options.node)
+    };
+    let nodes = match nodes {
+        Ok(nodes) => nodes,
+        Err(error) => {
+            eprintln!("{error}");
+            return error.exit_code();
+        }
     };
     let token = options
         .token
@@ -101,13 +114,19 @@
         Command::Show(options) => commands::show::exec(context, &options).await,
         Command::Status(options) => commands::status::exec(context, &options).await,
         Command::Timeline(options) => commands::timeline::exec(context, &options).await,
+        Command::Top(options) => commands::top::exec(context, &options).await,
+        Command::Zone(options) => commands::zone::exec(context, &options).await,
     }
 }
 
-fn nodes_of_environment() -> Vec<SocketAddr> {
+fn nodes_of_environment() -> Result<Vec<SocketAddr>, CommandError> {
     let nodes = std::env::var(NODES_VARIABLE).unwrap_or_default();
+    let nodes = nodes.split(',').map(str::trim);
     nodes
-        .split(',')
-        .filter_map(|node| node.trim().parse().ok())
+        .filter(|node| !node.is_empty())
+        .map(|node| {
+            node.parse()
+                .map_err(|_| CommandError::BadAddress { text: node.into() })
+        })
         .collect()
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,12 @@
 )]
 
 mod cold_start;
+mod command_line;
 mod latency;
+mod metrics;
+mod pages;
+mod support;
+mod text_difference;
+mod timeline;
 mod whole_path;
 mod wrong_files;
