--- a/crates/cuminlb-events/src/denial_cause.rs
+++ b/crates/cuminlb-events/src/denial_cause.rs
@@ -13,6 +13,8 @@
     Full,
     /// The owner has no fresh proof that every member is up.
     NotServing,
+    /// The owner is new and still counts the requests that run.
+    Recovering,
     /// The node that was asked does not own the group.
     NotOwner,
     /// The group has another epoch by now.
@@ -23,9 +25,10 @@
 
 impl DenialCause {
     /// Every cause.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Full,
         Self::NotServing,
+        Self::Recovering,
         Self::NotOwner,
         Self::EpochChanged,
         Self::NoAnswer,
@@ -37,6 +40,7 @@
         f.write_str(match self {
             Self::Full => "full",
             Self::NotServing => "not_serving",
+            Self::Recovering => "recovering",
             Self::NotOwner => "not_owner",
             Self::EpochChanged => "epoch_changed",
             Self::NoAnswer => "no_answer",
--- a/crates/cuminlb-events/tests/events/strategies.rs
+++ b/crates/cuminlb-events/tests/events/strategies.rs
@@ -48,6 +48,7 @@
     prop_oneof![
         Just(DenialCause::Full),
         Just(DenialCause::NotServing),
+        Just(DenialCause::Recovering),
         Just(DenialCause::NotOwner),
         Just(DenialCause::EpochChanged),
         Just(DenialCause::NoAnswer),
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -16,7 +16,8 @@
 pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
+    EventsQuery, PeerStatement, ReleasedSlot, RenewalAnswer, RenewedGroup, SlotAnswer, SlotGrant,
+    SlotRelease, SlotRenewal, SlotRequest,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
