Wait for the resumed node before its callers are counted

Cause: cold_start::the_limit_holds_when_the_owner_is_paused failed once in a whole run: the node that had been stopped refused with config_unconfirmed, as it must until it has read the table again, and the test called it at once.

Change: the test waits until every node is ready and the group serves; what it asserts is unchanged.

--- a/tests/testsuite/cold_start.rs
+++ b/tests/testsuite/cold_start.rs
@@ -137,7 +137,9 @@
     };
     let (_, after) = join(held, after).await;
     assert_whole(&after);
-    // The node that owned the group serves callers again, but grants nothing of its own.
+    // The node that owned the group serves callers again, but grants nothing of its own. Until it
+    // has read the table again it refuses, truthfully.
+    site.wait_serving().await.unwrap();
     assert_whole(&storm(&site, &[0, 1, 2], 4, 10).await);
     assert_eq!(highest(&site, leader).await, u64::from(COLD_LIMIT));
     site.shut_down().await;
