Show leases in the time line of their group, and build group status once

Cause: the time line of a group left out the lease of its owner, so that a group that stopped with its owner was not explained; the status of an owned group was computed in two places; top ended when no node answered for a moment.

Conclusion: a group's time line holds its owner's leases from acquisition to loss.

--- a/crates/cuminlb-events/src/event_filter.rs
+++ b/crates/cuminlb-events/src/event_filter.rs
@@ -3,7 +3,7 @@
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{Event, HybridTime};
+use crate::{Event, EventKind, HybridTime};
 
 /// Selects events; a field that is absent selects all.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,11 +11,11 @@
 pub struct EventFilter {
     /// Only events about this request.
     pub request: Option<RequestId>,
-    /// Only events about this group.
+    /// Only events about this group or the lease of its owner.
     pub group: Option<GroupId>,
     /// Only events about this team.
     pub team: Option<TeamId>,
-    /// Only events about this service.
+    /// Only events about this service or the lease of the node that plans it.
     pub service: Option<ServiceId>,
     /// Only events of nodes in this availability zone, or about the zone itself.
     pub zone: Option<ZoneId>,
@@ -35,13 +35,23 @@
         }
         let kind = &event.kind;
         matches(self.request.as_ref(), kind.request())
-            && matches(self.group.as_ref(), kind.group())
             && matches(self.team.as_ref(), kind.team())
-            && matches(self.service.as_ref(), kind.service())
+            && self.selects_group(kind)
+            && self.selects_service(kind)
             && self.selects_zone(event)
             && self.selects_time(event.time)
     }
 
+    fn selects_group(&self, kind: &EventKind) -> bool {
+        let group = self.group.as_ref();
+        group.is_none_or(|group| kind.is_about_group(group))
+    }
+
+    fn selects_service(&self, kind: &EventKind) -> bool {
+        let service = self.service.as_ref();
+        service.is_none_or(|service| kind.is_about_service(service))
+    }
+
     fn selects_zone(&self, event: &Event) -> bool {
         self.zone
             .as_ref()
--- a/crates/cuminlb-events/src/event_subjects.rs
+++ b/crates/cuminlb-events/src/event_subjects.rs
@@ -53,6 +53,26 @@
         }
     }
 
+    /// Tells whether the event is about a group, or about the lease of its owner.
+    pub fn is_about_group(&self, group: &GroupId) -> bool {
+        self.group() == Some(group) || self.leased("group/") == Some(group.as_str())
+    }
+
+    /// Tells whether the event is about a service, or about the lease of the node that plans it.
+    pub fn is_about_service(&self, service: &ServiceId) -> bool {
+        self.service() == Some(service) || self.leased("plan/") == Some(service.as_str())
+    }
+
+    /// Returns the id in the name of the lease that the event is about; names are `KIND/ID`.
+    fn leased(&self, kind: &str) -> Option<&str> {
+        match self {
+            Self::LeaseAcquired { lease, .. } | Self::LeaseLost { lease, .. } => {
+                lease.as_str().strip_prefix(kind)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the team that the event is about.
     pub const fn team(&self) -> Option<&TeamId> {
         match self {
--- a/src/bin/cuminctl/cli.rs
+++ b/src/bin/cuminctl/cli.rs
@@ -6,7 +6,7 @@
 use cuminlb::ops::{OperatorClient, read_command_line};
 use gumdrop::Options;
 
-use crate::commands::{self, CommandError};
+use crate::commands::{self, CommandError, print_line};
 
 /// The environment variable that holds the operator token.
 const TOKEN_VARIABLE: &str = "CUMINCTL_TOKEN";
@@ -21,6 +21,8 @@
 struct CtlOptions {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
     #[options(help = "the operator address of a node; may be repeated (or CUMINCTL_NODES)")]
     node: Vec<SocketAddr>,
     #[options(help = "the operator token (or CUMINCTL_TOKEN, which no process list shows)")]
@@ -64,6 +66,10 @@
         Ok(options) => options,
         Err(code) => return code,
     };
+    if options.version {
+        print_line(&format!("cuminctl {}", env!("CARGO_PKG_VERSION")));
+        return ExitCode::SUCCESS;
+    }
     let Some(command) = options.command else {
         eprintln!("{}", CommandError::NoCommand);
         return CommandError::NoCommand.exit_code();
--- a/src/bin/cuminctl/commands/mod.rs
+++ b/src/bin/cuminctl/commands/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod zone;
 
 pub(crate) use self::command_error::CommandError;
+pub(crate) use self::output::print_line;
--- a/src/bin/cuminctl/commands/top.rs
+++ b/src/bin/cuminctl/commands/top.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use cuminlb::ops::OperatorClientError;
 use cuminlb_caller::FleetStatus;
 use cuminlb_events::TeamReport;
 use cuminlb_types::prelude::*;
@@ -54,7 +55,15 @@
     let every_ms = options.every.unwrap_or(DEFAULT_EVERY);
     let mut last: Option<View> = None;
     loop {
-        let status = context.client.fleet_status().await?;
+        let status = match context.client.fleet_status().await {
+            Ok(status) => status,
+            Err(error @ OperatorClientError::NoNode { .. }) if !options.once => {
+                eprintln!("{error}");
+                tokio::time::sleep(every_ms.duration()).await;
+                continue;
+            }
+            Err(error) => return Err(error.into()),
+        };
         let taken_at = Instant::now();
         if !options.once && try_print_line(CLEAR_SCREEN).is_err() {
             return Ok(());
--- a/src/bin/cuminlb/cli.rs
+++ b/src/bin/cuminlb/cli.rs
@@ -1,5 +1,6 @@
 //! The command line of a node.
 
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -34,7 +35,7 @@
         Err(code) => return code,
     };
     if options.version {
-        eprintln!("cuminlb {}", env!("CARGO_PKG_VERSION"));
+        let _ = writeln!(io::stdout(), "cuminlb {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let Some(path) = options.settings else {
--- a/src/cuminlb/operating/fleet_status.rs
+++ b/src/cuminlb/operating/fleet_status.rs
@@ -1,11 +1,11 @@
 //! Gathers the state of the whole fleet.
 
-use cuminlb_caller::{FleetStatus, GroupStatus, OwnedGroupStatus, ZoneStatus};
-use cuminlb_events::{GroupReport, NodeReport};
+use cuminlb_caller::{FleetStatus, GroupStatus, ZoneStatus};
+use cuminlb_events::NodeReport;
 use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
 
-use super::status::node_status;
+use super::status::{node_status, owned_status};
 use crate::node::Node;
 
 /// Asks every listed node what it reports of itself, and gives each group its owner's report.
@@ -62,12 +62,3 @@
         group.owned = Some(owned_status(report));
     }
 }
-
-const fn owned_status(report: &GroupReport) -> OwnedGroupStatus {
-    OwnedGroupStatus {
-        serving: report.serving,
-        warm: report.warm,
-        taken: report.taken,
-        limit: report.limit,
-    }
-}
--- a/src/cuminlb/operating/status.rs
+++ b/src/cuminlb/operating/status.rs
@@ -2,10 +2,10 @@
 
 use cuminlb_caller::{GroupStatus, NodeStatus, OwnedGroupStatus, ServiceStatus};
 use cuminlb_config::ServiceSpec;
+use cuminlb_events::GroupReport;
 use cuminlb_fleet::rows::{GroupRecord, GroupState};
-use tokio::time::Instant;
 
-use crate::node::{FleetView, Node, OwnedGroup};
+use crate::node::{FleetView, Node};
 
 /// Returns the state of a node and of the fleet as the node sees it.
 pub(super) fn node_status(node: &Node) -> NodeStatus {
@@ -27,41 +27,43 @@
 
 fn service_status(node: &Node, view: &FleetView, service: &ServiceSpec) -> ServiceStatus {
     let groups = view.groups(&service.id).iter();
+    let reports = node.group_reports(service);
     ServiceStatus {
         id: service.id.clone(),
         wanted: service.replicas,
         groups: groups
-            .map(|group| group_status(node, service, group))
+            .map(|group| group_status(node, &reports, group))
             .collect(),
     }
 }
 
-fn group_status(node: &Node, service: &ServiceSpec, group: &GroupRecord) -> GroupStatus {
+fn group_status(node: &Node, reports: &[GroupReport], group: &GroupRecord) -> GroupStatus {
     let missing = match &group.state {
         GroupState::Intact => Vec::new(),
         GroupState::Broken { missing } => missing.clone(),
     };
-    let owned = node.owned.get(&group.id);
+    let report = reports.iter().find(|report| report.group == group.id);
+    let owner = match report {
+        Some(_) => Some(node.id().clone()),
+        None => node.owned.seen_owner(&group.id),
+    };
     GroupStatus {
         id: group.id.clone(),
         epoch: group.epoch,
         zone: group.zone.clone(),
         members: group.members.clone(),
         missing,
-        owner: match &owned {
-            Some(_) => Some(node.id().clone()),
-            None => node.owned.seen_owner(&group.id),
-        },
-        owned: owned.map(|owned| owned_status(node, service, &owned)),
+        owner,
+        owned: report.map(owned_status),
     }
 }
 
-fn owned_status(node: &Node, service: &ServiceSpec, owned: &OwnedGroup) -> OwnedGroupStatus {
-    let warm = owned.is_warm();
+/// Returns the part of an owner's report that stands in a group's status.
+pub(super) const fn owned_status(report: &GroupReport) -> OwnedGroupStatus {
     OwnedGroupStatus {
-        serving: owned.is_serving(Instant::now(), node.settings.control.proof_max_age_ms),
-        warm,
-        taken: owned.taken(),
-        limit: service.slots(warm),
+        serving: report.serving,
+        warm: report.warm,
+        taken: report.taken,
+        limit: report.limit,
     }
 }
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -60,6 +60,8 @@
         assert_code(&help, 0);
         assert!(stdout(&help).contains("--json"), "{subcommand}: {help:?}");
     }
+    let version = cuminctl_alone("", &["--version"]);
+    assert!(stdout(&version).starts_with("cuminctl "), "{version:?}");
     assert_code(&cuminctl_alone("", &[]), 2);
     assert_code(&cuminctl_alone("", &["no-such-command"]), 2);
     assert_code(&cuminctl_alone("", &["status", "--no-such-option"]), 2);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,3 +16,4 @@
 mod timeline;
 mod whole_path;
 mod wrong_files;
+mod zone_events;
--- a/tests/testsuite/timeline.rs
+++ b/tests/testsuite/timeline.rs
@@ -62,6 +62,10 @@
         let found = events.iter().position(|event| wanted(&event.kind));
         found.unwrap_or_else(|| panic!("missing in {events:#?}"))
     };
+    assert!(
+        position(&|kind| matches!(kind, EventKind::LeaseAcquired { .. })) < events.len(),
+        "the owner's lease belongs to the group"
+    );
     let formed = position(&|kind| matches!(kind, EventKind::GroupFormed { .. }));
     let serving = position(&|kind| matches!(kind, EventKind::GroupServing { .. }));
     let missing = position(
@@ -111,6 +115,18 @@
         "{events:#?}"
     );
 
+    // Each node told when it began to take new work, and which configuration it acts on.
+    let events = timeline(&site, &["--limit", "8000"]).await;
+    for node in ["node-0", "node-1", "node-2"] {
+        let kinds = events.iter().filter(|event| event.node.as_str() == node);
+        let kinds: Vec<&EventKind> = kinds.map(|event| &event.kind).collect();
+        let acts =
+            |kind: &&EventKind| matches!(kind, EventKind::StandingChanged { acts: true, .. });
+        assert!(kinds.iter().any(acts), "{node}: {kinds:#?}");
+        let in_force = |kind: &&EventKind| matches!(kind, EventKind::ConfigInForce { .. });
+        assert!(kinds.iter().any(in_force), "{node}: {kinds:#?}");
+    }
+
     // The filters of zone, team, service and time.
     let events = timeline(&site, &["--zone", "nasese"]).await;
     assert!(!events.is_empty() && events.iter().all(|event| event.zone.as_str() == "nasese"));
