--- a/src/cuminlb/observing/denials.rs
+++ b/src/cuminlb/observing/denials.rs
@@ -31,6 +31,7 @@
         Some(SlotDenial::NotOwner { .. }) => DenialCause::NotOwner,
         Some(SlotDenial::NotServing) => DenialCause::NotServing,
         Some(SlotDenial::EpochChanged { .. }) => DenialCause::EpochChanged,
-        Some(SlotDenial::Full) => DenialCause::Full,
+        Some(SlotDenial::Full { .. }) => DenialCause::Full,
+        Some(SlotDenial::Recovering) => DenialCause::Recovering,
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod cold_start;
 mod command_line;
 mod latency;
 mod metrics;
