--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,3 +17,4 @@
 mod timeline;
 mod whole_path;
 mod wrong_files;
+mod zone_events;
