--- a/crates/cuminlb-fleet/src/rows/keys.rs
+++ b/crates/cuminlb-fleet/src/rows/keys.rs
@@ -3,8 +3,11 @@
 use std::fmt::Display;
 
 use cuminlb_types::prelude::*;
+use sha2::{Digest, Sha256};
 use smol_str::format_smolstr;
 
+use super::ClaimName;
+
 /// The keys of the rows; the only place that spells them.
 #[derive(Clone, Copy, Debug)]
 pub struct RowKeys;
@@ -25,6 +28,21 @@
         Self::join("instance", instance)
     }
 
+    /// Returns the key of the claim of a non-idempotent request.
+    ///
+    /// Teams choose their idempotency keys freely, so the key of the row is a digest over the
+    /// parts with their lengths: different parts never give the same row.
+    pub fn claim(team: &TeamId, service: &ServiceId, name: &ClaimName) -> RowKey {
+        let mut digest = Sha256::new();
+        for part in [team.as_str(), service.as_str(), name.kind(), name.as_str()] {
+            digest.update(part.len().to_be_bytes());
+            digest.update(part);
+        }
+        let hash: [u8; 32] = digest.finalize().into();
+        let hex: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+        Self::join("claim", &hex)
+    }
+
     /// Returns the key of a lease.
     pub fn lease(lease: &LeaseName) -> RowKey {
         Self::join("lease", lease)
--- a/crates/cuminlb-fleet/src/rows/mod.rs
+++ b/crates/cuminlb-fleet/src/rows/mod.rs
@@ -6,19 +6,28 @@
 //! | `roster/SERVICE` | the holder of `lease/plan/SERVICE`, owners of its groups | a group changes |
 //! | `instance/INSTANCE` | with the roster, in the same transaction | an instance joins or leaves a group |
 //! | `lease/NAME` | its holder | each renewal |
+//! | `claim/DIGEST` | the node that has a non-idempotent request | before the request is sent, and at its end |
 
+mod claim_name;
+mod claim_row;
+mod claim_state;
 mod config_row;
 mod group_record;
 mod group_state;
 mod instance_row;
 mod keys;
 mod lease_row;
+mod recorded_outcome;
 mod roster;
 
+pub use self::claim_name::ClaimName;
+pub use self::claim_row::ClaimRow;
+pub use self::claim_state::ClaimState;
 pub use self::config_row::ConfigRow;
 pub use self::group_record::GroupRecord;
 pub use self::group_state::GroupState;
 pub use self::instance_row::InstanceRow;
 pub use self::keys::RowKeys;
 pub use self::lease_row::LeaseRow;
+pub use self::recorded_outcome::{RecordedBody, RecordedOutcome};
 pub use self::roster::Roster;
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -2,17 +2,22 @@
 //!
 //! Nothing here depends on how requests are encoded or carried. A request first passes
 //! [`Admission`]; [`choose_group`] then names the groups to try, each of whose owners keeps a
-//! [`SlotLedger`]; a failed try may be repeated within the [`RetryBudget`]. Whatever ends a
+//! [`SlotLedger`]; a failed try may be repeated within the [`RetryBudget`]. A request that may
+//! not run twice is claimed first; [`judge_repeat`] says what a repeat of it gets. Whatever ends a
 //! request early is a [`Refusal`].
 
 mod admission;
 mod choice;
+mod claim;
 mod refusal;
 mod retry;
 mod slots;
 
 pub use crate::admission::{Admission, AdmissionLimits, AdmissionPermit};
 pub use crate::choice::{GroupChoice, choose_group};
+pub use crate::claim::{
+    CLAIM_RETENTION_MS, RepeatVerdict, SettleStep, content_digest, judge_repeat, next_settle_step,
+};
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
-pub use crate::retry::RetryBudget;
+pub use crate::retry::{FailedTry, MAX_TRIES, RetryBudget};
 pub use crate::slots::{SlotDenial, SlotLedger};
--- a/crates/cuminlb-routing/src/refusal/refusal_kind.rs
+++ b/crates/cuminlb-routing/src/refusal/refusal_kind.rs
@@ -79,6 +79,29 @@
     /// An earlier request with the same key was sent, and its result is not known.
     #[error("an earlier request with the same idempotency key was sent and its result is unknown")]
     OutcomeUnknown,
+    /// The idempotency key was used for a request that asked for something else.
+    #[error("the idempotency key was used before with another body, method or path")]
+    KeyReused,
+    /// An earlier request with the same key was answered, but the answer was too long to keep.
+    #[error("outcome recorded, body not kept: status {status}, {len_bytes}")]
+    OutcomeNotKept {
+        /// The HTTP status of the answer.
+        status: u16,
+        /// The length of the body.
+        len_bytes: ByteCount,
+    },
+    /// The time that the request may take is over.
+    #[error("the request did not end within {timeout_ms}")]
+    DeadlineExceeded {
+        /// The bound.
+        timeout_ms: Millis,
+    },
+    /// The headers are larger than allowed.
+    #[error("the headers are larger than {max_bytes}")]
+    HeadersTooLarge {
+        /// The bound.
+        max_bytes: ByteCount,
+    },
     /// The node is shutting down.
     #[error("this node is shutting down; send the request again")]
     Draining,
@@ -100,8 +123,10 @@
             Self::BodyTooLarge { .. } => 413,
             Self::ReceiveTimeout { .. } => 408,
             Self::RateExceeded { .. } => 429,
-            Self::ClaimedElsewhere | Self::OutcomeUnknown => 409,
-            Self::Quarantined => 422,
+            Self::HeadersTooLarge { .. } => 431,
+            Self::ClaimedElsewhere | Self::OutcomeUnknown | Self::OutcomeNotKept { .. } => 409,
+            Self::Quarantined | Self::KeyReused => 422,
+            Self::DeadlineExceeded { .. } => 504,
             Self::UpstreamFailed { .. } => 502,
             Self::QueueFull { .. }
             | Self::NoSlot { .. }
@@ -128,6 +153,10 @@
             Self::ClaimUnavailable => "claim_unavailable",
             Self::ClaimedElsewhere => "claimed_elsewhere",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::KeyReused => "key_reused",
+            Self::OutcomeNotKept { .. } => "outcome_not_kept",
+            Self::DeadlineExceeded { .. } => "deadline_exceeded",
+            Self::HeadersTooLarge { .. } => "headers_too_large",
             Self::Draining => "draining",
             Self::ConfigUnconfirmed => "config_unconfirmed",
             Self::Quarantined => "quarantined",
--- a/crates/cuminlb-routing/src/refusal/run_state.rs
+++ b/crates/cuminlb-routing/src/refusal/run_state.rs
@@ -13,6 +13,8 @@
     NotRun,
     /// The request may have run.
     Unknown,
+    /// The request has run.
+    Ran,
 }
 
 impl fmt::Display for RunState {
@@ -20,6 +22,7 @@
         f.write_str(match self {
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
+            Self::Ran => "ran",
         })
     }
 }
--- a/crates/cuminlb-routing/src/refusal/typed_refusal.rs
+++ b/crates/cuminlb-routing/src/refusal/typed_refusal.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Refuses to answer a request that has run, because its answer is no longer there.
+    pub const fn ran(kind: RefusalKind) -> Self {
+        Self {
+            kind,
+            run_state: RunState::Ran,
+            retry_after_ms: None,
+        }
+    }
+
     /// Adds the time after which a new try may help.
     #[must_use]
     pub const fn with_retry_after(mut self, retry_after_ms: Millis) -> Self {
--- a/crates/cuminlb-routing/src/retry/mod.rs
+++ b/crates/cuminlb-routing/src/retry/mod.rs
@@ -1,5 +1,7 @@
 //! Whether a failed try may be repeated.
 
+mod failed_try;
 mod retry_budget;
 
+pub use self::failed_try::{FailedTry, MAX_TRIES};
 pub use self::retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/cuminlb-routing/tests/retries.rs
@@ -0,0 +1,51 @@
+//! Properties of retries.
+#![allow(
+    clippy::expect_used,
+    clippy::unwrap_used,
+    reason = "a test fails by panicking"
+)]
+
+use cuminlb_routing::{FailedTry, MAX_TRIES, RetryBudget};
+use cuminlb_types::Ratio;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x5eed_0002),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A fleet on which everything fails gets at most the ratio and the saved retries more.
+    #[test]
+    fn failing_fleet_is_not_multiplied(requests in 1_u32..2_000, percent in 0_u32..100) {
+        let ratio = f64::from(percent) / 100.0;
+        let budget = RetryBudget::new(Ratio(ratio));
+        let mut sends = 0;
+        for _ in 0..requests {
+            budget.note_first_try();
+            let mut tries = 1;
+            let failed = |tries| FailedTry { tries, may_have_run: true, is_repeatable: true };
+            while failed(tries).take_retry(&budget) {
+                tries += 1;
+            }
+            prop_assert!(tries <= MAX_TRIES);
+            sends += tries;
+        }
+        let bound = f64::from(requests) * (1.0 + ratio) + 11.0;
+        prop_assert!(f64::from(sends) <= bound, "{sends} sends for {requests} requests");
+    }
+
+    #[test]
+    fn what_may_have_run_and_may_not_repeat_is_never_tried_again(tries in 0_u32..10) {
+        let budget = RetryBudget::new(Ratio(1.0));
+        let failed = FailedTry { tries, may_have_run: true, is_repeatable: false };
+        prop_assert!(!failed.take_retry(&budget));
+    }
+}
--- a/crates/cuminlb-standins/src/engine/server.rs
+++ b/crates/cuminlb-standins/src/engine/server.rs
@@ -1,12 +1,14 @@
 //! [`Engine`].
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use cuminlb_upstream::{
-    DONE_MARKER, EPOCH_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, RUN_STATE_HEADER, RUN_STATE_NOT_RUN,
+    DONE_MARKER, EPOCH_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, RUN_STATE_HEADER,
+    RUN_STATE_NOT_RUN, RUNNING_PATH,
 };
 use futures_util::stream::{StreamExt, unfold};
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -28,6 +30,10 @@
     options: EngineOptions,
     state: Mutex<EngineState>,
     fault: FaultState,
+    /// The ids of the requests that run.
+    running: Mutex<HashSet<String>>,
+    /// The text at which the engine crashes when a body has it.
+    crash_text: Mutex<Option<String>>,
     crashed: CancellationToken,
 }
 
@@ -48,6 +54,8 @@
             options,
             state,
             fault: fault.clone(),
+            running: Mutex::default(),
+            crash_text: Mutex::default(),
             crashed,
         };
         StandinServer::start(address, fault, Arc::new(engine)).await
@@ -82,18 +90,24 @@
         let tokens = call["max_tokens"]
             .as_u64()
             .unwrap_or(self.options.tokens.get());
-        let running = Running::start(Arc::clone(&self));
+        let running = Running::start(Arc::clone(&self), &id);
+        let running = running.filter(|_| !self.crashes_on(request.body()));
         let Some(running) = running else {
             self.crashed.cancel();
             return std::future::pending().await;
         };
+        let id = match self.fault.get() {
+            Fault::WrongIds => format!("not-{id}"),
+            _ => id,
+        };
         if call["stream"] == Value::Bool(true) {
+            let resumed = header(RESUME_HEADER).and_then(|count| count.parse().ok());
             return stream(Stream {
                 running,
                 id,
                 model,
                 tokens,
-                next: 0,
+                next: resumed.unwrap_or(0),
             });
         }
         let generated = self.options.token_gap_ms.duration() * u32::try_from(tokens).unwrap_or(0);
@@ -101,8 +115,28 @@
         json(&whole(&id, &model, tokens))
     }
 
+    fn crashes_on(&self, body: &[u8]) -> bool {
+        let text = lock(&self.crash_text);
+        text.as_deref()
+            .is_some_and(|text| String::from_utf8_lossy(body).contains(text))
+    }
+
+    fn set_crash_text(&self, body: &[u8]) -> Response<AnswerBody> {
+        let text = String::from_utf8_lossy(body).into_owned();
+        *lock(&self.crash_text) = Some(text).filter(|text| !text.is_empty());
+        status(StatusCode::NO_CONTENT)
+    }
+
+    fn tell_running(&self, path: &str) -> Response<AnswerBody> {
+        let id = path.strip_prefix(RUNNING_PATH);
+        match id {
+            Some(id) if lock(&self.running).contains(id) => status(StatusCode::OK),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, EngineState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
@@ -119,26 +153,36 @@
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
                 self.complete(request).await
             }
+            (&Method::PUT, "/control/crash-on") => self.set_crash_text(request.body()),
+            (&Method::GET, path) => self.tell_running(path),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A request that an engine runs, until it is dropped.
 struct Running {
     engine: Arc<Engine>,
+    id: String,
 }
 
 impl Running {
-    fn start(engine: Arc<Engine>) -> Option<Self> {
+    fn start(engine: Arc<Engine>, id: &str) -> Option<Self> {
         let bears_it = engine.state().start_request();
-        let running = Self { engine };
+        lock(&engine.running).insert(id.to_owned());
+        let id = id.to_owned();
+        let running = Self { engine, id };
         bears_it.then_some(running)
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
+        lock(&self.engine.running).remove(&self.id);
         self.engine.state().end_request();
     }
 }
@@ -153,6 +197,7 @@
 }
 
 fn stream(stream: Stream) -> Response<AnswerBody> {
+    let left_out = stream.next;
     let frames = unfold(stream, |mut stream| async move {
         let frame = stream.next_frame().await?;
         Some((frame.map(Frame::data), stream))
@@ -160,6 +205,10 @@
     let mut response = Response::new(StreamBody::new(frames.boxed()).boxed_unsync());
     let event_stream = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(CONTENT_TYPE, event_stream);
+    if left_out > 0 {
+        let left_out = HeaderValue::from(left_out);
+        response.headers_mut().insert(RESUME_HEADER, left_out);
+    }
     response
 }
 
--- a/crates/cuminlb-standins/src/fault/fault_kind.rs
+++ b/crates/cuminlb-standins/src/fault/fault_kind.rs
@@ -32,4 +32,6 @@
         /// The number of chunks that still come.
         after_chunks: u32,
     },
+    /// Answers carry the id of another request.
+    WrongIds,
 }
--- a/crates/cuminlb-standins/src/plain/server.rs
+++ b/crates/cuminlb-standins/src/plain/server.rs
@@ -1,11 +1,12 @@
 //! [`PlainService`].
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use cuminlb_types::prelude::*;
-use cuminlb_upstream::{EngineReport, REQUEST_ID_HEADER};
+use cuminlb_upstream::{EngineReport, REQUEST_ID_HEADER, RUNNING_PATH};
 use http::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
@@ -19,6 +20,7 @@
     options: PlainOptions,
     incarnation: Incarnation,
     executed: Mutex<Vec<Reservation>>,
+    running: Mutex<HashSet<String>>,
 }
 
 impl PlainService {
@@ -36,6 +38,7 @@
             options,
             incarnation,
             executed: Mutex::default(),
+            running: Mutex::default(),
         };
         StandinServer::start(address, FaultState::default(), Arc::new(service)).await
     }
@@ -52,13 +55,13 @@
 
     /// Executes a call: each execution is one reservation more, also of the same request.
     async fn reserve(&self, request: &Request<Bytes>) -> Response<AnswerBody> {
-        tokio::time::sleep(self.options.call_ms.duration()).await;
         let id = request.headers().get(REQUEST_ID_HEADER);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        self.running().insert(id.to_owned());
+        tokio::time::sleep(self.options.call_ms.duration()).await;
+        self.running().remove(id);
         let reservation = Reservation {
-            request: id
-                .and_then(|id| id.to_str().ok())
-                .unwrap_or_default()
-                .to_owned(),
+            request: id.to_owned(),
             body: String::from_utf8_lossy(request.body()).into_owned(),
             at: UnixMillis::now(),
         };
@@ -74,6 +77,17 @@
         response
     }
 
+    fn tell_running(&self, path: &str) -> Response<AnswerBody> {
+        match path.strip_prefix(RUNNING_PATH) {
+            Some(id) if self.running().contains(id) => status(StatusCode::OK),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn running(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn executed(&self) -> MutexGuard<'_, Vec<Reservation>> {
         self.executed.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -84,8 +98,10 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/control/report") => json_answer(&self.report()),
             (&Method::GET, "/control/executed") => json_answer(&*self.executed()),
+            (&Method::GET, "/control/running") => json_answer(&*self.running()),
             (&Method::POST, "/reservations" | "/passes") => self.reserve(&request).await,
             (&Method::GET, "/fleet") => text(StatusCode::OK, "{\"boats\":12}"),
+            (&Method::GET, path) => self.tell_running(path),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/cuminlb-types/src/id/mod.rs
+++ b/crates/cuminlb-types/src/id/mod.rs
@@ -1,6 +1,7 @@
 //! Ids: who and what a message or a row is about.
 
 mod config_version;
+mod content_digest;
 mod epoch;
 mod fabric_domain_id;
 mod fencing_number;
@@ -14,6 +15,7 @@
 mod operation_id;
 mod parse_id_error;
 mod region_id;
+mod request_fingerprint;
 mod request_id;
 mod row_key;
 mod row_version;
@@ -23,6 +25,7 @@
 mod zone_id;
 
 pub use self::config_version::ConfigVersion;
+pub use self::content_digest::ContentDigest;
 pub use self::epoch::Epoch;
 pub use self::fabric_domain_id::FabricDomainId;
 pub use self::fencing_number::FencingNumber;
@@ -38,6 +41,7 @@
 pub use self::parse_id_error::ParseIdError;
 pub(crate) use self::parse_id_error::check_id_text;
 pub use self::region_id::RegionId;
+pub use self::request_fingerprint::RequestFingerprint;
 pub use self::request_id::RequestId;
 pub use self::row_key::RowKey;
 pub use self::row_version::RowVersion;
--- a/crates/cuminlb-upstream/src/stream/event_decoder.rs
+++ b/crates/cuminlb-upstream/src/stream/event_decoder.rs
@@ -27,11 +27,12 @@
     ///
     /// Returns [`StreamError::EventTooLong`] when an event exceeds its bound.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, StreamError> {
-        let Some(end) = self.find_end() else {
-            if self.buffer.len() > MAX_EVENT_LEN_BYTES {
-                let max_len_bytes = ByteCount(MAX_EVENT_LEN_BYTES as u64);
-                return Err(StreamError::EventTooLong { max_len_bytes });
-            }
+        let end = self.find_end();
+        if end.unwrap_or(self.buffer.len()) > MAX_EVENT_LEN_BYTES {
+            let max_len_bytes = ByteCount(MAX_EVENT_LEN_BYTES as u64);
+            return Err(StreamError::EventTooLong { max_len_bytes });
+        }
+        let Some(end) = end else {
             return Ok(None);
         };
         let raw = self.buffer.split_to(end).freeze();
@@ -43,7 +44,7 @@
         Ok(Some(StreamEvent::Chunk { raw, data }))
     }
 
-    /// Tells whether bytes of an unfinished event are left.
+    /// Tells whether no bytes of an unfinished event are left.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
--- a/crates/cuminlb-upstream/src/stream/stream_error.rs
+++ b/crates/cuminlb-upstream/src/stream/stream_error.rs
@@ -22,4 +22,10 @@
     /// The stream ended without its end marker.
     #[error("the stream ended before its end marker")]
     Incomplete,
+    /// The answer to a resume does not begin where the stream broke off.
+    #[error("the engine did not resume the stream after chunk {delivered_chunks}")]
+    NotResumed {
+        /// The number of chunks that the caller has.
+        delivered_chunks: u64,
+    },
 }
--- a/src/cuminlb/ops/run_node.rs
+++ b/src/cuminlb/ops/run_node.rs
@@ -18,6 +18,7 @@
 };
 use crate::node::Node;
 use crate::operating::OperatorService;
+use crate::serving::claims::ClaimClient;
 use crate::serving::{PeerService, Router};
 
 /// Runs a node until `stop` is cancelled, and then shuts it down gracefully.
@@ -71,9 +72,11 @@
     ));
 
     let serving_stop = CancellationToken::new();
+    let (claims, claim_tasks) = ClaimClient::start(&node.table);
+    let router = Router::new(Arc::clone(&node), claims, serving_stop.clone());
     let callers = serve_callers(
         listen.caller,
-        Router::new(Arc::clone(&node)),
+        router.clone(),
         serving_stop.clone(),
         drain_ms,
     );
@@ -95,6 +98,9 @@
     };
     let served = tokio::try_join!(callers, operators, drain);
 
+    router.join().await;
+    drop(router);
+    claim_tasks.stop().await;
     control_stop.cancel();
     let mut outcome = served.map(|_| ()).map_err(RunError::from);
     while let Some(joined) = control.join_next().await {
--- /dev/null
+++ b/src/cuminlb/serving/claims/whole_answer.rs
@@ -0,0 +1,63 @@
+//! [`WholeAnswer`].
+
+use bytes::Bytes;
+use cuminlb_fleet::rows::{RecordedBody, RecordedOutcome};
+use cuminlb_routing::{Refusal, RefusalKind};
+use cuminlb_types::prelude::*;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+/// The header that marks an answer as that of an earlier request with the same key.
+const REPLAYED_HEADER: HeaderName = HeaderName::from_static("idempotency-replayed");
+
+/// An answer that was read whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl WholeAnswer {
+    /// Returns what is kept of the answer for repeats.
+    pub fn to_recorded(&self) -> RecordedOutcome {
+        let content_type = self.headers.get(CONTENT_TYPE);
+        RecordedOutcome {
+            status: self.status.as_u16(),
+            content_type: content_type.and_then(|value| value.to_str().ok().map(Into::into)),
+            body: RecordedBody::of_body(&self.body),
+        }
+    }
+
+    /// Returns the answer to a repeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] that says that the request has run, where its body was not kept.
+    pub fn from_recorded(recorded: &RecordedOutcome) -> Result<Self, Refusal> {
+        let body = match &recorded.body {
+            RecordedBody::Text(text) => Bytes::from(text.clone()),
+            RecordedBody::Binary(bytes) => Bytes::from(bytes.clone()),
+            RecordedBody::NotKept { len_bytes } => {
+                return Err(Refusal::ran(RefusalKind::OutcomeNotKept {
+                    status: recorded.status,
+                    len_bytes: ByteCount(*len_bytes),
+                }));
+            }
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+        let content_type = recorded.content_type.as_deref();
+        if let Some(Ok(value)) = content_type.map(HeaderValue::from_str) {
+            headers.insert(CONTENT_TYPE, value);
+        }
+        Ok(Self {
+            status: StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK),
+            headers,
+            body,
+        })
+    }
+}
--- a/src/cuminlb/serving/exchange.rs
+++ b/src/cuminlb/serving/exchange.rs
@@ -1,22 +1,18 @@
-//! Sends one request to the leader of a group and reads a whole answer.
+//! Encodes requests to upstreams and the heads of their answers.
 
 use bytes::Bytes;
 use cuminlb_caller::CallerRequest;
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{
-    EPOCH_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, UpstreamClient, UpstreamError,
+    EPOCH_HEADER, GROUP_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIMEOUT_HEADER, UpstreamError,
 };
 use http::header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http::{HeaderMap, Request};
+use http_body_util::Full;
 use smol_str::ToSmolStr;
 
 use super::held_slot::HeldSlot;
 
-/// The largest whole answer that is passed on.
-const MAX_ANSWER_LEN_BYTES: usize = 64 << 20;
-
 /// The headers that belong to one connection and are not passed on.
 const HOP_HEADERS: [HeaderName; 7] = [
     http::header::CONNECTION,
@@ -28,13 +24,14 @@
     http::header::UPGRADE,
 ];
 
-/// Sends a request with the group's epoch and returns the head of the answer.
-pub(super) async fn send(
-    upstreams: &UpstreamClient,
+/// Builds the request to the leader of the group, with the group's epoch.
+pub(super) fn upstream_request(
     request: &CallerRequest,
     slot: &HeldSlot,
     path: &str,
-) -> Result<Response<Incoming>, UpstreamError> {
+    left_ms: Millis,
+    delivered_chunks: u64,
+) -> Result<Request<Full<Bytes>>, UpstreamError> {
     let mut upstream_request = Request::new(Full::new(request.body.clone()));
     *upstream_request.method_mut() = request.method.clone();
     let uri = format!("http://{}{path}", slot.leader);
@@ -43,8 +40,13 @@
             .map_err(|error: http::uri::InvalidUri| UpstreamError::NotSent {
                 reason: error.to_smolstr(),
             })?;
-    *upstream_request.headers_mut() = upstream_headers(request, slot);
-    upstreams.send(upstream_request).await
+    let mut headers = upstream_headers(request, slot);
+    headers.insert(TIMEOUT_HEADER, HeaderValue::from(left_ms.get()));
+    if delivered_chunks > 0 {
+        headers.insert(RESUME_HEADER, HeaderValue::from(delivered_chunks));
+    }
+    *upstream_request.headers_mut() = headers;
+    Ok(upstream_request)
 }
 
 fn upstream_headers(request: &CallerRequest, slot: &HeldSlot) -> HeaderMap {
@@ -52,6 +54,7 @@
     headers.remove(HOST);
     headers.remove(CONTENT_LENGTH);
     headers.remove(http::header::AUTHORIZATION);
+    headers.remove(RESUME_HEADER);
     let mut insert = |name: &'static str, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
             headers.insert(HeaderName::from_static(name), value);
@@ -78,24 +81,3 @@
     }
     kept
 }
-
-/// Reads a whole answer; each frame may take `idle_ms`.
-pub(super) async fn read_whole(
-    response: Response<Incoming>,
-    idle_ms: Millis,
-) -> Result<Bytes, UpstreamError> {
-    let mut body = Limited::new(response.into_body(), MAX_ANSWER_LEN_BYTES);
-    let mut whole = Vec::new();
-    loop {
-        let frame = tokio::time::timeout(idle_ms.duration(), body.frame()).await;
-        match frame.map_err(|_| UpstreamError::Silent { idle_ms })? {
-            None => return Ok(whole.into()),
-            Some(Ok(frame)) => whole.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
-            Some(Err(error)) => {
-                return Err(UpstreamError::Broken {
-                    reason: error.to_smolstr(),
-                });
-            }
-        }
-    }
-}
--- /dev/null
+++ b/src/cuminlb/serving/request_run.rs
@@ -0,0 +1,184 @@
+//! [`RequestRun`].
+
+use std::sync::Arc;
+
+use cuminlb_caller::CallerRequest;
+use cuminlb_routing::{FailedTry, Refusal, RefusalKind, RetryBudget, RunState};
+use cuminlb_upstream::UpstreamError;
+use http::Response;
+use hyper::body::Incoming;
+use smol_str::ToSmolStr;
+use tokio::time::Instant;
+
+use super::claims::{HeldClaim, WholeAnswer};
+use super::destination::Destination;
+use super::exchange::upstream_request;
+use super::held_slot::HeldSlot;
+use super::open_answer::{OpenAnswer, check_id};
+use super::request_trail::RequestTrail;
+use super::run_bounds::RunBounds;
+use super::slot_client::SlotClient;
+use super::try_failure::TryFailure;
+use crate::node::Node;
+
+/// One request on its way: all its tries, until it has an answer or a refusal.
+pub(super) struct RequestRun {
+    pub(super) node: Arc<Node>,
+    pub(super) request: CallerRequest,
+    pub(super) destination: Destination,
+    pub(super) bounds: RunBounds,
+    pub(super) budget: Arc<RetryBudget>,
+    pub(super) trail: RequestTrail,
+    pub(super) is_idempotent: bool,
+    pub(super) tries: u32,
+    pub(super) may_have_run: bool,
+}
+
+impl RequestRun {
+    /// Tries the request until the head of an answer has come.
+    pub(super) async fn open(&mut self, delivered_chunks: u64) -> Result<OpenAnswer, Refusal> {
+        loop {
+            match self.try_once(None, delivered_chunks).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => self.after_failure(failure)?,
+            }
+        }
+    }
+
+    /// Tries the request until a whole answer has come; `claim` is what lets it be sent.
+    pub(super) async fn run_whole(
+        &mut self,
+        claim: &mut HeldClaim,
+    ) -> Result<WholeAnswer, Refusal> {
+        loop {
+            let failure = match self.try_once(Some(&mut *claim), 0).await {
+                Ok(answer) => match self.read_whole(answer).await {
+                    Ok(whole) => return Ok(whole),
+                    Err(error) => TryFailure::Upstream(error),
+                },
+                Err(failure) => failure,
+            };
+            if !failure.may_have_run() {
+                claim.mark_not_run();
+            }
+            self.after_failure(failure)?;
+        }
+    }
+
+    /// Reads an answer whole and checks that it is to this request.
+    pub(super) async fn read_whole(
+        &self,
+        answer: OpenAnswer,
+    ) -> Result<WholeAnswer, UpstreamError> {
+        let idle_ms = self.node.settings.limits.stream_idle_ms;
+        let whole = answer.read_whole(idle_ms, &self.bounds).await?;
+        if self.destination.model().is_some() {
+            check_id(&whole.body, &self.request.id)?;
+        }
+        Ok(whole)
+    }
+
+    /// Takes a slot and sends the request once.
+    async fn try_once(
+        &mut self,
+        claim: Option<&mut HeldClaim>,
+        delivered_chunks: u64,
+    ) -> Result<OpenAnswer, TryFailure> {
+        self.tries += 1;
+        let slot = self.acquire_slot().await.map_err(TryFailure::NoSlot)?;
+        let upstream_request = upstream_request(
+            &self.request,
+            &slot,
+            &self.destination.path,
+            self.bounds.left_ms(),
+            delivered_chunks,
+        )?;
+        if let Some(claim) = claim {
+            claim.mark_sent();
+        }
+        self.trail.sent(&slot.group, slot.epoch);
+        let sent = self.node.upstreams.send(upstream_request);
+        let response = self.watch(sent, &slot).await?;
+        Ok(OpenAnswer {
+            response,
+            _slot: slot,
+        })
+    }
+
+    async fn acquire_slot(&self) -> Result<HeldSlot, Refusal> {
+        let max_wait = self.node.settings.limits.max_queue_wait_ms.duration();
+        let slots = SlotClient {
+            node: &self.node,
+            service: &self.destination.service.id,
+            request: &self.request.id,
+        };
+        let deadline = (Instant::now() + max_wait).min(self.bounds.deadline());
+        slots.acquire(deadline).await
+    }
+
+    /// Waits for the head of an answer as long as the upstream says that it runs the request.
+    ///
+    /// The question goes over a new connection, so that an open one that has gone silent is told
+    /// from a slow answer. A request that can't be repeated is waited for in any case.
+    async fn watch(
+        &self,
+        sent: impl Future<Output = Result<Response<Incoming>, UpstreamError>>,
+        slot: &HeldSlot,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        let idle_ms = self.node.settings.limits.stream_idle_ms;
+        let mut sent = std::pin::pin!(sent);
+        loop {
+            let wait = tokio::time::timeout(idle_ms.duration(), sent.as_mut());
+            if let Ok(response) = self.bounds.within(wait).await? {
+                return response;
+            }
+            let probe = self
+                .node
+                .upstreams
+                .is_running(slot.leader, &self.request.id);
+            if self.is_idempotent && !self.bounds.within(probe).await? {
+                return Err(UpstreamError::Silent { idle_ms });
+            }
+        }
+    }
+
+    /// Decides whether the request is tried again; the refusal else says whether it has run.
+    pub(super) fn after_failure(&mut self, failure: TryFailure) -> Result<(), Refusal> {
+        self.may_have_run |= failure.may_have_run();
+        let error = match failure {
+            TryFailure::NoSlot(refusal) => return Err(self.truthful(refusal)),
+            TryFailure::Upstream(error) => error,
+        };
+        let failed = FailedTry {
+            tries: self.tries,
+            may_have_run: error.may_have_run(),
+            is_repeatable: self.is_idempotent,
+        };
+        if error.may_pass() && failed.take_retry(&self.budget) {
+            return Ok(());
+        }
+        Err(self.refusal(&error))
+    }
+
+    /// Returns the refusal for a failure that ends the request.
+    pub(super) fn refusal(&self, error: &UpstreamError) -> Refusal {
+        let kind = match error {
+            UpstreamError::DeadlineExceeded { timeout_ms } => RefusalKind::DeadlineExceeded {
+                timeout_ms: *timeout_ms,
+            },
+            UpstreamError::ShutDown => RefusalKind::Draining,
+            other => RefusalKind::UpstreamFailed {
+                reason: other.to_smolstr(),
+            },
+        };
+        self.truthful(Refusal::not_run(kind))
+    }
+
+    /// Says of a refusal that the request may have run, where any try may have.
+    fn truthful(&self, mut refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            refusal.run_state = RunState::Unknown;
+        }
+        refusal
+    }
+}
--- a/src/cuminlb/serving/request_trail.rs
+++ b/src/cuminlb/serving/request_trail.rs
@@ -34,9 +34,9 @@
         }
     }
 
-    /// Returns the request.
-    pub(super) const fn request(&self) -> &RequestId {
-        &self.request
+    /// Returns the team.
+    pub(super) const fn team(&self) -> &TeamId {
+        &self.team
     }
 
     /// Records that the request was sent to a group.
@@ -59,6 +59,7 @@
         let outcome = match refusal.run_state {
             RunState::NotRun => RequestOutcome::NotRun,
             RunState::Unknown => RequestOutcome::Unknown,
+            RunState::Ran => RequestOutcome::Answered,
         };
         self.end(outcome, refusal.kind.to_smolstr());
     }
--- /dev/null
+++ b/src/cuminlb/serving/retry_budgets.rs
@@ -0,0 +1,28 @@
+//! [`RetryBudgets`].
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cuminlb_routing::RetryBudget;
+use cuminlb_types::prelude::*;
+
+/// The retries that each first try allows.
+const RETRY_RATIO: Ratio = Ratio(0.1);
+
+/// The retry budget of each service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RetryBudgets {
+    budgets: Arc<Mutex<HashMap<ServiceId, Arc<RetryBudget>>>>,
+}
+
+impl RetryBudgets {
+    /// Returns the budget of a service and notes a first try in it.
+    pub(super) fn first_try(&self, service: &ServiceId) -> Arc<RetryBudget> {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(RetryBudget::new(RETRY_RATIO)));
+        budget.note_first_try();
+        Arc::clone(budget)
+    }
+}
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -2,45 +2,65 @@
 
 use std::sync::Arc;
 
-use cuminlb_caller::{CallTarget, CallerAnswer, CallerHandler, CallerRequest};
-use cuminlb_config::{ApiKeyDigest, FleetSpec, ServiceKind, ServiceSpec, TeamSpec};
+use cuminlb_caller::{CallerAnswer, CallerHandler, CallerRequest};
+use cuminlb_config::{ApiKeyDigest, TeamSpec};
 use cuminlb_routing::{Admission, AdmissionLimits, AdmissionPermit, Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
-use cuminlb_upstream::UpstreamError;
-use http::header::CONTENT_TYPE;
-use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::Instant;
-
-use super::exchange::{answer_headers, read_whole, send};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::claimed_request::run_claimed_request;
+use super::claims::{ClaimClient, WholeAnswer};
+use super::destination::Destination;
+use super::exchange::answer_headers;
+use super::request_run::RequestRun;
 use super::request_trail::RequestTrail;
-use super::slot_client::SlotClient;
+use super::retry_budgets::RetryBudgets;
+use super::run_bounds::RunBounds;
 use super::stream_relay::StreamRelay;
 use crate::node::Node;
 
-/// The number of tries of an idempotent request.
-const MAX_TRIES: u32 = 3;
-
 /// Leads callers' requests to upstreams.
 #[derive(Clone)]
 pub struct Router {
     node: Arc<Node>,
     admission: Admission,
-}
-
-/// Where a request goes: the service and the path at the upstream.
-struct Destination {
-    service: ServiceSpec,
-    path: SmolStr,
+    budgets: RetryBudgets,
+    claims: ClaimClient,
+    /// The claimed requests that run; they go on when their callers leave.
+    claimed: TaskTracker,
+    /// Cancelled when the node takes no new requests any more.
+    closed: CancellationToken,
+    /// Cancelled when the time for the requests in flight is over.
+    cutoff: CancellationToken,
 }
 
 impl Router {
-    /// Routes for a node.
-    pub fn new(node: Arc<Node>) -> Self {
+    /// Routes for a node; new requests are refused once `closed` is cancelled.
+    pub fn new(node: Arc<Node>, claims: ClaimClient, closed: CancellationToken) -> Self {
         let limits = AdmissionLimits {
             max_inside: node.settings.limits.max_queued,
         };
-        let admission = Admission::new(&limits);
-        Self { node, admission }
+        Self {
+            admission: Admission::new(&limits),
+            budgets: RetryBudgets::default(),
+            claims,
+            claimed: TaskTracker::new(),
+            closed,
+            cutoff: CancellationToken::new(),
+            node,
+        }
+    }
+
+    /// Ends the requests in flight with the truth about them.
+    pub fn cut_off(&self) {
+        self.cutoff.cancel();
+    }
+
+    /// Waits for the claimed requests whose callers have left.
+    pub async fn join(&self) {
+        self.claimed.close();
+        self.claimed.wait().await;
     }
 
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, Refusal> {
@@ -51,28 +71,10 @@
         let admitted = self
             .check_state()
             .and_then(|()| self.admission.enter(&service));
-        let answer = match admitted {
+        match admitted {
             Ok(permit) => {
-                self.exchange(&request, &destination, &mut trail, permit)
-                    .await
-            }
-            Err(refusal) => Err(refusal),
-        };
-        match answer {
-            Ok(Exchanged::Stream(response, slot, permit)) => {
-                let status = response.status();
-                let headers = answer_headers(response.headers());
-                let idle_ms = self.node.settings.limits.stream_idle_ms;
-                let relay = StreamRelay::new(response.into_body(), idle_ms, trail, slot, permit);
-                Ok(CallerAnswer::Stream {
-                    status,
-                    headers,
-                    parts: relay.into_parts(),
-                })
-            }
-            Ok(Exchanged::Whole(answer)) => {
-                trail.answered();
-                Ok(answer)
+                let run = self.start(request, destination, trail);
+                self.answer(run, permit).await
             }
             Err(refusal) => {
                 trail.refused(&refusal);
@@ -93,11 +95,11 @@
         let team = team
             .cloned()
             .ok_or_else(|| not_run(RefusalKind::Unauthenticated))?;
-        Ok((team, destination(spec, request)?))
+        Ok((team, Destination::find(spec, request)?))
     }
 
     fn check_state(&self) -> Result<(), Refusal> {
-        if self.node.is_draining() {
+        if self.closed.is_cancelled() {
             return Err(Refusal::not_run(RefusalKind::Draining));
         }
         if !self.node.is_config_confirmed() {
@@ -106,115 +108,101 @@
         Ok(())
     }
 
-    /// Sends the request, again after a failure where that is safe.
-    async fn exchange(
+    fn start(
+        &self,
+        request: CallerRequest,
+        destination: Destination,
+        trail: RequestTrail,
+    ) -> RequestRun {
+        let longest_ms = self.node.settings.limits.request_timeout_ms;
+        let timeout_ms = request
+            .timeout_ms
+            .map_or(longest_ms, |timeout_ms| timeout_ms.min(longest_ms));
+        RequestRun {
+            node: Arc::clone(&self.node),
+            bounds: RunBounds::new(timeout_ms, self.cutoff.clone()),
+            budget: self.budgets.first_try(&destination.service.id),
+            is_idempotent: destination.is_idempotent(&request),
+            request,
+            destination,
+            trail,
+            tries: 0,
+            may_have_run: false,
+        }
+    }
+
+    async fn answer(
         &self,
-        request: &CallerRequest,
-        destination: &Destination,
-        trail: &mut RequestTrail,
+        run: RequestRun,
         permit: AdmissionPermit,
-    ) -> Result<Exchanged, Refusal> {
-        let limits = &self.node.settings.limits;
-        let idempotent = destination
-            .service
-            .is_idempotent(request.method.as_str(), &destination.path);
-        let queue_deadline = Instant::now() + limits.max_queue_wait_ms.duration();
-        let mut tries = 1;
-        loop {
-            let slots = SlotClient {
-                node: &self.node,
-                service: &destination.service.id,
-                request: &request.id,
-            };
-            let slot = slots.acquire(queue_deadline).await?;
-            trail.sent(&slot.group, slot.epoch);
-            let sent = send(&self.node.upstreams, request, &slot, &destination.path).await;
-            let error = match sent {
-                Ok(response) if is_stream(&response) => {
-                    return Ok(Exchanged::Stream(response, slot, permit));
-                }
-                Ok(response) => {
-                    let status = response.status();
-                    let headers = answer_headers(response.headers());
-                    match read_whole(response, limits.stream_idle_ms).await {
-                        Ok(body) => {
-                            let answer = CallerAnswer::Whole {
-                                status,
-                                headers,
-                                body,
-                            };
-                            return Ok(Exchanged::Whole(answer));
-                        }
-                        Err(error) => error,
-                    }
-                }
-                Err(error) => error,
-            };
-            let repeatable = idempotent || !error.may_have_run();
-            if !repeatable || tries >= MAX_TRIES {
-                return Err(upstream_refusal(&error));
-            }
-            tries += 1;
+    ) -> Result<CallerAnswer, Refusal> {
+        if run.is_idempotent {
+            return answer_idempotent(run, permit).await;
+        }
+        let claims = self.claims.clone();
+        let task = self.claimed.spawn(async move {
+            let answer = run_claimed_request(run, &claims).await;
+            drop(permit);
+            answer
+        });
+        match task.await {
+            Ok(answer) => answer.map(whole_answer),
+            // Only a panic ends the task early; the claim was then settled as it was dropped.
+            Err(_) => Err(Refusal::unknown(RefusalKind::OutcomeUnknown)),
         }
     }
 }
 
-enum Exchanged {
-    Whole(CallerAnswer),
-    Stream(
-        http::Response<hyper::body::Incoming>,
-        super::held_slot::HeldSlot,
-        AdmissionPermit,
-    ),
+async fn answer_idempotent(
+    mut run: RequestRun,
+    permit: AdmissionPermit,
+) -> Result<CallerAnswer, Refusal> {
+    let answer = try_until_answered(&mut run).await;
+    match answer {
+        Ok(Answered::Whole(answer)) => {
+            run.trail.answered();
+            Ok(whole_answer(answer))
+        }
+        Ok(Answered::Stream(answer)) => {
+            let status = answer.response.status();
+            let headers = answer_headers(answer.response.headers());
+            let parts = StreamRelay::new(run, answer, permit).into_parts();
+            Ok(CallerAnswer::Stream {
+                status,
+                headers,
+                parts,
+            })
+        }
+        Err(refusal) => {
+            run.trail.refused(&refusal);
+            Err(refusal)
+        }
+    }
 }
 
-fn destination(spec: &FleetSpec, request: &CallerRequest) -> Result<Destination, Refusal> {
-    let found = spec
-        .services
-        .iter()
-        .find_map(|service| match (&service.kind, &request.target) {
-            (ServiceKind::Model(model), CallTarget::Model(call)) if model.model == call.model => {
-                Some(Destination {
-                    service: service.clone(),
-                    path: request.path.clone(),
-                })
-            }
-            (ServiceKind::Plain(plain), CallTarget::Path) => {
-                let path = request.path.strip_prefix(plain.path_prefix.as_str())?;
-                let path = match path {
-                    "" => "/".into(),
-                    path if path.starts_with('/') => path.into(),
-                    _ => return None,
-                };
-                Some(Destination {
-                    service: service.clone(),
-                    path,
-                })
-            }
-            _ => None,
-        });
-    found.ok_or_else(|| {
-        let name = match &request.target {
-            CallTarget::Model(call) => call.model.clone(),
-            CallTarget::Path => request.path.clone(),
-        };
-        Refusal::not_run(RefusalKind::UnknownService { name })
-    })
+enum Answered {
+    Whole(WholeAnswer),
+    Stream(super::open_answer::OpenAnswer),
 }
 
-fn is_stream<B>(response: &http::Response<B>) -> bool {
-    let content_type = response.headers().get(CONTENT_TYPE);
-    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+async fn try_until_answered(run: &mut RequestRun) -> Result<Answered, Refusal> {
+    loop {
+        let answer = run.open(0).await?;
+        if answer.is_stream() {
+            return Ok(Answered::Stream(answer));
+        }
+        match run.read_whole(answer).await {
+            Ok(whole) => return Ok(Answered::Whole(whole)),
+            Err(error) => run.after_failure(error.into())?,
+        }
+    }
 }
 
-fn upstream_refusal(error: &UpstreamError) -> Refusal {
-    let kind = RefusalKind::UpstreamFailed {
-        reason: error.to_smolstr(),
-    };
-    if error.may_have_run() {
-        Refusal::unknown(kind)
-    } else {
-        Refusal::not_run(kind)
+fn whole_answer(answer: WholeAnswer) -> CallerAnswer {
+    CallerAnswer::Whole {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
     }
 }
 
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -1,48 +1,36 @@
 //! [`StreamRelay`].
 
-use std::collections::VecDeque;
-
-use bytes::Bytes;
 use cuminlb_caller::StreamPart;
-use cuminlb_routing::{AdmissionPermit, Refusal, RefusalKind};
-use cuminlb_types::prelude::*;
-use cuminlb_upstream::{ChunkId, EventDecoder, StreamError, StreamEvent, UpstreamError};
+use cuminlb_routing::{AdmissionPermit, Refusal};
+use cuminlb_upstream::{EventDecoder, RESUME_HEADER, StreamError, StreamEvent, UpstreamError};
 use futures_util::stream::{BoxStream, StreamExt, unfold};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use smol_str::{SmolStr, ToSmolStr};
 
-use super::held_slot::HeldSlot;
-use super::request_trail::RequestTrail;
+use super::open_answer::{OpenAnswer, check_id};
+use super::request_run::RequestRun;
 
 /// Passes a streamed answer on, event by event, and checks that it is whole and the right one.
+///
+/// A stream that breaks off goes on from another group, where the engine can resume it or where
+/// nothing of it has been passed on.
 pub(super) struct StreamRelay {
-    body: Incoming,
+    run: RequestRun,
+    answer: Option<OpenAnswer>,
     decoder: EventDecoder,
-    ready: VecDeque<StreamEvent>,
-    idle_ms: Millis,
+    delivered_chunks: u64,
+    has_passed_any: bool,
     ended: bool,
-    trail: RequestTrail,
-    _slot: HeldSlot,
     _permit: AdmissionPermit,
 }
 
 impl StreamRelay {
-    pub(super) fn new(
-        body: Incoming,
-        idle_ms: Millis,
-        trail: RequestTrail,
-        slot: HeldSlot,
-        permit: AdmissionPermit,
-    ) -> Self {
+    pub(super) fn new(run: RequestRun, answer: OpenAnswer, permit: AdmissionPermit) -> Self {
         Self {
-            body,
+            run,
+            answer: Some(answer),
             decoder: EventDecoder::default(),
-            ready: VecDeque::new(),
-            idle_ms,
+            delivered_chunks: 0,
+            has_passed_any: false,
             ended: false,
-            trail,
-            _slot: slot,
             _permit: permit,
         }
     }
@@ -57,70 +45,84 @@
     }
 
     async fn next_part(&mut self) -> Option<StreamPart> {
-        if self.ended {
-            return None;
+        while !self.ended {
+            let error = match self.next_event().await {
+                Ok(event) => return Some(self.pass(event)),
+                Err(error) => error,
+            };
+            if let Err(refusal) = self.reopen(error).await {
+                self.ended = true;
+                self.answer = None;
+                self.run.trail.refused(&refusal);
+                return Some(StreamPart::Broken(refusal));
+            }
         }
-        let part = match self.next_event().await {
-            Ok(StreamEvent::Chunk { raw, data }) => match self.check_id(&data) {
-                Ok(()) => return Some(StreamPart::Data(raw)),
-                Err(error) => self.broken(error.to_smolstr()),
-            },
-            Ok(StreamEvent::Done { raw }) => {
-                self.trail.answered();
+        None
+    }
+
+    fn pass(&mut self, event: StreamEvent) -> StreamPart {
+        self.has_passed_any = true;
+        match event {
+            StreamEvent::Chunk { raw, data } => {
+                // A comment has no data and is no chunk of the answer.
+                self.delivered_chunks += u64::from(!data.is_empty());
                 StreamPart::Data(raw)
             }
-            Err(reason) => self.broken(reason),
-        };
-        self.ended = true;
-        Some(part)
+            StreamEvent::Done { raw } => {
+                self.ended = true;
+                self.run.trail.answered();
+                StreamPart::Data(raw)
+            }
+        }
     }
 
-    async fn next_event(&mut self) -> Result<StreamEvent, SmolStr> {
+    /// Returns the next whole event that belongs to this request.
+    async fn next_event(&mut self) -> Result<StreamEvent, UpstreamError> {
+        let idle_ms = self.run.node.settings.limits.stream_idle_ms;
         loop {
-            if let Some(event) = self.ready.pop_front() {
+            if let Some(event) = self.decoder.next_event()? {
+                if let StreamEvent::Chunk { data, .. } = &event {
+                    check_id(data, &self.run.request.id)?;
+                }
                 return Ok(event);
             }
-            while let Some(event) = self
-                .decoder
-                .next_event()
-                .map_err(|error| error.to_smolstr())?
-            {
-                self.ready.push_back(event);
-            }
-            if self.ready.is_empty() {
-                let bytes = self.next_bytes().await?;
-                self.decoder.push(&bytes);
+            let Some(answer) = self.answer.as_mut() else {
+                return Err(StreamError::Incomplete.into());
+            };
+            match answer.next_bytes(idle_ms, &self.run.bounds).await? {
+                Some(bytes) => self.decoder.push(&bytes),
+                None => return Err(StreamError::Incomplete.into()),
             }
         }
     }
 
-    async fn next_bytes(&mut self) -> Result<Bytes, SmolStr> {
-        let frame = tokio::time::timeout(self.idle_ms.duration(), self.body.frame()).await;
-        let frame = frame
-            .map_err(|_| {
-                UpstreamError::Silent {
-                    idle_ms: self.idle_ms,
-                }
-                .to_smolstr()
-            })?
-            .ok_or_else(|| StreamError::Incomplete.to_smolstr())?
-            .map_err(|error| error.to_smolstr())?;
-        Ok(frame.into_data().unwrap_or_default())
-    }
-
-    /// Checks that a chunk answers this request and not another one.
-    fn check_id(&self, data: &[u8]) -> Result<(), StreamError> {
-        match ChunkId::of_data(data) {
-            Some(ChunkId { id }) if id != self.trail.request().as_str() => {
-                Err(StreamError::WrongRequest { found: id })
-            }
-            _ => Ok(()),
+    /// Goes on with the stream at a group after a failure, without losing or repeating a chunk.
+    async fn reopen(&mut self, error: UpstreamError) -> Result<(), Refusal> {
+        // The connection and the slot are given back before another group is asked.
+        self.answer = None;
+        self.decoder = EventDecoder::default();
+        let model = self.run.destination.model();
+        let can_resume = model.is_some_and(|model| model.resumable);
+        if self.has_passed_any && !can_resume {
+            self.run.may_have_run = true;
+            return Err(self.run.refusal(&error));
+        }
+        self.run.after_failure(error.into())?;
+        let answer = self.run.open(self.delivered_chunks).await?;
+        if !self.is_resumed(&answer) {
+            let delivered_chunks = self.delivered_chunks;
+            self.run.may_have_run = true;
+            let error = StreamError::NotResumed { delivered_chunks };
+            return Err(self.run.refusal(&error.into()));
         }
+        self.answer = Some(answer);
+        Ok(())
     }
 
-    fn broken(&mut self, reason: SmolStr) -> StreamPart {
-        let refusal = Refusal::unknown(RefusalKind::UpstreamFailed { reason });
-        self.trail.refused(&refusal);
-        StreamPart::Broken(refusal)
+    /// Tells whether an answer begins with the first chunk that the caller does not have.
+    fn is_resumed(&self, answer: &OpenAnswer) -> bool {
+        let left_out = answer.response.headers().get(RESUME_HEADER);
+        let left_out = left_out.and_then(|value| value.to_str().ok()?.parse().ok());
+        answer.is_stream() && left_out.unwrap_or(0) == self.delivered_chunks
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,5 +7,9 @@
     reason = "a test fails by panicking"
 )]
 
+mod at_most_once;
+mod claim_properties;
+mod claim_world;
+mod memory_table;
 mod whole_path;
 mod wrong_files;
