--- a/crates/cuminlb-standins/src/engine/server.rs
+++ b/crates/cuminlb-standins/src/engine/server.rs
@@ -153,6 +153,7 @@
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
                 self.complete(request).await
             }
+            (&Method::GET, "/control/running") => json(&*lock(&self.running)),
             (&Method::PUT, "/control/crash-on") => self.set_crash_text(request.body()),
             (&Method::GET, path) => self.tell_running(path),
             _ => status(StatusCode::NOT_FOUND),
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -4,6 +4,7 @@
 
 use cuminlb_caller::CallerRequest;
 use cuminlb_routing::{FailedTry, Refusal, RefusalKind, RetryBudget, RunState};
+use cuminlb_types::prelude::*;
 use cuminlb_upstream::UpstreamError;
 use http::Response;
 use hyper::body::Incoming;
@@ -31,6 +32,8 @@
     pub(super) trail: RequestTrail,
     pub(super) is_idempotent: bool,
     pub(super) tries: u32,
+    /// The groups at which a try was made.
+    pub(super) tried_groups: Vec<GroupId>,
     pub(super) may_have_run: bool,
 }
 
@@ -96,6 +99,7 @@
         if let Some(claim) = claim {
             claim.mark_sent();
         }
+        self.tried_groups.push(slot.group.clone());
         self.trail.sent(&slot.group, slot.epoch);
         let sent = self.node.upstreams.send(upstream_request);
         let response = self.watch(sent, &slot).await?;
@@ -111,6 +115,7 @@
             node: &self.node,
             service: &self.destination.service.id,
             request: &self.request.id,
+            failed: &self.tried_groups,
         };
         let deadline = (Instant::now() + max_wait).min(self.bounds.deadline());
         slots.acquire(deadline).await
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -127,6 +127,7 @@
             destination,
             trail,
             tries: 0,
+            tried_groups: Vec::new(),
             may_have_run: false,
         }
     }
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -22,11 +22,16 @@
 /// The cost of leaving the zone of this node, in requests.
 const ZONE_COST: f64 = 4.0;
 
+/// The cost of a group at which the request has just failed, in requests.
+const FAILED_COST: f64 = 1_000.0;
+
 /// Acquires a slot for one request.
 pub(super) struct SlotClient<'a> {
     pub(super) node: &'a Arc<Node>,
     pub(super) service: &'a ServiceId,
     pub(super) request: &'a RequestId,
+    /// The groups at which the request has failed.
+    pub(super) failed: &'a [GroupId],
 }
 
 impl SlotClient<'_> {
@@ -74,11 +79,13 @@
 
     fn choice(&self, group: &GroupRecord) -> GroupChoice {
         let is_near = group.zone == self.node.settings.zone;
-        let cost = if is_near { 0.0 } else { ZONE_COST };
+        let zone_cost = if is_near { 0.0 } else { ZONE_COST };
+        let has_failed = self.failed.contains(&group.id);
+        let failed_cost = if has_failed { FAILED_COST } else { 0.0 };
         GroupChoice {
             group: group.id.clone(),
             epoch: group.epoch,
-            cost,
+            cost: zone_cost + failed_cost,
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,8 @@
 mod at_most_once;
 mod claim_properties;
 mod claim_world;
+mod latency;
 mod memory_table;
+mod streams;
 mod whole_path;
 mod wrong_files;
