Quarantine requests that crash what runs them

Cause: a request that crashed its upstream was sent on to the next group, up to three times, and again at each repeat.

Change: a failed try asks the leader over a new call whether it is gone; if so, the fingerprint of the request (keyed by the peers' secret, over team, service and body) is noted with the crash (group and epoch) and told to the peers before the caller is answered. Two crashes at distinct groups quarantine it for 10 minutes or until `Quarantine::clear`; an answer clears it. All requests of a crashed batch are suspects: each takes a group where no other suspect of the node runs, so that the one at fault does not take the others along. The statement to peers carries the 64 newest suspects; a node keeps 1,024. Tries leave out groups that failed or were unreachable within 2 s, as long as there are others (`avoided` in slot_client.rs).

Conclusion: two groups are lost to one crashing request, not three, also across two nodes. Suspects of different nodes are not kept apart; see docs/PROOFS-requests.md.

--- a/crates/cuminlb-peer/src/message/peer_statement.rs
+++ b/crates/cuminlb-peer/src/message/peer_statement.rs
@@ -1,6 +1,7 @@
 //! [`PeerStatement`].
 
 use cuminlb_events::HybridTime;
+use cuminlb_routing::Suspect;
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -19,4 +20,6 @@
     /// How long ago the node last heard the table, directly or through a peer; `None` where it
     /// has not heard it since its start.
     pub table_age_ms: Option<Millis>,
+    /// The newest suspects of crashing what runs them.
+    pub suspects: Vec<Suspect>,
 }
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod choice;
 mod claim;
+mod quarantine;
 mod refusal;
 mod retry;
 mod slots;
@@ -18,6 +19,9 @@
 pub use crate::claim::{
     CLAIM_RETENTION_MS, RepeatVerdict, SettleStep, content_digest, judge_repeat, next_settle_step,
 };
+pub use crate::quarantine::{
+    Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
+};
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
 pub use crate::retry::{FailedTry, MAX_TRIES, RetryBudget};
 pub use crate::slots::{SlotDenial, SlotLedger};
--- /dev/null
+++ b/crates/cuminlb-routing/src/quarantine/fingerprint.rs
@@ -0,0 +1,38 @@
+//! [`request_fingerprint`].
+
+use cuminlb_types::prelude::*;
+use sha2::{Digest, Sha256};
+
+/// The length of a fingerprint.
+const FINGERPRINT_LEN_BYTES: usize = 16;
+
+/// Returns the fingerprint of a request, keyed so that only the nodes can compute it.
+///
+/// # Panics
+///
+/// Never: hexadecimal digits form a valid id.
+#[expect(clippy::expect_used, reason = "hexadecimal digits form a valid id")]
+pub fn request_fingerprint(
+    secret: &str,
+    team: &TeamId,
+    service: &ServiceId,
+    body: &[u8],
+) -> RequestFingerprint {
+    let mut digest = Sha256::new();
+    let parts = [
+        secret.as_bytes(),
+        team.as_str().as_bytes(),
+        service.as_str().as_bytes(),
+        body,
+    ];
+    for part in parts {
+        digest.update(part.len().to_be_bytes());
+        digest.update(part);
+    }
+    let hash: [u8; 32] = digest.finalize().into();
+    let hex: String = hash[..FINGERPRINT_LEN_BYTES]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    hex.parse().expect("hexadecimal digits form an id")
+}
--- /dev/null
+++ b/crates/cuminlb-routing/src/quarantine/mod.rs
@@ -0,0 +1,11 @@
+//! Quarantine: requests that crash what runs them are kept from a third group.
+
+mod crash;
+mod fingerprint;
+mod quarantine_list;
+mod suspect;
+
+pub use self::crash::{Crash, CrashId};
+pub use self::fingerprint::request_fingerprint;
+pub use self::quarantine_list::Quarantine;
+pub use self::suspect::{QUARANTINE_MS, Suspect};
--- a/crates/cuminlb-routing/src/refusal/refusal_kind.rs
+++ b/crates/cuminlb-routing/src/refusal/refusal_kind.rs
@@ -109,8 +109,11 @@
     #[error("this node can't confirm its configuration; send the request again")]
     ConfigUnconfirmed,
     /// The request crashes what runs it.
-    #[error("this request is quarantined: upstreams crashed while they ran it")]
-    Quarantined,
+    #[error("this request is quarantined as {fingerprint}: upstreams crashed while they ran it")]
+    Quarantined {
+        /// The request, as operators release it.
+        fingerprint: RequestFingerprint,
+    },
 }
 
 impl RefusalKind {
@@ -125,7 +128,7 @@
             Self::RateExceeded { .. } => 429,
             Self::HeadersTooLarge { .. } => 431,
             Self::ClaimedElsewhere | Self::OutcomeUnknown | Self::OutcomeNotKept { .. } => 409,
-            Self::Quarantined | Self::KeyReused => 422,
+            Self::Quarantined { .. } | Self::KeyReused => 422,
             Self::DeadlineExceeded { .. } => 504,
             Self::UpstreamFailed { .. } => 502,
             Self::QueueFull { .. }
@@ -159,7 +162,7 @@
             Self::HeadersTooLarge { .. } => "headers_too_large",
             Self::Draining => "draining",
             Self::ConfigUnconfirmed => "config_unconfirmed",
-            Self::Quarantined => "quarantined",
+            Self::Quarantined { .. } => "quarantined",
         }
     }
 }
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -9,6 +9,7 @@
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
 };
+use cuminlb_routing::Quarantine;
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
 use smol_str::format_smolstr;
@@ -45,6 +46,8 @@
     pub peers: Peers,
     /// The groups that this node owns.
     pub owned: OwnedGroups,
+    /// The requests that are suspected of crashing what runs them.
+    pub quarantine: Quarantine,
     /// Told when the table should be read at once.
     pub poll_now: Notify,
     /// Takes the slots to give back, with the owner that granted each.
@@ -73,6 +76,7 @@
             knowledge: TableKnowledge::default(),
             peers: Peers::default(),
             owned: OwnedGroups::default(),
+            quarantine: Quarantine::default(),
             poll_now: Notify::new(),
             releases,
             draining: AtomicBool::new(false),
@@ -138,12 +142,14 @@
             time: self.events.clock().tick(),
             config: self.view.borrow().config_version(),
             table_age_ms: self.knowledge.age_ms(),
+            suspects: self.quarantine.newest(),
         }
     }
 
     /// Takes in what a peer says of itself.
     pub fn take_statement(&self, statement: &PeerStatement) {
         self.events.clock().observe(statement.time);
+        self.quarantine.merge(&statement.suspects);
         if statement.config > self.view.borrow().config_version() {
             self.poll_now.notify_one();
         }
--- a/src/cuminlb/serving/mod.rs
+++ b/src/cuminlb/serving/mod.rs
@@ -8,6 +8,7 @@
 pub mod claims;
 mod destination;
 mod exchange;
+mod failed_groups;
 mod held_slot;
 mod open_answer;
 mod peer_service;
@@ -18,6 +19,8 @@
 mod run_bounds;
 mod slot_client;
 mod stream_relay;
+mod suspect_lanes;
+mod suspicion;
 mod try_failure;
 
 pub use self::peer_service::PeerService;
--- a/src/cuminlb/serving/open_answer.rs
+++ b/src/cuminlb/serving/open_answer.rs
@@ -12,6 +12,7 @@
 use super::exchange::answer_headers;
 use super::held_slot::HeldSlot;
 use super::run_bounds::RunBounds;
+use super::suspect_lanes::SuspectLane;
 use crate::serving::claims::WholeAnswer;
 
 /// The largest whole answer that is passed on.
@@ -20,7 +21,9 @@
 /// An answer whose head has come; dropping it cancels the request at the upstream.
 pub(super) struct OpenAnswer {
     pub(super) response: Response<Incoming>,
-    pub(super) _slot: HeldSlot,
+    pub(super) slot: HeldSlot,
+    /// Keeps other suspects of this node from the group.
+    pub(super) _lane: Option<SuspectLane>,
 }
 
 impl OpenAnswer {
@@ -49,7 +52,7 @@
 
     /// Reads the whole answer.
     pub(super) async fn read_whole(
-        mut self,
+        &mut self,
         idle_ms: Millis,
         bounds: &RunBounds,
     ) -> Result<WholeAnswer, UpstreamError> {
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -14,11 +14,14 @@
 use super::claims::{HeldClaim, WholeAnswer};
 use super::destination::Destination;
 use super::exchange::upstream_request;
+use super::failed_groups::FailedGroups;
 use super::held_slot::HeldSlot;
 use super::open_answer::{OpenAnswer, check_id};
 use super::request_trail::RequestTrail;
 use super::run_bounds::RunBounds;
 use super::slot_client::SlotClient;
+use super::suspect_lanes::SuspectLane;
+use super::suspicion::Suspicion;
 use super::try_failure::TryFailure;
 use crate::node::Node;
 
@@ -30,6 +33,8 @@
     pub(super) bounds: RunBounds,
     pub(super) budget: Arc<RetryBudget>,
     pub(super) trail: RequestTrail,
+    pub(super) suspicion: Suspicion,
+    pub(super) failed_groups: Arc<FailedGroups>,
     pub(super) is_idempotent: bool,
     pub(super) tries: u32,
     /// The groups at which a try was made.
@@ -57,7 +62,7 @@
             let failure = match self.try_once(Some(&mut *claim), 0).await {
                 Ok(answer) => match self.read_whole(answer).await {
                     Ok(whole) => return Ok(whole),
-                    Err(error) => TryFailure::Upstream(error),
+                    Err(failure) => failure,
                 },
                 Err(failure) => failure,
             };
@@ -71,13 +76,20 @@
     /// Reads an answer whole and checks that it is to this request.
     pub(super) async fn read_whole(
         &self,
-        answer: OpenAnswer,
-    ) -> Result<WholeAnswer, UpstreamError> {
+        mut answer: OpenAnswer,
+    ) -> Result<WholeAnswer, TryFailure> {
         let idle_ms = self.node.settings.limits.stream_idle_ms;
-        let whole = answer.read_whole(idle_ms, &self.bounds).await?;
+        let whole = match answer.read_whole(idle_ms, &self.bounds).await {
+            Ok(whole) => whole,
+            Err(error) => {
+                self.note_failure(&error, &answer.slot).await;
+                return Err(error.into());
+            }
+        };
         if self.destination.model().is_some() {
-            check_id(&whole.body, &self.request.id)?;
+            check_id(&whole.body, &self.request.id).map_err(UpstreamError::from)?;
         }
+        self.suspicion.clear();
         Ok(whole)
     }
 
@@ -88,7 +100,7 @@
         delivered_chunks: u64,
     ) -> Result<OpenAnswer, TryFailure> {
         self.tries += 1;
-        let slot = self.acquire_slot().await.map_err(TryFailure::NoSlot)?;
+        let (slot, lane) = self.take_place().await?;
         let upstream_request = upstream_request(
             &self.request,
             &slot,
@@ -102,20 +114,52 @@
         self.tried_groups.push(slot.group.clone());
         self.trail.sent(&slot.group, slot.epoch);
         let sent = self.node.upstreams.send(upstream_request);
-        let response = self.watch(sent, &slot).await?;
-        Ok(OpenAnswer {
-            response,
-            _slot: slot,
-        })
+        match self.watch(sent, &slot).await {
+            Ok(response) => Ok(OpenAnswer {
+                response,
+                slot,
+                _lane: lane,
+            }),
+            Err(error) => {
+                self.note_failure(&error, &slot).await;
+                Err(error.into())
+            }
+        }
+    }
+
+    /// Takes a slot; a suspect takes it where no other suspect of this node runs.
+    async fn take_place(&self) -> Result<(HeldSlot, Option<SuspectLane>), TryFailure> {
+        let mut avoided = self.failed_groups.recent();
+        avoided.extend_from_slice(&self.tried_groups);
+        if !self.suspicion.is_suspect() {
+            let slot = self.acquire_slot(&avoided).await?;
+            return Ok((slot, None));
+        }
+        let lanes = self.suspicion.lanes();
+        let groups = self.groups_without(&avoided);
+        let (busy, choosing) = self.bounds.within(lanes.wait_for_free(&groups)).await?;
+        self.suspicion.check()?;
+        avoided.extend(busy);
+        let slot = self.acquire_slot(&avoided).await?;
+        let lane = lanes.enter(&slot.group);
+        drop(choosing);
+        Ok((slot, Some(lane)))
+    }
+
+    fn groups_without(&self, avoided: &[GroupId]) -> Vec<GroupId> {
+        let view = self.node.view.borrow();
+        let groups = view.groups(&self.destination.service.id).iter();
+        let groups = groups.map(|group| group.id.clone());
+        groups.filter(|group| !avoided.contains(group)).collect()
     }
 
-    async fn acquire_slot(&self) -> Result<HeldSlot, Refusal> {
+    async fn acquire_slot(&self, avoided: &[GroupId]) -> Result<HeldSlot, Refusal> {
         let max_wait = self.node.settings.limits.max_queue_wait_ms.duration();
         let slots = SlotClient {
             node: &self.node,
             service: &self.destination.service.id,
             request: &self.request.id,
-            failed: &self.tried_groups,
+            avoided,
         };
         let deadline = (Instant::now() + max_wait).min(self.bounds.deadline());
         slots.acquire(deadline).await
@@ -147,13 +191,24 @@
         }
     }
 
+    /// Finds out what a failure says of the group and of the request.
+    pub(super) async fn note_failure(&self, error: &UpstreamError, slot: &HeldSlot) {
+        let is_unreachable = matches!(error, UpstreamError::NotSent { .. });
+        if is_unreachable || self.suspicion.note_failure(error, slot).await {
+            self.failed_groups.note(&slot.group, slot.epoch);
+        }
+    }
+
     /// Decides whether the request is tried again; the refusal else says whether it has run.
     pub(super) fn after_failure(&mut self, failure: TryFailure) -> Result<(), Refusal> {
         self.may_have_run |= failure.may_have_run();
         let error = match failure {
-            TryFailure::NoSlot(refusal) => return Err(self.truthful(refusal)),
+            TryFailure::Refused(refusal) => return Err(self.truthful(refusal)),
             TryFailure::Upstream(error) => error,
         };
+        self.suspicion
+            .check()
+            .map_err(|refusal| self.truthful(refusal))?;
         let failed = FailedTry {
             tries: self.tries,
             may_have_run: error.may_have_run(),
--- a/src/cuminlb/serving/request_trail.rs
+++ b/src/cuminlb/serving/request_trail.rs
@@ -39,6 +39,11 @@
         &self.team
     }
 
+    /// Returns the service.
+    pub(super) const fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
     /// Records that the request was sent to a group.
     pub(super) fn sent(&self, group: &GroupId, epoch: Epoch) {
         let (request, group) = (self.request.clone(), group.clone());
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -13,11 +13,14 @@
 use super::claims::{ClaimClient, WholeAnswer};
 use super::destination::Destination;
 use super::exchange::answer_headers;
+use super::failed_groups::FailedGroups;
 use super::request_run::RequestRun;
 use super::request_trail::RequestTrail;
 use super::retry_budgets::RetryBudgets;
 use super::run_bounds::RunBounds;
 use super::stream_relay::StreamRelay;
+use super::suspect_lanes::SuspectLanes;
+use super::suspicion::Suspicion;
 use crate::node::Node;
 
 /// Leads callers' requests to upstreams.
@@ -27,6 +30,8 @@
     admission: Admission,
     budgets: RetryBudgets,
     claims: ClaimClient,
+    lanes: Arc<SuspectLanes>,
+    failed_groups: Arc<FailedGroups>,
     /// The claimed requests that run; they go on when their callers leave.
     claimed: TaskTracker,
     /// Cancelled when the node takes no new requests any more.
@@ -45,6 +50,8 @@
             admission: Admission::new(&limits),
             budgets: RetryBudgets::default(),
             claims,
+            lanes: Arc::default(),
+            failed_groups: Arc::default(),
             claimed: TaskTracker::new(),
             closed,
             cutoff: CancellationToken::new(),
@@ -118,8 +125,11 @@
         let timeout_ms = request
             .timeout_ms
             .map_or(longest_ms, |timeout_ms| timeout_ms.min(longest_ms));
+        let suspicion = Suspicion::new(&self.node, &trail, &request, &self.lanes);
         RequestRun {
             node: Arc::clone(&self.node),
+            suspicion,
+            failed_groups: Arc::clone(&self.failed_groups),
             bounds: RunBounds::new(timeout_ms, self.cutoff.clone()),
             budget: self.budgets.first_try(&destination.service.id),
             is_idempotent: destination.is_idempotent(&request),
@@ -194,7 +204,7 @@
         }
         match run.read_whole(answer).await {
             Ok(whole) => return Ok(Answered::Whole(whole)),
-            Err(error) => run.after_failure(error.into())?,
+            Err(failure) => run.after_failure(failure)?,
         }
     }
 }
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -22,16 +22,13 @@
 /// The cost of leaving the zone of this node, in requests.
 const ZONE_COST: f64 = 4.0;
 
-/// The cost of a group at which the request has just failed, in requests.
-const FAILED_COST: f64 = 1_000.0;
-
 /// Acquires a slot for one request.
 pub(super) struct SlotClient<'a> {
     pub(super) node: &'a Arc<Node>,
     pub(super) service: &'a ServiceId,
     pub(super) request: &'a RequestId,
-    /// The groups at which the request has failed.
-    pub(super) failed: &'a [GroupId],
+    /// The groups that are taken only where there is no other.
+    pub(super) avoided: &'a [GroupId],
 }
 
 impl SlotClient<'_> {
@@ -40,7 +37,7 @@
         let started = Instant::now();
         let mut group_seen = false;
         loop {
-            let mut choices = self.choices();
+            let mut choices = self.preferred(self.choices());
             group_seen |= !choices.is_empty();
             while let Some(choice) = pick(&choices) {
                 if let Some(slot) = self.ask_owners(&choice, deadline).await {
@@ -67,6 +64,15 @@
         })
     }
 
+    /// Leaves out the groups that are avoided, unless there is no other.
+    fn preferred(&self, mut choices: Vec<GroupChoice>) -> Vec<GroupChoice> {
+        let is_preferred = |choice: &GroupChoice| !self.avoided.contains(&choice.group);
+        if choices.iter().any(is_preferred) {
+            choices.retain(is_preferred);
+        }
+        choices
+    }
+
     fn choices(&self) -> Vec<GroupChoice> {
         let view = self.node.view.borrow();
         let groups = view.groups(self.service).iter();
@@ -79,13 +85,11 @@
 
     fn choice(&self, group: &GroupRecord) -> GroupChoice {
         let is_near = group.zone == self.node.settings.zone;
-        let zone_cost = if is_near { 0.0 } else { ZONE_COST };
-        let has_failed = self.failed.contains(&group.id);
-        let failed_cost = if has_failed { FAILED_COST } else { 0.0 };
+        let cost = if is_near { 0.0 } else { ZONE_COST };
         GroupChoice {
             group: group.id.clone(),
             epoch: group.epoch,
-            cost: zone_cost + failed_cost,
+            cost,
         }
     }
 
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -70,6 +70,7 @@
             }
             StreamEvent::Done { raw } => {
                 self.ended = true;
+                self.run.suspicion.clear();
                 self.run.trail.answered();
                 StreamPart::Data(raw)
             }
@@ -99,7 +100,9 @@
     /// Goes on with the stream at a group after a failure, without losing or repeating a chunk.
     async fn reopen(&mut self, error: UpstreamError) -> Result<(), Refusal> {
         // The connection and the slot are given back before another group is asked.
-        self.answer = None;
+        if let Some(answer) = self.answer.take() {
+            self.run.note_failure(&error, &answer.slot).await;
+        }
         self.decoder = EventDecoder::default();
         let model = self.run.destination.model();
         let can_resume = model.is_some_and(|model| model.resumable);
--- a/src/cuminlb/serving/try_failure.rs
+++ b/src/cuminlb/serving/try_failure.rs
@@ -7,9 +7,9 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(thiserror::Error)]
 pub(super) enum TryFailure {
-    /// No group had a slot; nothing was sent.
+    /// Nothing was sent: no group had a slot, or the request is quarantined.
     #[error(transparent)]
-    NoSlot(Refusal),
+    Refused(#[from] Refusal),
     /// The upstream gave no whole answer.
     #[error(transparent)]
     Upstream(#[from] UpstreamError),
@@ -19,7 +19,7 @@
     /// Tells whether the request may have run in this try.
     pub(super) const fn may_have_run(&self) -> bool {
         match self {
-            Self::NoSlot(_) => false,
+            Self::Refused(_) => false,
             Self::Upstream(error) => error.may_have_run(),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod claim_world;
 mod latency;
 mod memory_table;
+mod quarantine;
 mod streams;
 mod whole_path;
 mod wrong_files;
