--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -24,4 +24,7 @@
 };
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
 pub use crate::retry::{FailedTry, MAX_TRIES, RetryBudget};
-pub use crate::slots::{SlotDenial, SlotLedger};
+pub use crate::slots::{
+    AskState, HeldRange, LoadReport, SlotDenial, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotLoad,
+    SlotTerms,
+};
--- a/crates/cuminlb-standins/src/plain/server.rs
+++ b/crates/cuminlb-standins/src/plain/server.rs
@@ -1,6 +1,5 @@
 //! [`PlainService`].
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -10,6 +9,7 @@
 use http::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
+use super::executing::Executing;
 use super::{PlainOptions, Reservation};
 use crate::http_server::{AnswerBody, Answers, json as json_answer, status, text};
 use crate::{FaultState, StandinError, StandinServer};
@@ -20,7 +20,8 @@
     options: PlainOptions,
     incarnation: Incarnation,
     executed: Mutex<Vec<Reservation>>,
-    running: Mutex<HashSet<String>>,
+    /// The requests whose calls are under way.
+    running: Mutex<Vec<String>>,
 }
 
 impl PlainService {
@@ -49,7 +50,7 @@
             membership: None,
             fencing: FencingNumber(0),
             warm: true,
-            running: SlotCount(0),
+            running: SlotCount(u32::try_from(self.running().len()).unwrap_or(u32::MAX)),
         }
     }
 
@@ -57,9 +58,8 @@
     async fn reserve(&self, request: &Request<Bytes>) -> Response<AnswerBody> {
         let id = request.headers().get(REQUEST_ID_HEADER);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-        self.running().insert(id.to_owned());
+        let _executing = Executing::start(&self.running, id);
         tokio::time::sleep(self.options.call_ms.duration()).await;
-        self.running().remove(id);
         let reservation = Reservation {
             request: id.to_owned(),
             body: String::from_utf8_lossy(request.body()).into_owned(),
@@ -78,13 +78,16 @@
     }
 
     fn tell_running(&self, path: &str) -> Response<AnswerBody> {
-        match path.strip_prefix(RUNNING_PATH) {
-            Some(id) if self.running().contains(id) => status(StatusCode::OK),
-            _ => status(StatusCode::NOT_FOUND),
-        }
+        let id = path.strip_prefix(RUNNING_PATH);
+        let is_running = id.is_some_and(|id| self.running().iter().any(|running| running == id));
+        status(if is_running {
+            StatusCode::OK
+        } else {
+            StatusCode::NOT_FOUND
+        })
     }
 
-    fn running(&self) -> MutexGuard<'_, HashSet<String>> {
+    fn running(&self) -> MutexGuard<'_, Vec<String>> {
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/src/cuminlb/serving/mod.rs
+++ b/src/cuminlb/serving/mod.rs
@@ -4,6 +4,7 @@
 //! leader of the group; the answer is passed on as it comes. A request that may not run twice is
 //! claimed first, see [`claims`].
 
+mod asked_slot;
 mod claimed_request;
 pub mod claims;
 mod destination;
--- a/src/cuminlb/serving/open_answer.rs
+++ b/src/cuminlb/serving/open_answer.rs
@@ -64,6 +64,7 @@
                 return Err(StreamError::EventTooLong { max_len_bytes }.into());
             }
         }
+        self.slot.finish();
         Ok(WholeAnswer {
             status: self.response.status(),
             headers: answer_headers(self.response.headers()),
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -100,7 +100,7 @@
         delivered_chunks: u64,
     ) -> Result<OpenAnswer, TryFailure> {
         self.tries += 1;
-        let (slot, lane) = self.take_place().await?;
+        let (mut slot, lane) = self.take_place().await?;
         let upstream_request = upstream_request(
             &self.request,
             &slot,
@@ -111,8 +111,8 @@
         if let Some(claim) = claim {
             claim.mark_sent();
         }
-        self.tried_groups.push(slot.group.clone());
-        self.trail.sent(&slot.group, slot.epoch);
+        self.tried_groups.push(slot.group().clone());
+        self.trail.sent(slot.group(), slot.epoch);
         let sent = self.node.upstreams.send(upstream_request);
         match self.watch(sent, &slot).await {
             Ok(response) => Ok(OpenAnswer {
@@ -121,6 +121,9 @@
                 _lane: lane,
             }),
             Err(error) => {
+                if !error.may_have_run() {
+                    slot.finish();
+                }
                 self.note_failure(&error, &slot).await;
                 Err(error.into())
             }
@@ -141,7 +144,7 @@
         self.suspicion.check()?;
         avoided.extend(busy);
         let slot = self.acquire_slot(&avoided).await?;
-        let lane = lanes.enter(&slot.group);
+        let lane = lanes.enter(slot.group());
         drop(choosing);
         Ok((slot, Some(lane)))
     }
@@ -158,11 +161,15 @@
         let slots = SlotClient {
             node: &self.node,
             service: &self.destination.service.id,
-            request: &self.request.id,
             avoided,
         };
         let deadline = (Instant::now() + max_wait).min(self.bounds.deadline());
-        slots.acquire(deadline).await
+        loop {
+            let mut slot = slots.acquire(deadline).await?;
+            if slot.start_use() {
+                return Ok(slot);
+            }
+        }
     }
 
     /// Waits for the head of an answer as long as the upstream says that it runs the request.
@@ -195,7 +202,7 @@
     pub(super) async fn note_failure(&self, error: &UpstreamError, slot: &HeldSlot) {
         let is_unreachable = matches!(error, UpstreamError::NotSent { .. });
         if is_unreachable || self.suspicion.note_failure(error, slot).await {
-            self.failed_groups.note(&slot.group, slot.epoch);
+            self.failed_groups.note(slot.group(), slot.epoch);
         }
     }
 
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -70,6 +70,9 @@
             }
             StreamEvent::Done { raw } => {
                 self.ended = true;
+                if let Some(answer) = self.answer.as_mut() {
+                    answer.slot.finish();
+                }
                 self.run.suspicion.clear();
                 self.run.trail.answered();
                 StreamPart::Data(raw)
--- a/src/cuminlb/serving/suspicion.rs
+++ b/src/cuminlb/serving/suspicion.rs
@@ -17,6 +17,7 @@
 /// Watches whether one request crashes what runs it.
 pub(super) struct Suspicion {
     node: Arc<Node>,
+    request: RequestId,
     fingerprint: RequestFingerprint,
     is_model: bool,
     lanes: Arc<SuspectLanes>,
@@ -34,6 +35,7 @@
         let fingerprint = request_fingerprint(secret, trail.team(), trail.service(), &request.body);
         Self {
             node: Arc::clone(node),
+            request: request.id.clone(),
             fingerprint,
             is_model: matches!(request.target, CallTarget::Model(_)),
             lanes: Arc::clone(lanes),
@@ -76,10 +78,13 @@
         }
         warn!(
             "group {} crashed at epoch {} with request {} ({})",
-            slot.group, slot.epoch, slot.request, self.fingerprint
+            slot.group(),
+            slot.epoch,
+            self.request,
+            self.fingerprint
         );
         let id = CrashId {
-            group: slot.group.clone(),
+            group: slot.group().clone(),
             epoch: slot.epoch,
         };
         let at_ms = UnixMillis::now();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod at_most_once;
 mod claim_properties;
 mod claim_world;
+mod cold_start;
 mod latency;
 mod memory_table;
 mod quarantine;
