--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,11 +7,17 @@
     reason = "a test fails by panicking"
 )]
 
+mod at_most_once;
+mod claim_properties;
+mod claim_world;
 mod cold_start;
 mod command_line;
 mod latency;
+mod memory_table;
 mod metrics;
 mod pages;
+mod quarantine;
+mod streams;
 mod support;
 mod text_difference;
 mod timeline;
