Repair from spares, drain before dissolving, probe before forming

Cause: the first planner took any listed instance for a spare, also a dead one that the lagging list still showed; dissolved every broken group of a domain where one of them could have repaired the others; kept groups in the order of the roster, so that a broken group could push out an intact one; and dissolved groups with requests in flight. A restarted member joined its old epoch again. Orders carried the number of the group's lease, which counts from 1 for each group, so an engine that checks numbers refused the orders of its next group.

Change: a group records the incarnation of each member, and a member that answers from another start ends the epoch. The planner probes what it would use. A plan is made of review, repairs by domain (the survivors of the worst group repair the others), and new groups weighed by the fleet file's measures; what loads least comes first, within a budget of loading groups. Groups in a zone that is out stay as they are and do not count. States Draining and Drained let requests end before members are freed. Steps name the epoch that they were planned for. Orders carry the epoch above the lease's number.

--- /dev/null
+++ b/crates/cuminlb-fleet/src/planning/roster_change.rs
@@ -0,0 +1,166 @@
+//! [`RosterChange`].
+
+use cuminlb_types::prelude::*;
+use smol_str::format_smolstr;
+
+use super::{PlanStep, PlannedMember};
+use crate::rows::{GroupRecord, GroupState, Roster};
+
+/// What one step of a plan changes: the whole roster after it, and the instances that join or
+/// leave a group with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RosterChange {
+    /// All groups after the step.
+    pub roster: Roster,
+    /// The group as it is after the step, or as it was before it was dissolved.
+    pub group: GroupRecord,
+    /// The instances that join the group.
+    pub joined: Vec<InstanceId>,
+    /// The instances that leave the group and are free again.
+    pub freed: Vec<InstanceId>,
+}
+
+impl RosterChange {
+    /// Works out a step; `None` where the group has changed since the step was planned.
+    pub fn of(service: &ServiceId, roster: &Roster, step: &PlanStep) -> Option<Self> {
+        let roster = roster.clone();
+        match step {
+            PlanStep::Form {
+                zone,
+                domain,
+                members,
+            } => Self::form(service, roster, zone, domain, members),
+            PlanStep::Repair {
+                group,
+                epoch,
+                members,
+            } => Self::repair(roster, group, *epoch, members),
+            PlanStep::Drain { group, epoch } => {
+                Self::with_state(roster, group, *epoch, GroupState::Draining)
+            }
+            PlanStep::Dissolve { group, epoch } => Self::dissolve(roster, group, *epoch),
+        }
+    }
+
+    /// Works out that the owner of a group has drained it or found members missing.
+    pub fn mark(roster: &Roster, group: &GroupId, epoch: Epoch, state: GroupState) -> Option<Self> {
+        Self::with_state(roster.clone(), group, epoch, state)
+    }
+
+    fn form(
+        service: &ServiceId,
+        mut roster: Roster,
+        zone: &ZoneId,
+        domain: &FabricDomainId,
+        members: &[PlannedMember],
+    ) -> Option<Self> {
+        let epoch = roster.next_epoch.next();
+        roster.next_epoch = epoch;
+        let joined = instances(members);
+        let group = GroupRecord {
+            id: format_smolstr!("{service}-{epoch}").parse().ok()?,
+            epoch,
+            zone: zone.clone(),
+            domain: domain.clone(),
+            members: joined.clone(),
+            incarnations: incarnations(members),
+            state: GroupState::Intact,
+        };
+        roster.groups.push(group.clone());
+        Some(Self {
+            roster,
+            group,
+            joined,
+            freed: Vec::new(),
+        })
+    }
+
+    fn repair(
+        mut roster: Roster,
+        id: &GroupId,
+        epoch: Epoch,
+        members: &[PlannedMember],
+    ) -> Option<Self> {
+        let next_epoch = roster.next_epoch.next();
+        roster.next_epoch = next_epoch;
+        let group = roster.group_mut(id, epoch)?;
+        if !matches!(group.state, GroupState::Broken { .. }) {
+            return None;
+        }
+        let before = std::mem::replace(&mut group.members, instances(members));
+        group.epoch = next_epoch;
+        group.incarnations = incarnations(members);
+        group.state = GroupState::Intact;
+        let group = group.clone();
+        let (joined, freed) = (
+            without(&group.members, &before),
+            without(&before, &group.members),
+        );
+        Some(Self {
+            roster,
+            group,
+            joined,
+            freed,
+        })
+    }
+
+    fn dissolve(mut roster: Roster, id: &GroupId, epoch: Epoch) -> Option<Self> {
+        let at = roster
+            .groups
+            .iter()
+            .position(|group| group.id == *id && group.epoch == epoch)?;
+        match roster.groups[at].state {
+            GroupState::Intact | GroupState::Draining => return None,
+            GroupState::Drained | GroupState::Broken { .. } => {}
+        }
+        let group = roster.groups.remove(at);
+        let freed = group.members.clone();
+        Some(Self {
+            roster,
+            group,
+            joined: Vec::new(),
+            freed,
+        })
+    }
+
+    /// Moves a group on; no state leads back from [`GroupState::Broken`] or
+    /// [`GroupState::Drained`] but a repair.
+    fn with_state(
+        mut roster: Roster,
+        id: &GroupId,
+        epoch: Epoch,
+        state: GroupState,
+    ) -> Option<Self> {
+        let group = roster.group_mut(id, epoch)?;
+        match (&group.state, &state) {
+            (GroupState::Intact, GroupState::Draining | GroupState::Broken { .. })
+            | (GroupState::Draining, GroupState::Drained | GroupState::Broken { .. }) => {}
+            _ => return None,
+        }
+        group.state = state;
+        let group = group.clone();
+        Some(Self {
+            roster,
+            group,
+            joined: Vec::new(),
+            freed: Vec::new(),
+        })
+    }
+}
+
+fn instances(members: &[PlannedMember]) -> Vec<InstanceId> {
+    let ids = members.iter().map(|member| member.instance.clone());
+    ids.collect()
+}
+
+fn incarnations(members: &[PlannedMember]) -> std::collections::BTreeMap<InstanceId, Incarnation> {
+    let pairs = members
+        .iter()
+        .map(|member| (member.instance.clone(), member.incarnation));
+    pairs.collect()
+}
+
+fn without(some: &[InstanceId], others: &[InstanceId]) -> Vec<InstanceId> {
+    let left = some.iter().filter(|id| !others.contains(id));
+    left.cloned().collect()
+}
--- a/crates/cuminlb-fleet/src/rows/roster.rs
+++ b/crates/cuminlb-fleet/src/rows/roster.rs
@@ -20,4 +20,10 @@
     pub fn group(&self, id: &GroupId) -> Option<&GroupRecord> {
         self.groups.iter().find(|group| group.id == *id)
     }
+    /// Returns a group that is still at an epoch, to change it.
+    pub fn group_mut(&mut self, id: &GroupId, epoch: Epoch) -> Option<&mut GroupRecord> {
+        self.groups
+            .iter_mut()
+            .find(|group| group.id == *id && group.epoch == epoch)
+    }
 }
--- a/crates/cuminlb-standins/src/engine/state.rs
+++ b/crates/cuminlb-standins/src/engine/state.rs
@@ -13,7 +13,8 @@
     incarnation: Incarnation,
     membership: Option<Membership>,
     fencing: FencingNumber,
-    joined_at: Option<Instant>,
+    /// When the engine began to load the weights, which it keeps until its process ends.
+    loading_since: Option<Instant>,
     running: SlotCount,
     reported: (Instant, SlotCount),
     highest: SlotCount,
@@ -26,7 +27,7 @@
             incarnation: Incarnation(UnixMillis::now().get()),
             membership: None,
             fencing: FencingNumber(0),
-            joined_at: None,
+            loading_since: None,
             running: SlotCount(0),
             reported: (Instant::now(), SlotCount(0)),
             highest: SlotCount(0),
@@ -41,14 +42,11 @@
         self.fencing = self.fencing.max(order.fencing);
         match order.kind {
             OrderKind::Join { membership, .. } => {
-                if self.joined_at.is_none() {
-                    self.joined_at = Some(Instant::now());
-                }
+                self.loading_since.get_or_insert_with(Instant::now);
                 self.membership = Some(membership);
             }
             OrderKind::Leave { membership } if self.membership.as_ref() == Some(&membership) => {
                 self.membership = None;
-                self.joined_at = None;
             }
             OrderKind::Leave { .. } => {}
         }
@@ -78,7 +76,7 @@
 
     /// Falls back into a cold start.
     pub(super) fn fall_cold(&mut self) {
-        self.joined_at = self.joined_at.map(|_| Instant::now());
+        self.loading_since = self.loading_since.map(|_| Instant::now());
     }
 
     /// Starts a request, or returns `false` when it is more than the engine can bear.
@@ -104,7 +102,7 @@
 
     fn is_warm(&self) -> bool {
         let cold_start = self.options.cold_start_ms.duration();
-        self.joined_at
-            .is_some_and(|joined_at| joined_at.elapsed() >= cold_start)
+        self.loading_since
+            .is_some_and(|since| since.elapsed() >= cold_start)
     }
 }
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -6,14 +6,20 @@
 mod fleet_poller;
 mod group_keeper;
 mod group_supervisor;
+mod group_watch;
 mod instance_poller;
 mod lease_seat;
+mod member_probe;
+mod member_watch;
 mod peer_supervisor;
 mod peer_task;
+mod plan_inventory;
 mod plan_supervisor;
 mod plan_transactions;
 mod planner;
+mod probe_outcome;
 mod slot_releaser;
+mod weight_loads;
 
 pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
 pub use self::group_supervisor::supervise_groups;
--- a/src/cuminlb/control/plan_transactions.rs
+++ b/src/cuminlb/control/plan_transactions.rs
@@ -1,11 +1,10 @@
 //! [`PlanTransactions`].
 
-use cuminlb_events::EventKind;
-use cuminlb_fleet::planning::PlanStep;
+use cuminlb_events::{DissolveCause, EventKind};
+use cuminlb_fleet::planning::{PlanStep, RosterChange};
 use cuminlb_fleet::rows::{GroupRecord, GroupState, InstanceRow, Roster, RowKeys};
 use cuminlb_platform::{CommitOutcome, Row, TableError, Transaction};
 use cuminlb_types::prelude::*;
-use smol_str::format_smolstr;
 
 use super::fleet_poller::put_roster;
 use crate::node::Node;
@@ -34,130 +33,88 @@
         self.node.table.read(&RowKeys::roster(self.service)).await
     }
 
-    /// Carries out one step of a plan; returns whether it was committed.
+    /// Carries out one step of a plan; returns what it changed if it was committed.
     ///
     /// # Errors
     ///
     /// Returns [`TableError`] when the table gave no certain answer.
-    pub async fn carry_out(&self, step: PlanStep) -> Result<bool, TableError> {
-        match step {
-            PlanStep::Form {
-                zone,
-                domain,
-                members,
-            } => self.form(zone, domain, members).await,
-            PlanStep::Repair { group, members } => self.repair(&group, members).await,
-            PlanStep::Dissolve { group } => self.dissolve(&group).await,
+    pub async fn carry_out(&self, step: &PlanStep) -> Result<Option<RosterChange>, TableError> {
+        let row = self.read_roster().await?;
+        let version = row.as_ref().map(|row| row.version);
+        let roster = row.map(|row| row.value).unwrap_or_default();
+        let Some(change) = RosterChange::of(self.service, &roster, step) else {
+            return Ok(None);
+        };
+        let transaction = Transaction::new(self.node.table.new_operation());
+        let committed = self.commit(transaction, version, &change).await?;
+        if committed {
+            self.note_step(step, &change.group);
         }
+        Ok(committed.then_some(change))
     }
 
-    /// Marks a group broken, if its epoch is still the same and the lease row is as its owner
-    /// last wrote it; returns whether it was committed.
+    /// Moves a group to another state as its owner, if its epoch is still the same and the lease
+    /// row is as its owner last wrote it; returns whether it was committed.
     ///
     /// # Errors
     ///
     /// Returns [`TableError`] when the table gave no certain answer.
-    pub async fn mark_broken(
+    pub async fn mark(
         &self,
         record: &GroupRecord,
-        missing: Vec<InstanceId>,
+        state: GroupState,
         lease_version: RowVersion,
     ) -> Result<bool, TableError> {
-        let Some(mut row) = self.read_roster().await? else {
+        let Some(row) = self.read_roster().await? else {
             return Ok(false);
         };
-        let groups = &mut row.value.groups;
-        let Some(group) = groups.iter_mut().find(|group| *group == record) else {
+        let change = RosterChange::mark(&row.value, &record.id, record.epoch, state);
+        let Some(change) = change else {
             return Ok(false);
         };
-        group.state = GroupState::Broken { missing };
         let lease = RowKeys::lease(&RowKeys::group_lease(&record.id));
         let transaction =
             Transaction::new(self.node.table.new_operation()).check(lease, Some(lease_version));
-        self.commit(transaction, Some(row.version), row.value).await
+        self.commit(transaction, Some(row.version), &change).await
     }
 
-    async fn form(
+    /// Commits a change of the roster with the rows of the instances that join or leave, and
+    /// takes the roster in on success.
+    async fn commit(
         &self,
-        zone: ZoneId,
-        domain: FabricDomainId,
-        members: Vec<InstanceId>,
+        transaction: Transaction,
+        version: Option<RowVersion>,
+        change: &RosterChange,
     ) -> Result<bool, TableError> {
-        let row = self.read_roster().await?;
-        let version = row.as_ref().map(|row| row.version);
-        let mut roster = row.map(|row| row.value).unwrap_or_default();
-        let epoch = roster.next_epoch.next();
-        let Some(id) = self.group_id(epoch) else {
-            return Ok(false);
-        };
-        roster.next_epoch = epoch;
-        let group = GroupRecord {
-            id,
-            epoch,
-            zone,
-            domain,
-            members,
-            state: GroupState::Intact,
-        };
-        let mut transaction = Transaction::new(self.node.table.new_operation());
-        for member in &group.members {
-            let value = self.instance_row(&group);
-            transaction = transaction.put(RowKeys::instance(member), None, &value)?;
-        }
-        roster.groups.push(group.clone());
-        let committed = self.commit(transaction, version, roster).await?;
-        if committed {
-            self.note_formed(&group);
+        let transaction = self.free(transaction, &change.group.id, &change.freed);
+        let transaction = self.claim(transaction.await?, change)?;
+        let transaction =
+            transaction.put(RowKeys::roster(self.service), version, &change.roster)?;
+        let within = self.node.settings.platform.timeout_ms.duration() * 2;
+        match self.node.table.commit(&transaction, within).await? {
+            CommitOutcome::Committed { version } => {
+                put_roster(self.node, self.service, version, change.roster.clone());
+                Ok(true)
+            }
+            CommitOutcome::Conflict { .. } => Ok(false),
         }
-        Ok(committed)
     }
 
-    async fn repair(&self, id: &GroupId, members: Vec<InstanceId>) -> Result<bool, TableError> {
-        let Some(row) = self.read_roster().await? else {
-            return Ok(false);
-        };
-        let mut roster = row.value;
-        let epoch = roster.next_epoch.next();
-        roster.next_epoch = epoch;
-        let Some(group) = roster.groups.iter_mut().find(|group| group.id == *id) else {
-            return Ok(false);
+    /// Adds the rows of the instances that join; each must be free.
+    fn claim(
+        &self,
+        mut transaction: Transaction,
+        change: &RosterChange,
+    ) -> Result<Transaction, TableError> {
+        let row = InstanceRow {
+            service: self.service.clone(),
+            group: change.group.id.clone(),
+            epoch: change.group.epoch,
         };
-        let before = std::mem::replace(&mut group.members, members);
-        group.epoch = epoch;
-        group.state = GroupState::Intact;
-        let group = group.clone();
-        let transaction = Transaction::new(self.node.table.new_operation());
-        let gone = before
-            .iter()
-            .filter(|member| !group.members.contains(member));
-        let mut transaction = self.free(transaction, id, gone).await?;
-        for member in group
-            .members
-            .iter()
-            .filter(|member| !before.contains(member))
-        {
-            let value = self.instance_row(&group);
-            transaction = transaction.put(RowKeys::instance(member), None, &value)?;
-        }
-        let committed = self.commit(transaction, Some(row.version), roster).await?;
-        if committed {
-            self.note_formed(&group);
+        for member in &change.joined {
+            transaction = transaction.put(RowKeys::instance(member), None, &row)?;
         }
-        Ok(committed)
-    }
-
-    async fn dissolve(&self, id: &GroupId) -> Result<bool, TableError> {
-        let Some(row) = self.read_roster().await? else {
-            return Ok(false);
-        };
-        let mut roster = row.value;
-        let Some(at) = roster.groups.iter().position(|group| group.id == *id) else {
-            return Ok(false);
-        };
-        let group = roster.groups.remove(at);
-        let transaction = Transaction::new(self.node.table.new_operation());
-        let transaction = self.free(transaction, id, group.members.iter()).await?;
-        self.commit(transaction, Some(row.version), roster).await
+        Ok(transaction)
     }
 
     /// Adds the removal of the rows of instances that leave a group.
@@ -165,9 +122,12 @@
         &self,
         mut transaction: Transaction,
         group: &GroupId,
-        members: impl Iterator<Item = &InstanceId>,
+        members: &[InstanceId],
     ) -> Result<Transaction, TableError> {
-        let keys: Vec<RowKey> = members.map(RowKeys::instance).collect();
+        if members.is_empty() {
+            return Ok(transaction);
+        }
+        let keys: Vec<RowKey> = members.iter().map(RowKeys::instance).collect();
         let rows = self.node.table.read_many::<InstanceRow>(&keys).await?;
         for (key, row) in keys.into_iter().zip(rows) {
             if let Some(row) = row.filter(|row| row.value.group == *group) {
@@ -177,42 +137,22 @@
         Ok(transaction)
     }
 
-    /// Commits a transaction together with the new roster, and takes the roster in on success.
-    async fn commit(
-        &self,
-        transaction: Transaction,
-        version: Option<RowVersion>,
-        roster: Roster,
-    ) -> Result<bool, TableError> {
-        let transaction = transaction.put(RowKeys::roster(self.service), version, &roster)?;
-        let within = self.node.settings.platform.timeout_ms.duration() * 2;
-        match self.node.table.commit(&transaction, within).await? {
-            CommitOutcome::Committed { version } => {
-                put_roster(self.node, self.service, version, roster);
-                Ok(true)
-            }
-            CommitOutcome::Conflict { .. } => Ok(false),
-        }
-    }
-
-    fn group_id(&self, epoch: Epoch) -> Option<GroupId> {
-        format_smolstr!("{}-{epoch}", self.service).parse().ok()
-    }
-
-    fn instance_row(&self, group: &GroupRecord) -> InstanceRow {
-        InstanceRow {
-            service: self.service.clone(),
-            group: group.id.clone(),
-            epoch: group.epoch,
-        }
-    }
-
-    fn note_formed(&self, group: &GroupRecord) {
-        self.node.events.record(EventKind::GroupFormed {
-            service: self.service.clone(),
-            group: group.id.clone(),
-            epoch: group.epoch,
-            members: group.members.clone(),
-        });
+    fn note_step(&self, step: &PlanStep, group: &GroupRecord) {
+        let (id, epoch) = (group.id.clone(), group.epoch);
+        let kind = match (step, &group.state) {
+            (PlanStep::Form { .. } | PlanStep::Repair { .. }, _) => EventKind::GroupFormed {
+                service: self.service.clone(),
+                group: id,
+                epoch,
+                members: group.members.clone(),
+            },
+            (PlanStep::Dissolve { .. }, GroupState::Drained) => EventKind::GroupDissolved {
+                group: id,
+                epoch,
+                cause: DissolveCause::NotWanted,
+            },
+            (PlanStep::Drain { .. } | PlanStep::Dissolve { .. }, _) => return,
+        };
+        self.node.events.record(kind);
     }
 }
--- a/src/cuminlb/control/planner.rs
+++ b/src/cuminlb/control/planner.rs
@@ -1,54 +1,58 @@
 //! Plans the groups of one service while this node holds the lease for it.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use cuminlb_events::EventKind;
 use cuminlb_fleet::lease::HeldLease;
-use cuminlb_fleet::planning::{Candidate, plan_groups};
-use cuminlb_fleet::rows::RowKeys;
-use cuminlb_platform::{InstanceRole, InstanceState, TableError};
+use cuminlb_fleet::planning::{PlanInput, PlanStep, RosterChange, plan_groups};
+use cuminlb_fleet::rows::{GroupRecord, GroupState, RowKeys};
+use cuminlb_platform::{ListRevision, TableError};
 use cuminlb_types::prelude::*;
+use cuminlb_upstream::{EngineOrder, Membership, OrderKind};
+use futures_util::future::join_all;
 use log::{debug, warn};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::plan_inventory::{list_candidates, probe_candidates};
 use super::plan_transactions::PlanTransactions;
+use super::weight_loads::WeightLoads;
 use super::{LeaseSeat, SeatError};
 use crate::node::{FleetView, Node};
 
 /// Takes the lease of a service's plan whenever it is free, and plans while it holds.
+///
+/// It plans once a renewal, and at once when the groups, the configuration or the list change.
 pub(super) async fn plan_service(node: Arc<Node>, service: ServiceId, stop: CancellationToken) {
     let lease = RowKeys::plan_lease(&service);
     let mut seat = LeaseSeat::new(Arc::clone(&node), lease.clone());
     let period = seat.terms().renewal_period_ms().duration();
+    let mut view = node.view.subscribe();
+    let mut planner = Planner {
+        node: Arc::clone(&node),
+        service: service.clone(),
+        loads: WeightLoads::default(),
+    };
     let mut held: Option<HeldLease> = None;
+    let mut renew_at = Instant::now();
     loop {
-        let outcome = match held {
-            None => seat.try_acquire().await,
-            Some(lease) => seat.renew(lease).await,
-        };
-        match outcome {
-            Ok(lease_now) => {
-                if held.is_none() {
-                    let lease = lease.clone();
-                    let fencing = lease_now.fencing;
-                    node.events
-                        .record(EventKind::LeaseAcquired { lease, fencing });
-                }
-                held = Some(lease_now);
-            }
-            Err(SeatError::HeldBy { .. }) => held = None,
-            Err(SeatError::Table(error)) => debug!("the lease {lease} is not renewed: {error}"),
+        if Instant::now() >= renew_at {
+            renew_at = Instant::now() + period;
+            held = hold(&node, &mut seat, held, &lease).await;
         }
         held = held.filter(|lease| lease.is_valid(Instant::now()));
+        let known = PlanBasis::of(&view.borrow_and_update(), &service);
         if let Some(lease) = held
-            && let Err(error) = plan_once(&node, &service, lease).await
+            && let Err(error) = planner.plan(lease).await
         {
             warn!("the groups of {service} can't be planned now: {error}");
         }
+        let changed = view.wait_for(|view| PlanBasis::of(view, &service) != known);
         tokio::select! {
             () = stop.cancelled() => break,
-            () = tokio::time::sleep(period) => {}
+            () = tokio::time::sleep_until(renew_at) => {}
+            _ = changed, if held.is_some() => {}
         }
     }
     if let Some(lease) = held {
@@ -56,48 +60,148 @@
     }
 }
 
-/// Carries out each step of the plan, one transaction each, while the lease is valid.
-async fn plan_once(
-    node: &Arc<Node>,
-    service: &ServiceId,
-    held: HeldLease,
-) -> Result<(), TableError> {
-    let view = node.view();
-    let Some(spec) = view.service(service) else {
-        return Ok(());
+/// Renews the lease, or tries to take it.
+async fn hold(
+    node: &Node,
+    seat: &mut LeaseSeat,
+    held: Option<HeldLease>,
+    lease: &LeaseName,
+) -> Option<HeldLease> {
+    let outcome = match held {
+        None => seat.try_acquire().await,
+        Some(held) => seat.renew(held).await,
     };
-    let plans = PlanTransactions::new(node, service);
-    let roster = plans.read_roster().await?;
-    let roster = roster.map(|row| row.value).unwrap_or_default();
-    for step in plan_groups(spec, &roster, &candidates(&view, service)) {
-        if !held.is_valid(Instant::now()) {
-            return Ok(());
+    match outcome {
+        Ok(held_now) => {
+            if held.is_none() {
+                let lease = lease.clone();
+                let fencing = held_now.fencing;
+                node.events
+                    .record(EventKind::LeaseAcquired { lease, fencing });
+            }
+            Some(held_now)
+        }
+        Err(SeatError::HeldBy { .. }) => None,
+        Err(SeatError::Table(error)) => {
+            debug!("the lease {lease} is not renewed: {error}");
+            held
         }
-        plans.carry_out(step).await?;
     }
-    Ok(())
 }
 
-/// Returns the instances of a service; those in a zone that is out, or leaving, are unusable.
-fn candidates(view: &FleetView, service: &ServiceId) -> Vec<Candidate> {
-    let role = InstanceRole::Upstream {
-        service: service.clone(),
-    };
-    let records = view
-        .listing
-        .instances
-        .iter()
-        .filter(|record| record.role == role);
-    records
-        .map(|record| Candidate {
-            instance: record.id.clone(),
-            zone: record.zone.clone(),
-            domain: record.domain.clone(),
-            accelerators: record.accelerators,
-            usable: record.state == InstanceState::Live
-                && view
-                    .spec()
-                    .is_some_and(|spec| spec.zone_is_in(&record.zone)),
-        })
-        .collect()
+/// The versions of what a plan is made from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PlanBasis {
+    roster: Option<RowVersion>,
+    config: ConfigVersion,
+    listing: ListRevision,
+}
+
+impl PlanBasis {
+    fn of(view: &FleetView, service: &ServiceId) -> Self {
+        Self {
+            roster: view.rosters.get(service).map(|roster| roster.row),
+            config: view.config_version(),
+            listing: view.listing.revision,
+        }
+    }
+}
+
+struct Planner {
+    node: Arc<Node>,
+    service: ServiceId,
+    loads: WeightLoads,
+}
+
+impl Planner {
+    /// Carries out each step of the plan, one transaction each, while the lease is valid.
+    async fn plan(&mut self, held: HeldLease) -> Result<(), TableError> {
+        let node = Arc::clone(&self.node);
+        let service = self.service.clone();
+        let plans = PlanTransactions::new(&node, &service);
+        let mut changes = Vec::new();
+        for step in self.steps(&plans).await? {
+            if !held.is_valid(Instant::now()) {
+                break;
+            }
+            let Some(change) = plans.carry_out(&step).await? else {
+                continue;
+            };
+            if matches!(step, PlanStep::Form { .. } | PlanStep::Repair { .. }) {
+                self.loads.start(&change.group);
+            }
+            changes.push(change);
+        }
+        self.release_engines(&changes).await;
+        Ok(())
+    }
+
+    /// Decides the steps. Instances are probed only if there would be something to do.
+    async fn steps(&mut self, plans: &PlanTransactions<'_>) -> Result<Vec<PlanStep>, TableError> {
+        let view = self.node.view();
+        let (Some(fleet), Some(service)) = (view.spec(), view.service(&self.service)) else {
+            return Ok(Vec::new());
+        };
+        let roster = plans.read_roster().await?;
+        let roster = roster.map(|row| row.value).unwrap_or_default();
+        let listed = list_candidates(&view, &self.service);
+        let mut input = PlanInput {
+            fleet,
+            service,
+            roster: &roster,
+            candidates: &listed,
+            load_budget: usize::MAX,
+        };
+        if plan_groups(&input).is_empty() {
+            return Ok(Vec::new());
+        }
+        self.loads.refresh(&self.node, &roster).await;
+        let probed = probe_candidates(&self.node, &view, &roster, listed.clone()).await;
+        input.candidates = &probed;
+        input.load_budget = self.loads.budget();
+        Ok(plan_groups(&input))
+    }
+
+    /// Orders the engines that were freed and not used again to leave their groups.
+    ///
+    /// An engine that does not hear the order stays in a group for which nobody grants a slot,
+    /// until it joins another one.
+    async fn release_engines(&self, changes: &[RosterChange]) {
+        let joined: HashSet<&InstanceId> =
+            changes.iter().flat_map(|change| &change.joined).collect();
+        let view = self.node.view();
+        let mut orders = Vec::new();
+        let ended = |change: &&RosterChange| change.group.state != GroupState::Intact;
+        for change in changes.iter().filter(ended) {
+            let missing = change.group.state.missing();
+            let freed = change.freed.iter();
+            for member in freed.filter(|id| !missing.contains(id) && !joined.contains(id)) {
+                if let Some(record) = view.instance(member) {
+                    orders.push((record.address, leave_order(&change.group)));
+                }
+            }
+        }
+        let orders = orders
+            .iter()
+            .map(|(address, order)| self.node.engines.order(*address, order));
+        for outcome in join_all(orders).await {
+            if let Err(error) = outcome {
+                debug!("an engine of {} did not leave: {error}", self.service);
+            }
+        }
+    }
+}
+
+/// Returns the order to leave a dissolved group; it has the highest number of its epoch, so that
+/// no order of the group's last owner comes after it.
+fn leave_order(group: &GroupRecord) -> EngineOrder {
+    EngineOrder {
+        fencing: group.order_fencing(FencingNumber(u64::MAX)),
+        kind: OrderKind::Leave {
+            membership: Membership {
+                group: group.id.clone(),
+                epoch: group.epoch,
+            },
+        },
+    }
 }
--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -1,6 +1,7 @@
 //! [`OwnedGroup`].
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cuminlb_config::ServiceSpec;
@@ -25,6 +26,7 @@
     lease: watch::Receiver<HeldLease>,
     proofs: Mutex<HashMap<InstanceId, Proof>>,
     ledger: Mutex<SlotLedger>,
+    draining: AtomicBool,
     /// Told when a slot came free or the group began to serve.
     pub changed: Notify,
 }
@@ -40,6 +42,7 @@
             lease,
             proofs: Mutex::default(),
             ledger,
+            draining: AtomicBool::new(false),
             changed: Notify::new(),
         }
     }
@@ -55,6 +58,27 @@
         self.changed.notify_waiters();
     }
 
+    /// Forgets the proof of a member that is certainly not up.
+    pub fn forget_proof(&self, member: &InstanceId) {
+        lock(&self.proofs).remove(member);
+    }
+
+    /// Grants no slots any more; those that are taken go on.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Tells whether no slots are granted any more.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Tells whether no slot is taken and no member reports that it runs a request.
+    pub fn is_idle(&self) -> bool {
+        let proofs = lock(&self.proofs);
+        self.taken() == SlotCount(0) && proofs.values().all(|proof| proof.running == SlotCount(0))
+    }
+
     /// Returns the newest proof of a member.
     pub fn proof(&self, member: &InstanceId) -> Option<Proof> {
         lock(&self.proofs).get(member).copied()
@@ -88,7 +112,7 @@
         epoch: Epoch,
         proof_max_age_ms: Millis,
     ) -> Result<(), SlotDenial> {
-        if !self.is_serving(Instant::now(), proof_max_age_ms) {
+        if self.is_draining() || !self.is_serving(Instant::now(), proof_max_age_ms) {
             return Err(SlotDenial::NotServing);
         }
         let limit = spec.slots(self.is_warm());
--- a/src/cuminlb/node/proof.rs
+++ b/src/cuminlb/node/proof.rs
@@ -19,6 +19,6 @@
 impl Proof {
     /// Tells whether the proof still counts.
     pub fn is_fresh(&self, now: Instant, max_age_ms: Millis) -> bool {
-        now.duration_since(self.at) <= max_age_ms.duration()
+        now.saturating_duration_since(self.at) <= max_age_ms.duration()
     }
 }
--- a/src/cuminlb/operating/status.rs
+++ b/src/cuminlb/operating/status.rs
@@ -2,7 +2,7 @@
 
 use cuminlb_caller::{GroupStatus, NodeStatus, OwnedGroupStatus, ServiceStatus};
 use cuminlb_config::ServiceSpec;
-use cuminlb_fleet::rows::{GroupRecord, GroupState};
+use cuminlb_fleet::rows::GroupRecord;
 use tokio::time::Instant;
 
 use crate::node::{FleetView, Node, OwnedGroup};
@@ -37,17 +37,13 @@
 }
 
 fn group_status(node: &Node, service: &ServiceSpec, group: &GroupRecord) -> GroupStatus {
-    let missing = match &group.state {
-        GroupState::Intact => Vec::new(),
-        GroupState::Broken { missing } => missing.clone(),
-    };
     let owned = node.owned.get(&group.id);
     GroupStatus {
         id: group.id.clone(),
         epoch: group.epoch,
         zone: group.zone.clone(),
         members: group.members.clone(),
-        missing,
+        missing: group.state.missing().to_vec(),
         owned: owned.map(|owned| owned_status(node, service, &owned)),
     }
 }
