--- a/crates/cuminlb-fleet/src/planning/instance_pool.rs
+++ b/crates/cuminlb-fleet/src/planning/instance_pool.rs
@@ -98,7 +98,7 @@
     /// Returns the members of a group after a repair and how many of them load weights, or
     /// `None` where the fabric domain has too few spares.
     ///
-    /// A missing member that answers again takes its own place.
+    /// A missing member that answers again takes its own place, unless a spare serves sooner.
     pub(super) fn repair(
         &mut self,
         input: &PlanInput<'_>,
@@ -119,7 +119,7 @@
             let reported = group.state.missing().contains(member);
             let replacement = match input.candidate(member).filter(|found| found.usable) {
                 Some(_) if !reported => None,
-                Some(returned) => Some(returned.clone()),
+                Some(returned) => Some(self.spare_or(returned)),
                 None => Some(spares.pop()?),
             };
             loads += usize::from(
@@ -138,6 +138,20 @@
         Some((members, loads))
     }
 
+    /// Returns a spare where that loads no more than a member that answers again, whose trouble
+    /// may not be over.
+    fn spare_or(&mut self, returned: &Candidate) -> Candidate {
+        let free = self.free.get(&returned.domain);
+        let has_warm = free.is_some_and(|free| free.iter().any(|spare| spare.holds_weights));
+        if returned.holds_weights && !has_warm {
+            return returned.clone();
+        }
+        let spare = self
+            .take(&returned.domain, 1)
+            .and_then(|mut taken| taken.pop());
+        spare.unwrap_or_else(|| returned.clone())
+    }
+
     fn add(&mut self, candidate: Candidate) {
         let domain = candidate.domain.clone();
         self.free.entry(domain).or_default().push(candidate);
