--- a/crates/cuminlb-test-support/src/site.rs
+++ b/crates/cuminlb-test-support/src/site.rs
@@ -68,6 +68,8 @@
     pub record: InstanceRecord,
     /// The process.
     pub process: Process,
+    example: &'static str,
+    arguments: Vec<String>,
 }
 
 impl Site {
@@ -383,6 +385,24 @@
         Ok(())
     }
 
+    /// Kills an engine or a worker and starts it anew.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError`] when the process can't be started.
+    pub async fn restart_upstream(&mut self, upstream: usize) -> Result<(), SiteError> {
+        self.upstreams[upstream].process.kill().await;
+        let SiteUpstream {
+            record,
+            example,
+            arguments,
+            ..
+        } = &self.upstreams[upstream];
+        let process = self.upstream_process(record, example, arguments)?;
+        self.upstreams[upstream].process = process;
+        Ok(())
+    }
+
     /// Shuts every process down and waits for its end.
     pub async fn shut_down(mut self) {
         for node in &mut self.nodes {
@@ -447,16 +467,30 @@
 
     fn start_upstream(
         &mut self,
-        example: &str,
+        example: &'static str,
         record: InstanceRecord,
         arguments: Vec<String>,
     ) -> Result<(), SiteError> {
-        let log = self.folder.path().join(format!("{}.log", record.id));
-        let process = Process::start(&self.programs.example(example), arguments, log)?;
-        self.upstreams.push(SiteUpstream { record, process });
+        let process = self.upstream_process(&record, example, &arguments)?;
+        self.upstreams.push(SiteUpstream {
+            record,
+            process,
+            example,
+            arguments,
+        });
         Ok(())
     }
 
+    fn upstream_process(
+        &self,
+        record: &InstanceRecord,
+        example: &str,
+        arguments: &[String],
+    ) -> Result<Process, SiteError> {
+        let log = self.folder.path().join(format!("{}.log", record.id));
+        Process::start(&self.programs.example(example), arguments, log)
+    }
+
     #[expect(
         clippy::expect_used,
         reason = "names and numbers of a test form valid ids"
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,7 +7,10 @@
     reason = "a test fails by panicking"
 )]
 
+mod fleet_support;
+mod groups;
 mod latency;
 mod plan_faults;
 mod whole_path;
 mod wrong_files;
+mod zones;
--- /dev/null
+++ b/tests/testsuite/zones.rs
@@ -0,0 +1,203 @@
+//! Availability zones that operators take out and bring back.
+
+use std::collections::HashSet;
+
+use cuminlb_caller::GroupStatus;
+use cuminlb_events::EventKind;
+use cuminlb_standins::EngineOptions;
+use cuminlb_test_support::{Answer, ModelPlan, Site, SiteBuilder, SiteError, wait_until};
+use cuminlb_types::prelude::*;
+use http::{Method, StatusCode};
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::fleet_support::{Callers, MODEL, events, groups, serves, wait_groups};
+
+/// The time after which a zone that was taken out may receive no new work.
+const ZONE_OUT_BOUND_MS: u64 = 5_000;
+
+/// The number of tokens of a stream that outlasts the bound.
+const LONG_STREAM_TOKENS: usize = 800;
+
+/// Starts long streams through each node.
+fn start_streams(site: &Site, count: usize) -> JoinSet<Result<Answer, SiteError>> {
+    let mut streams = JoinSet::new();
+    for number in 0..count {
+        let url = site.caller_url(number % site.nodes.len(), "/v1/chat/completions");
+        let client = site.client().clone();
+        let authorization = format!("Bearer {}", site.api_key());
+        streams.spawn(async move {
+            let body = json!({
+                "model": MODEL,
+                "stream": true,
+                "max_tokens": LONG_STREAM_TOKENS,
+                "messages": [],
+            });
+            let headers = [("authorization", authorization.as_str())];
+            client
+                .call(Method::POST, &url, &headers, body.to_string())
+                .await
+        });
+    }
+    streams
+}
+
+/// Returns when each request was sent to one of the groups.
+async fn sent_to(site: &Site, wanted: &HashSet<GroupId>) -> Vec<UnixMillis> {
+    let events = events(site).await;
+    let sent = events.iter().filter(|event| {
+        matches!(&event.kind, EventKind::RequestSent { group, .. } if wanted.contains(group))
+    });
+    sent.map(|event| event.time.wall_ms).collect()
+}
+
+fn in_zone(found: &[GroupStatus], zone: &ZoneId) -> HashSet<GroupId> {
+    let groups = found.iter().filter(|group| group.zone == *zone);
+    groups.map(|group| group.id.clone()).collect()
+}
+
+fn serving_outside(found: &[GroupStatus], zone: &ZoneId) -> usize {
+    let groups = found.iter();
+    groups
+        .filter(|group| serves(group) && group.zone != *zone)
+        .count()
+}
+
+#[tokio::test]
+async fn a_zone_taken_out_ends_its_streams_and_gets_no_new_work() {
+    let engine = EngineOptions {
+        cold_start_ms: Millis(100),
+        token_gap_ms: Millis(10),
+        ..EngineOptions::default()
+    };
+    let site = SiteBuilder::default()
+        .nodes(3)
+        .model(ModelPlan::new(MODEL, 3, 2).spares(6).engine(engine))
+        .start_serving()
+        .await
+        .unwrap();
+    let before = groups(&site).await;
+    let zone = before[0].zone.clone();
+    let inside = in_zone(&before, &zone);
+    let mut streams = start_streams(&site, 9);
+    wait_until("a stream is in flight in the zone", async || {
+        !sent_to(&site, &inside).await.is_empty()
+    })
+    .await
+    .unwrap();
+    let callers = Callers::start(&site, 6);
+    site.apply(&site.fleet_toml_without(&[zone.as_str()]))
+        .await
+        .unwrap();
+    let out_at = UnixMillis::now().get();
+    wait_groups(&site, "three groups serve elsewhere", |found| {
+        serving_outside(found, &zone) == 3
+    })
+    .await;
+    wait_until("the bound has passed", async || {
+        UnixMillis::now().get() > out_at + ZONE_OUT_BOUND_MS + 1_000
+    })
+    .await
+    .unwrap();
+    let found = groups(&site).await;
+    let last = sent_to(&site, &in_zone(&found, &zone)).await;
+    let last = last.into_iter().map(UnixMillis::get).max().unwrap();
+    assert!(
+        last <= out_at + ZONE_OUT_BOUND_MS,
+        "sent {} ms after the zone was taken out",
+        last - out_at
+    );
+    while let Some(stream) = streams.join_next().await {
+        let answer = stream.unwrap().unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        let text = answer.text();
+        let chunks = text.matches("chat.completion.chunk").count();
+        assert_eq!(chunks, LONG_STREAM_TOKENS);
+        assert!(text.ends_with("data: [DONE]\n\n"));
+    }
+    site.apply(&site.fleet_toml()).await.unwrap();
+    let back_at = UnixMillis::now();
+    wait_until("the zone gets work again", async || {
+        let sent = sent_to(&site, &inside).await;
+        sent.into_iter().any(|at| at > back_at)
+    })
+    .await
+    .unwrap();
+    wait_groups(&site, "the excess group has ended", |found| {
+        found.len() == 3 && found.iter().all(serves)
+    })
+    .await;
+    let statuses = callers.stop().await;
+    let failed = statuses.iter().filter(|status| **status != 200).count();
+    assert_eq!(failed, 0, "of {} requests", statuses.len());
+    site.shut_down().await;
+}
+
+#[tokio::test]
+async fn a_zone_that_returns_cold_is_not_flooded() {
+    let engine = EngineOptions {
+        cold_start_ms: Millis(2_000),
+        cold_limit: SlotCount(2),
+        warm_limit: SlotCount(16),
+        ..EngineOptions::default()
+    };
+    let mut site = SiteBuilder::default()
+        .nodes(3)
+        .model(ModelPlan::new(MODEL, 3, 2).engine(engine))
+        .start_serving()
+        .await
+        .unwrap();
+    let is_warm = |group: &GroupStatus| group.owned.is_some_and(|owned| owned.warm);
+    wait_groups(&site, "every group is warm", |found| {
+        found.iter().all(is_warm)
+    })
+    .await;
+    let before = groups(&site).await;
+    let zone = before[0].zone.clone();
+    site.apply(&site.fleet_toml_without(&[zone.as_str()]))
+        .await
+        .unwrap();
+    let members: Vec<usize> = before
+        .iter()
+        .filter(|group| group.zone == zone)
+        .flat_map(|group| &group.members)
+        .map(|member| site.upstream_index(member).unwrap())
+        .collect();
+    for member in &members {
+        site.restart_upstream(*member).await.unwrap();
+    }
+    wait_groups(&site, "the groups of the zone are gone", |found| {
+        in_zone(found, &zone).is_empty()
+    })
+    .await;
+    let callers = Callers::start(&site, 60);
+    site.apply(&site.fleet_toml()).await.unwrap();
+    let found = wait_groups(&site, "a cold group takes requests", |found| {
+        let takes = |group: &&GroupStatus| group.zone == zone && !is_warm(group);
+        let mut owned = found.iter().filter(takes).filter_map(|group| group.owned);
+        owned.any(|owned| owned.taken > SlotCount(0))
+    })
+    .await;
+    for group in found.iter().filter(|group| group.zone == zone) {
+        assert!(group.owned.is_none_or(|owned| owned.limit == SlotCount(2)));
+    }
+    wait_groups(&site, "the group is warm", |found| {
+        found
+            .iter()
+            .any(|group| group.zone == zone && is_warm(group))
+    })
+    .await;
+    let inside = in_zone(&groups(&site).await, &zone);
+    let sent = sent_to(&site, &inside).await.len();
+    wait_until("the warm group takes more", async || {
+        sent_to(&site, &inside).await.len() > sent + 100
+    })
+    .await
+    .unwrap();
+    callers.stop().await;
+    for member in members {
+        let crashed = site.upstreams[member].process.has_ended();
+        assert!(!crashed, "a cold engine was given more than it can bear");
+    }
+    site.shut_down().await;
+}
