--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! [`serve_peers`].
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 use futures_util::StreamExt;
 use log::{debug, warn};
 use tarpc::context::Context;
@@ -12,7 +12,9 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+};
 use crate::{PeerApi, PeerHandler, PeerToken};
 
 /// The number of calls of one peer that may run at once.
@@ -71,18 +73,32 @@
 
 impl<H: PeerHandler> PeerApi for Server<H> {
     async fn exchange(self, _: Context, statement: PeerStatement) -> PeerStatement {
+        self.handler.note_received("exchange");
         self.handler.exchange(statement)
     }
 
     async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
+        self.handler.note_received("acquire_slot");
         self.handler.acquire_slot(request).await
     }
 
-    async fn release_slot(self, _: Context, release: SlotRelease) {
-        self.handler.release_slot(release);
+    async fn release_slots(self, _: Context, release: SlotRelease) {
+        self.handler.note_received("release_slots");
+        self.handler.release_slots(release);
+    }
+
+    async fn renew_slots(self, _: Context, renewal: SlotRenewal) -> RenewalAnswer {
+        self.handler.note_received("renew_slots");
+        self.handler.renew_slots(renewal)
     }
 
     async fn events(self, _: Context, query: EventsQuery) -> Vec<Event> {
+        self.handler.note_received("events");
         self.handler.events(query)
     }
+
+    async fn report(self, _: Context) -> NodeReport {
+        self.handler.note_received("report");
+        self.handler.report()
+    }
 }
--- a/src/cuminlb/control/group_keeper.rs
+++ b/src/cuminlb/control/group_keeper.rs
@@ -45,6 +45,7 @@
         };
         let held = keeper.keep(&mut seat, acquired, &stop).await;
         node.owned.remove(&group);
+        node.group_trail.forget(&group);
         if stop.is_cancelled() {
             seat.release(held).await;
             return;
--- a/src/cuminlb/control/member_probe.rs
+++ b/src/cuminlb/control/member_probe.rs
@@ -86,9 +86,11 @@
         if !was_serving && self.owned.is_serving(Instant::now(), max_age_ms) {
             let group = self.owned.record.id.clone();
             let epoch = self.owned.record.epoch;
-            self.node
-                .events
-                .record(EventKind::GroupServing { group, epoch });
+            self.node.events.record(EventKind::GroupServing {
+                service: self.owned.service.clone(),
+                group,
+                epoch,
+            });
         }
     }
 
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -19,6 +19,7 @@
 mod planner;
 mod probe_outcome;
 mod slot_releaser;
+mod slot_reporter;
 mod weight_loads;
 
 pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
--- a/src/cuminlb/control/plan_transactions.rs
+++ b/src/cuminlb/control/plan_transactions.rs
@@ -147,6 +147,7 @@
                 members: group.members.clone(),
             },
             (PlanStep::Dissolve { .. }, GroupState::Drained) => EventKind::GroupDissolved {
+                service: self.service.clone(),
                 group: id,
                 epoch,
                 cause: DissolveCause::NotWanted,
--- a/tests/testsuite/fleet_support.rs
+++ b/tests/testsuite/fleet_support.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cuminlb_caller::{EventsRequest, GroupStatus};
+use cuminlb_caller::{EventsReport, EventsRequest, GroupStatus};
 use cuminlb_events::{Event, EventKind};
 use cuminlb_standins::EngineOptions;
 use cuminlb_test_support::{ModelPlan, Site, wait_until};
@@ -79,22 +79,12 @@
         limit: 100_000,
         ..EventsRequest::default()
     };
-    let mut all: Vec<Event> = Vec::new();
-    for node in 0..site.nodes.len() {
-        let answer = site
-            .operator_call(node, Method::POST, "/events", json!(request))
-            .await
-            .unwrap();
-        let found: Vec<Event> = serde_json::from_slice(&answer.body).unwrap();
-        all.extend(
-            found
-                .into_iter()
-                .filter(|event| !all.contains(event))
-                .collect::<Vec<_>>(),
-        );
-    }
-    all.sort_by_key(|event| event.time);
-    all
+    let answer = site
+        .operator_call(0, Method::POST, "/events", json!(request))
+        .await
+        .unwrap();
+    let report: EventsReport = serde_json::from_slice(&answer.body).unwrap();
+    report.events
 }
 
 /// Returns when each request was sent to a group at an epoch.
--- a/tests/testsuite/groups.rs
+++ b/tests/testsuite/groups.rs
@@ -30,6 +30,7 @@
             group,
             epoch,
             cause,
+            ..
         } if *group == wanted.id && *epoch == wanted.epoch => Some(cause.clone()),
         _ => None,
     })
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,10 +7,17 @@
     reason = "a test fails by panicking"
 )]
 
+mod cold_start;
+mod command_line;
 mod fleet_support;
 mod groups;
 mod latency;
+mod metrics;
+mod pages;
 mod plan_faults;
+mod support;
+mod text_difference;
+mod timeline;
 mod whole_path;
 mod wrong_files;
 mod zones;
