Show a group as serving only once its owner grants slots

Cause: with a ledger that waits at first, five tests of processes called a group 2 s too early (no_slot), because the status said that it served.

Change: the status says so once the ledger is complete too.

--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -101,6 +101,12 @@
         self.lease().is_valid(now) && self.record.members.iter().all(is_proved)
     }
 
+    /// Tells whether the group serves and its ledger is complete, so that slots are granted.
+    pub fn is_granting(&self, now: Instant, proof_max_age_ms: Millis) -> bool {
+        let is_complete = self.with_ledger(|ledger| !ledger.is_recovering());
+        is_complete.unwrap_or(false) && self.is_serving(now, proof_max_age_ms)
+    }
+
     /// Tells whether every member has left its cold start behind.
     pub fn is_warm(&self) -> bool {
         let proofs = lock(&self.proofs);
--- a/src/cuminlb/observing/node_report.rs
+++ b/src/cuminlb/observing/node_report.rs
@@ -36,7 +36,7 @@
                 GroupReport {
                     group: group.record.id.clone(),
                     epoch: group.record.epoch,
-                    serving: group.is_serving(now, max_age_ms),
+                    serving: group.is_granting(now, max_age_ms),
                     warm,
                     taken: group.taken(),
                     limit: service.slots(warm),
