Load the weights of spares in advance, and count loads in members

Nearly all avoidable downtime was the load of a cold spare, and a budget of four loading groups held back repairs of one member each while the weight store had room.

Change: the budget counts members. While no group loads, the planner looks at the spares every 20 s and orders those in a domain with a group to load (OrderKind::Load), domains with the fewest warm spares first. Such an order carries a number below those of every later group.

--- a/crates/cuminlb-fleet/src/planning/group_plan.rs
+++ b/crates/cuminlb-fleet/src/planning/group_plan.rs
@@ -16,7 +16,7 @@
 /// its fabric domain; where these do not suffice, the group of the domain that misses the most
 /// members is dissolved, and its survivors, which hold the weights already, repair the others.
 /// Then new groups are formed. What brings a group back with the fewest loads from the weight
-/// store comes first, and only as many groups load at once as the budget allows.
+/// store comes first; once the budget of members that load is used up, the rest waits.
 pub fn plan_groups(input: &PlanInput<'_>) -> Vec<PlanStep> {
     let review = GroupReview::of(input);
     let mut plan = Plan::new(input, &review);
@@ -185,7 +185,7 @@
                 return true;
             }
             let within = budget > 0;
-            budget = budget.saturating_sub(1);
+            budget = budget.saturating_sub(gain.loads);
             within
         });
         let steps = self.endings.into_iter().chain(gains.map(|gain| gain.step));
--- a/crates/cuminlb-fleet/src/planning/mod.rs
+++ b/crates/cuminlb-fleet/src/planning/mod.rs
@@ -12,6 +12,7 @@
 mod plan_step;
 mod planned_member;
 mod roster_change;
+mod spare_loads;
 
 pub use self::candidate::Candidate;
 pub use self::group_plan::plan_groups;
@@ -20,3 +21,4 @@
 pub use self::plan_step::PlanStep;
 pub use self::planned_member::PlannedMember;
 pub use self::roster_change::RosterChange;
+pub use self::spare_loads::choose_spares;
--- a/crates/cuminlb-fleet/src/planning/plan_input.rs
+++ b/crates/cuminlb-fleet/src/planning/plan_input.rs
@@ -17,8 +17,9 @@
     pub roster: &'a Roster,
     /// The instances of the service.
     pub candidates: &'a [Candidate],
-    /// The number of groups that may start to load weights now. The weight store is
-    /// rate-limited, so that groups which all load at once are all ready only at the end.
+    /// The number of members that may start to load weights now; the last group that starts may
+    /// exceed it. The weight store is rate-limited, so that groups which all load at once are all
+    /// ready only at the end.
     pub load_budget: usize,
 }
 
--- a/crates/cuminlb-fleet/src/rows/group_record.rs
+++ b/crates/cuminlb-fleet/src/rows/group_record.rs
@@ -38,9 +38,9 @@
     /// epoch comes first, so that an engine that moves from one group to another takes the
     /// orders of the later one and refuses those of the earlier one.
     pub const fn order_fencing(&self, lease: FencingNumber) -> FencingNumber {
-        let epoch = self.epoch.get() << LEASE_FENCING_BITS;
         let lease_mask = (1 << LEASE_FENCING_BITS) - 1;
-        FencingNumber(epoch | (lease.get() & lease_mask))
+        let epoch = epoch_fencing(self.epoch);
+        FencingNumber(epoch.get() | (lease.get() & lease_mask))
     }
 
     /// Tells whether a start of a member's process is the one that belongs to this epoch.
@@ -48,3 +48,8 @@
         self.incarnations.get(member) == Some(&incarnation)
     }
 }
+
+/// Returns the lowest fencing number of the orders of an epoch.
+pub(super) const fn epoch_fencing(epoch: Epoch) -> FencingNumber {
+    FencingNumber(epoch.get() << LEASE_FENCING_BITS)
+}
--- a/crates/cuminlb-fleet/src/rows/roster.rs
+++ b/crates/cuminlb-fleet/src/rows/roster.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::GroupRecord;
+use super::group_record::epoch_fencing;
 
 /// All groups of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -26,4 +27,9 @@
             .iter_mut()
             .find(|group| group.id == *id && group.epoch == epoch)
     }
+    /// Returns the fencing number of an order to an instance that is in no group; the orders of
+    /// the group that it joins next have higher ones.
+    pub const fn free_order_fencing(&self) -> FencingNumber {
+        epoch_fencing(self.next_epoch)
+    }
 }
--- a/crates/cuminlb-fleet/tests/planning/decisions.rs
+++ b/crates/cuminlb-fleet/tests/planning/decisions.rs
@@ -1,6 +1,6 @@
 //! What a plan decides in situations that an operator would ask about.
 
-use cuminlb_fleet::planning::PlanStep;
+use cuminlb_fleet::planning::{PlanInput, PlanStep, choose_spares};
 use cuminlb_fleet::rows::GroupState;
 use cuminlb_types::prelude::*;
 
@@ -142,6 +142,12 @@
     assert_eq!(order, ["b", "c", "a"]);
     let order: Vec<String> = world.plan(1).iter().map(domain).collect();
     assert_eq!(order, ["b"]);
+    let order: Vec<String> = world.plan(2).iter().map(domain).collect();
+    assert_eq!(
+        order,
+        ["b", "c"],
+        "one load of b leaves one for c, which may exceed it"
+    );
     assert!(world.plan(0).is_empty());
 }
 
@@ -232,3 +238,32 @@
     assert!(second.order_fencing(FencingNumber(1)) > early);
     assert!(first.order_fencing(FencingNumber(901)) > early);
 }
+
+#[test]
+fn spares_load_beside_groups_and_where_there_are_none_first() {
+    let domains = [("a", "lami", 4), ("b", "nasese", 3), ("c", "nasese", 1)];
+    let mut world = World::new(fleet(2, 2, EVEN, &[]), &domains);
+    world.plan_and_carry_out();
+    let choose = |world: &World, load_budget| {
+        choose_spares(&PlanInput {
+            fleet: &world.fleet,
+            service: &world.fleet.services[0],
+            roster: &world.roster,
+            candidates: &world.candidates(),
+            load_budget,
+        })
+    };
+    let domains = |spares: Vec<InstanceId>| {
+        let domains = spares.iter().map(|spare| spare.as_str()[..1].to_owned());
+        domains.collect::<Vec<_>>()
+    };
+    assert_eq!(
+        domains(choose(&world, 9)),
+        ["a", "b", "a"],
+        "c has no group"
+    );
+    assert_eq!(domains(choose(&world, 2)), ["a", "b"]);
+    let first = choose(&world, 1).remove(0);
+    world.machines.get_mut(&first).unwrap().holds_weights = true;
+    assert_eq!(domains(choose(&world, 9)), ["b", "a"]);
+}
--- a/crates/cuminlb-standins/src/engine/state.rs
+++ b/crates/cuminlb-standins/src/engine/state.rs
@@ -41,6 +41,9 @@
         }
         self.fencing = self.fencing.max(order.fencing);
         match order.kind {
+            OrderKind::Load => {
+                self.loading_since.get_or_insert_with(Instant::now);
+            }
             OrderKind::Join { membership, .. } => {
                 self.loading_since.get_or_insert_with(Instant::now);
                 self.membership = Some(membership);
--- a/crates/cuminlb-upstream/src/order/engine_order.rs
+++ b/crates/cuminlb-upstream/src/order/engine_order.rs
@@ -20,6 +20,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderKind {
+    /// Load the weights of the model, without joining a group yet.
+    Load,
     /// Load its part of the model and join a group.
     Join {
         /// The group and the epoch to join.
--- a/examples/fleet_measure/machine.rs
+++ b/examples/fleet_measure/machine.rs
@@ -31,7 +31,7 @@
         if up && !self.up {
             self.incarnation = self.incarnation.next();
         }
-        if !up {
+        if up != self.up {
             self.loaded = 0.0;
         }
         self.up = up;
--- a/examples/fleet_measure/simulation.rs
+++ b/examples/fleet_measure/simulation.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use cuminlb_config::FleetSpec;
-use cuminlb_fleet::planning::{Candidate, PlanInput, PlanStep, RosterChange, plan_groups};
+use cuminlb_fleet::planning::{Candidate, PlanInput, RosterChange, choose_spares, plan_groups};
 use cuminlb_fleet::rows::{GroupRecord, GroupState, Roster};
 use cuminlb_types::prelude::*;
 
@@ -17,8 +17,8 @@
 /// The shortest time in which one instance loads its weights.
 const MIN_LOAD_S: f64 = 60.0;
 
-/// The number of groups that the product lets load at once.
-const MAX_LOADING_GROUPS: usize = 4;
+/// The number of members that the product lets load at once.
+const MAX_LOADING_MEMBERS: usize = 32;
 
 /// The time after a zone's return that still counts as a change.
 const ZONE_SETTLES_S: u64 = 1_800;
@@ -60,6 +60,7 @@
     ids: Vec<InstanceId>,
     machines: BTreeMap<InstanceId, Machine>,
     roster: Roster,
+    spares: Vec<InstanceId>,
     changed: bool,
 }
 
@@ -89,6 +90,7 @@
             machines: machines.map(|(at, id)| (id.clone(), machine(at))).collect(),
             ids,
             roster: Roster::default(),
+            spares: Vec::new(),
             changed: true,
         }
     }
@@ -165,21 +167,19 @@
 
     fn plan(&mut self) {
         self.changed = false;
-        let loading = self.roster.groups.iter().filter(|group| {
-            group.state == GroupState::Intact
-                && !group.members.iter().all(|id| self.machines[id].is_warm())
-        });
+        let loading = self.loading_members().len();
         let input = PlanInput {
             fleet: &self.fleet,
             service: &self.fleet.services[0],
             roster: &self.roster,
             candidates: &self.candidates(),
-            load_budget: MAX_LOADING_GROUPS.saturating_sub(loading.count()),
+            load_budget: MAX_LOADING_MEMBERS.saturating_sub(loading),
         };
-        let steps: Vec<PlanStep> = match self.planner {
-            PlannerKind::Naive => naive::plan(&input),
-            PlannerKind::Product => plan_groups(&input),
+        let (steps, spares) = match self.planner {
+            PlannerKind::Naive => (naive::plan(&input), Vec::new()),
+            PlannerKind::Product => (plan_groups(&input), choose_spares(&input)),
         };
+        self.spares = if steps.is_empty() { spares } else { Vec::new() };
         let service = self.fleet.services[0].id.clone();
         for step in &steps {
             if let Some(change) = RosterChange::of(&service, &self.roster, step) {
@@ -202,15 +202,21 @@
         candidates.collect()
     }
 
-    /// Lets the members that load share the rate of the weight store.
-    fn load(&mut self) {
+    fn loading_members(&self) -> Vec<InstanceId> {
         let groups = self.roster.groups.iter();
         let intact = groups.filter(|group| group.state == GroupState::Intact);
-        let loading: Vec<InstanceId> = intact
+        let loading = intact
             .flat_map(|group| &group.members)
-            .filter(|id| self.machines[*id].up && !self.machines[*id].is_warm())
-            .cloned()
-            .collect();
+            .filter(|id| self.machines[*id].up && !self.machines[*id].is_warm());
+        loading.cloned().collect()
+    }
+
+    /// Lets the members that load, or else the spares, share the rate of the weight store.
+    fn load(&mut self) {
+        let mut loading = self.loading_members();
+        if loading.is_empty() {
+            loading.clone_from(&self.spares);
+        }
         let count = u32::try_from(loading.len()).unwrap_or(u32::MAX).max(1);
         let share = f64::from(self.size.loads_per_min) / 60.0 / f64::from(count);
         let progress = share.min(1.0 / MIN_LOAD_S) * f64::from(STEP_S as u32);
--- a/src/cuminlb/control/planner.rs
+++ b/src/cuminlb/control/planner.rs
@@ -5,8 +5,8 @@
 
 use cuminlb_events::EventKind;
 use cuminlb_fleet::lease::HeldLease;
-use cuminlb_fleet::planning::{PlanInput, PlanStep, RosterChange, plan_groups};
-use cuminlb_fleet::rows::{GroupRecord, GroupState, RowKeys};
+use cuminlb_fleet::planning::{PlanInput, PlanStep, RosterChange, choose_spares, plan_groups};
+use cuminlb_fleet::rows::{GroupRecord, GroupState, Roster, RowKeys};
 use cuminlb_platform::{ListRevision, TableError};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{EngineOrder, Membership, OrderKind};
@@ -21,6 +21,9 @@
 use super::{LeaseSeat, SeatError};
 use crate::node::{FleetView, Node};
 
+/// The time from one look at the spares to the next.
+const SPARE_CHECK_PERIOD_MS: Millis = Millis(20_000);
+
 /// Takes the lease of a service's plan whenever it is free, and plans while it holds.
 ///
 /// It plans once a renewal, and at once when the groups, the configuration or the list change.
@@ -33,6 +36,7 @@
         node: Arc::clone(&node),
         service: service.clone(),
         loads: WeightLoads::default(),
+        check_spares_at: Instant::now(),
     };
     let mut held: Option<HeldLease> = None;
     let mut renew_at = Instant::now();
@@ -111,6 +115,7 @@
     node: Arc<Node>,
     service: ServiceId,
     loads: WeightLoads,
+    check_spares_at: Instant,
 }
 
 impl Planner {
@@ -128,7 +133,7 @@
                 continue;
             };
             if matches!(step, PlanStep::Form { .. } | PlanStep::Repair { .. }) {
-                self.loads.start(&change.group);
+                self.loads.start(&change);
             }
             changes.push(change);
         }
@@ -152,16 +157,37 @@
             candidates: &listed,
             load_budget: usize::MAX,
         };
-        if plan_groups(&input).is_empty() {
+        let has_steps = !plan_groups(&input).is_empty();
+        if !has_steps && Instant::now() < self.check_spares_at {
             return Ok(Vec::new());
         }
         self.loads.refresh(&self.node, &roster).await;
         let probed = probe_candidates(&self.node, &view, &roster, listed.clone()).await;
         input.candidates = &probed;
         input.load_budget = self.loads.budget();
+        if !has_steps && self.loads.is_idle() {
+            self.check_spares_at = Instant::now() + SPARE_CHECK_PERIOD_MS.duration();
+            self.load_spares(&view, &roster, &choose_spares(&input))
+                .await;
+        }
         Ok(plan_groups(&input))
     }
 
+    /// Orders spares to load the weights, so that a repair needs no load.
+    async fn load_spares(&self, view: &FleetView, roster: &Roster, spares: &[InstanceId]) {
+        let order = EngineOrder {
+            fencing: roster.free_order_fencing(),
+            kind: OrderKind::Load,
+        };
+        let records = spares.iter().filter_map(|spare| view.instance(spare));
+        let orders = records.map(|record| self.node.engines.order(record.address, &order));
+        for outcome in join_all(orders).await {
+            if let Err(error) = outcome {
+                debug!("a spare of {} does not load: {error}", self.service);
+            }
+        }
+    }
+
     /// Orders the engines that were freed and not used again to leave their groups.
     ///
     /// An engine that does not hear the order stays in a group for which nobody grants a slot,
--- a/src/cuminlb/control/weight_loads.rs
+++ b/src/cuminlb/control/weight_loads.rs
@@ -1,17 +1,18 @@
 //! [`WeightLoads`].
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
+use cuminlb_fleet::planning::RosterChange;
 use cuminlb_fleet::rows::{GroupRecord, GroupState, Roster};
 use cuminlb_types::prelude::*;
+use cuminlb_upstream::{EngineReport, OrderError};
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
 use crate::node::Node;
 
-/// The number of groups that may load weights at once.
-const MAX_LOADING_GROUPS: usize = 4;
+/// The number of members that may load weights at once.
+const MAX_LOADING_MEMBERS: usize = 32;
 
 /// The time after which a group no longer counts as loading.
 const LOAD_TIMEOUT_MS: Millis = Millis(300_000);
@@ -21,39 +22,66 @@
 /// A planner that takes over starts with none, so for a while twice as many may load.
 #[derive(Debug, Default)]
 pub(super) struct WeightLoads {
-    started: BTreeMap<GroupId, (Epoch, Instant)>,
+    started: BTreeMap<GroupId, GroupLoad>,
+}
+
+/// The load of one group.
+#[derive(Clone, Copy, Debug)]
+struct GroupLoad {
+    epoch: Epoch,
+    started_at: Instant,
+    members: usize,
 }
 
 impl WeightLoads {
-    /// Notes that the members of a group may start to load.
-    pub(super) fn start(&mut self, group: &GroupRecord) {
-        let started = (group.epoch, Instant::now());
-        self.started.insert(group.id.clone(), started);
+    /// Notes that members of a group may start to load.
+    pub(super) fn start(&mut self, change: &RosterChange) {
+        let load = GroupLoad {
+            epoch: change.group.epoch,
+            started_at: Instant::now(),
+            members: change.joined.len(),
+        };
+        self.started.insert(change.group.id.clone(), load);
     }
 
-    /// Returns the number of groups that may start to load now.
+    /// Returns the number of members that may start to load now.
     pub(super) fn budget(&self) -> usize {
-        MAX_LOADING_GROUPS.saturating_sub(self.started.len())
+        let loading: usize = self.started.values().map(|load| load.members).sum();
+        MAX_LOADING_MEMBERS.saturating_sub(loading)
+    }
+
+    /// Tells whether no group is known to load.
+    pub(super) fn is_idle(&self) -> bool {
+        self.started.is_empty()
     }
 
-    /// Forgets the groups that are warm, that have ended, or that take too long.
-    pub(super) async fn refresh(&mut self, node: &Arc<Node>, roster: &Roster) {
-        let loading = self.started.iter().filter_map(|(id, (epoch, since))| {
-            let group = roster.group(id)?;
-            let goes_on = group.epoch == *epoch
-                && group.state == GroupState::Intact
-                && since.elapsed() < LOAD_TIMEOUT_MS.duration();
-            goes_on.then_some(group)
-        });
-        let checks =
-            loading.map(|group| async move { (group.id.clone(), is_warm(node, group).await) });
-        let checked = join_all(checks).await;
-        self.started
-            .retain(|id, _| checked.iter().any(|(group, warm)| group == id && !warm));
+    /// Counts the members that still load, and forgets the groups that are warm, that have
+    /// ended, or that take too long.
+    pub(super) async fn refresh(&mut self, node: &Node, roster: &Roster) {
+        let mut still = BTreeMap::new();
+        for (id, load) in std::mem::take(&mut self.started) {
+            let Some(group) = roster.group(&id).filter(|group| load.goes_on(group)) else {
+                continue;
+            };
+            let members = count_cold(node, group).await;
+            if members > 0 {
+                still.insert(id, GroupLoad { members, ..load });
+            }
+        }
+        self.started = still;
     }
 }
 
-async fn is_warm(node: &Arc<Node>, group: &GroupRecord) -> bool {
+impl GroupLoad {
+    fn goes_on(&self, group: &GroupRecord) -> bool {
+        group.epoch == self.epoch
+            && group.state == GroupState::Intact
+            && self.started_at.elapsed() < LOAD_TIMEOUT_MS.duration()
+    }
+}
+
+/// Returns the number of members that do not report that they are warm.
+async fn count_cold(node: &Node, group: &GroupRecord) -> usize {
     let addresses: Vec<_> = {
         let view = node.view.borrow();
         let members = group.members.iter();
@@ -65,7 +93,7 @@
         .iter()
         .map(|address| node.engines.report(*address));
     let reports = join_all(reports).await;
-    reports
-        .iter()
-        .all(|report| report.as_ref().is_ok_and(|report| report.warm))
+    let is_warm =
+        |report: &Result<EngineReport, OrderError>| report.as_ref().is_ok_and(|report| report.warm);
+    reports.iter().filter(|report| !is_warm(report)).count()
 }
--- a/tests/testsuite/groups.rs
+++ b/tests/testsuite/groups.rs
@@ -320,3 +320,31 @@
     assert_eq!(sent_times(&site, &group.id, group.epoch).await.len(), 1);
     site.shut_down().await;
 }
+
+#[tokio::test]
+async fn a_spare_loads_the_weights_before_it_is_needed() {
+    let engine = EngineOptions {
+        cold_start_ms: Millis(5_000),
+        ..EngineOptions::default()
+    };
+    let plan = ModelPlan::new(MODEL, 1, 2).spares(1).engine(engine);
+    let (mut site, group) = start(plan).await;
+    let is_member = |at: &usize| group.members.contains(&site.upstreams[*at].record.id);
+    let spare = (0..site.upstreams.len()).find(|at| !is_member(at)).unwrap();
+    wait_until("the spare is warm", async || {
+        let answer = site
+            .call_upstream(spare, Method::GET, "/control/report")
+            .await;
+        answer.is_ok_and(|answer| answer.json()["warm"] == json!(true))
+    })
+    .await
+    .unwrap();
+    let lost = site.upstream_index(&group.members[1]).unwrap();
+    site.upstreams[lost].process.kill().await;
+    let after = repaired(&site, &group).await;
+    assert!(
+        after.owned.is_some_and(|owned| owned.warm),
+        "no load was needed"
+    );
+    site.shut_down().await;
+}
