--- a/crates/cuminlb-standins/src/plain/executing.rs
+++ b/crates/cuminlb-standins/src/plain/executing.rs
@@ -1,22 +1,30 @@
 //! [`Executing`].
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// A call that is executed; it counts until this is dropped.
+/// A call that is under way, until it is dropped.
+#[derive(Debug)]
 pub(super) struct Executing<'a> {
-    running: &'a AtomicU32,
+    running: &'a Mutex<Vec<String>>,
+    request: &'a str,
 }
 
 impl<'a> Executing<'a> {
-    /// Counts a call.
-    pub(super) fn start(running: &'a AtomicU32) -> Self {
-        running.fetch_add(1, Ordering::Relaxed);
-        Self { running }
+    pub(super) fn start(running: &'a Mutex<Vec<String>>, request: &'a str) -> Self {
+        lock(running).push(request.to_owned());
+        Self { running, request }
     }
 }
 
 impl Drop for Executing<'_> {
     fn drop(&mut self) {
-        self.running.fetch_sub(1, Ordering::Relaxed);
+        let mut running = lock(self.running);
+        if let Some(at) = running.iter().position(|id| id == self.request) {
+            running.remove(at);
+        }
     }
 }
+
+fn lock(running: &Mutex<Vec<String>>) -> MutexGuard<'_, Vec<String>> {
+    running.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -9,7 +9,7 @@
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
 };
-use cuminlb_routing::{SlotHolder, SlotTerms};
+use cuminlb_routing::{Quarantine, SlotHolder, SlotTerms};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
 use smol_str::format_smolstr;
@@ -60,6 +60,8 @@
     pub peers: Peers,
     /// The groups that this node owns.
     pub owned: OwnedGroups,
+    /// The requests that are suspected of crashing what runs them.
+    pub quarantine: Quarantine,
     /// Told when the table should be read at once.
     pub poll_now: Notify,
     /// The slots of other groups that this node holds.
@@ -104,6 +106,7 @@
             peers: Peers::default(),
             owned: OwnedGroups::new(slot_terms(&settings)),
             holdings: SlotHoldings::default(),
+            quarantine: Quarantine::default(),
             poll_now: Notify::new(),
             releases,
             metrics,
@@ -186,12 +189,14 @@
             time: self.events.clock().tick(),
             config: self.view.borrow().config_version(),
             table_age_ms: self.knowledge.age_ms(),
+            suspects: self.quarantine.newest(),
         }
     }
 
     /// Takes in what a peer says of itself.
     pub fn take_statement(&self, statement: &PeerStatement) {
         self.events.clock().observe(statement.time);
+        self.quarantine.merge(&statement.suspects);
         if statement.config > self.view.borrow().config_version() {
             self.poll_now.notify_one();
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,17 +7,24 @@
     reason = "a test fails by panicking"
 )]
 
+mod at_most_once;
+mod claim_properties;
+mod claim_world;
 mod cold_start;
 mod command_line;
 mod fleet_support;
 mod groups;
 mod latency;
+mod memory_table;
 mod metrics;
 mod pages;
 mod plan_faults;
+mod quarantine;
+mod streams;
 mod support;
 mod text_difference;
 mod timeline;
 mod whole_path;
 mod wrong_files;
+mod zone_events;
 mod zones;
