--- a/examples/fleet_measure/main.rs
+++ b/examples/fleet_measure/main.rs
@@ -6,16 +6,20 @@
 
 #![expect(clippy::print_stdout, reason = "the table is the output")]
 
+mod fleet_file;
 mod machine;
 mod measures;
 mod naive;
+mod planner_kind;
 mod schedule;
+mod service;
 mod simulation;
 mod size;
 
 use measures::Measures;
+use planner_kind::PlannerKind;
 use schedule::Schedule;
-use simulation::{PlannerKind, Simulation};
+use simulation::Simulation;
 use size::FleetSize;
 
 /// The seeds; each is one schedule.
--- a/examples/fleet_measure/simulation.rs
+++ b/examples/fleet_measure/simulation.rs
@@ -1,17 +1,19 @@
 //! [`Simulation`].
 
 use std::collections::BTreeMap;
-use std::fmt;
 
 use cuminlb_config::FleetSpec;
 use cuminlb_fleet::planning::{Candidate, PlanInput, RosterChange, choose_spares, plan_groups};
 use cuminlb_fleet::rows::{GroupRecord, GroupState, Roster};
 use cuminlb_types::prelude::*;
 
+use crate::fleet_file::{fleet, id};
 use crate::machine::{ACCELERATORS, Machine};
 use crate::measures::Measures;
 use crate::naive;
+use crate::planner_kind::PlannerKind;
 use crate::schedule::{Happening, LENGTH_S, STEP_S, Schedule, ZONES};
+use crate::service::Service;
 use crate::size::FleetSize;
 
 /// The shortest time in which one instance loads its weights.
@@ -23,32 +25,6 @@
 /// The time after a zone's return that still counts as a change.
 const ZONE_SETTLES_S: u64 = 1_800;
 
-/// Which planner decides.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PlannerKind {
-    /// The naive greedy planner.
-    Naive,
-    /// The planner of the product.
-    Product,
-}
-
-impl fmt::Display for PlannerKind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Naive => "naive greedy",
-            Self::Product => "plan_groups",
-        })
-    }
-}
-
-/// What serves at a point of time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Service {
-    serving: usize,
-    capacity: usize,
-    outside: usize,
-}
-
 /// One fleet under one planner.
 pub(crate) struct Simulation {
     size: FleetSize,
@@ -277,29 +253,3 @@
                 .all(|id| self.is_member_up(group, id) && self.machines[id].is_warm())
     }
 }
-
-fn id<T: std::str::FromStr<Err: fmt::Debug>>(text: String) -> T {
-    match text.parse() {
-        Ok(id) => id,
-        Err(error) => unreachable!("{text} is a valid id: {error:?}"),
-    }
-}
-
-fn fleet(size: FleetSize, weights: [f64; 3], zones_in: [bool; ZONES as usize]) -> FleetSpec {
-    let [downtime, stranded, zone_change] = weights;
-    let mut text = format!(
-        "[measures]\ngroup_downtime = {downtime:?}\nstranded_accelerators = {stranded:?}\n\
-         zone_change = {zone_change:?}\n\
-         [[model_service]]\nid = \"m\"\nmodel = \"m\"\nreplicas = {}\n\
-         members_per_replica = {}\n",
-        size.replicas, size.members
-    );
-    for (number, is_in) in zones_in.into_iter().enumerate() {
-        let state = if is_in { "in" } else { "out" };
-        text += &format!("[[zone]]\nid = \"z{number}\"\nregion = \"r\"\nstate = \"{state}\"\n");
-    }
-    match FleetSpec::parse("fleet", &text) {
-        Ok(fleet) => fleet,
-        Err(error) => unreachable!("the fleet file of the example is valid: {error}"),
-    }
-}
--- a/tests/testsuite/fleet_support.rs
+++ b/tests/testsuite/fleet_support.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use cuminlb_caller::{EventsReport, EventsRequest, GroupStatus};
-use cuminlb_events::{Event, EventKind};
+use cuminlb_events::{DissolveCause, Event, EventKind};
 use cuminlb_standins::EngineOptions;
-use cuminlb_test_support::{ModelPlan, Site, wait_until};
+use cuminlb_test_support::{ModelPlan, Site, SiteBuilder, wait_until};
 use cuminlb_types::prelude::*;
 use http::Method;
 use serde_json::json;
@@ -97,6 +97,45 @@
     sent.map(|event| event.time.wall_ms).collect()
 }
 
+/// Starts a site with three nodes and returns its first group.
+pub(crate) async fn start(model: ModelPlan) -> (Site, GroupStatus) {
+    let site = SiteBuilder::default()
+        .nodes(3)
+        .model(model)
+        .start_serving()
+        .await
+        .unwrap();
+    let group = groups(&site).await.remove(0);
+    (site, group)
+}
+
+/// Returns why a group ended at its epoch.
+pub(crate) fn cause(events: &[Event], wanted: &GroupStatus) -> Option<DissolveCause> {
+    events.iter().find_map(|event| match &event.kind {
+        EventKind::GroupDissolved {
+            group,
+            epoch,
+            cause,
+            ..
+        } if *group == wanted.id && *epoch == wanted.epoch => Some(cause.clone()),
+        _ => None,
+    })
+}
+
+/// Waits until a group serves at a later epoch.
+pub(crate) async fn repaired(site: &Site, before: &GroupStatus) -> GroupStatus {
+    let is_repaired = |found: &[GroupStatus]| {
+        found
+            .iter()
+            .any(|group| group.id == before.id && group.epoch > before.epoch && serves(group))
+    };
+    let found = wait_groups(site, "the group is repaired", is_repaired).await;
+    found
+        .into_iter()
+        .find(|group| group.id == before.id)
+        .unwrap()
+}
+
 /// Callers that send one request after the other, in turn through each node.
 pub(crate) struct Callers {
     stop: CancellationToken,
--- a/tests/testsuite/plan_faults.rs
+++ b/tests/testsuite/plan_faults.rs
@@ -1,135 +1,26 @@
 //! The transactions of two planners against a table that loses answers.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
-use async_trait::async_trait;
 use cuminlb::control::PlanTransactions;
 use cuminlb::node::Node;
 use cuminlb_config::NodeSettings;
 use cuminlb_fleet::planning::{PlanStep, PlannedMember, RosterChange};
 use cuminlb_fleet::rows::{GroupState, InstanceRow, Roster, RowKeys};
-use cuminlb_platform::{
-    CommitOutcome, Expected, PlatformError, RowAnswer, RowChange, RowCheck, RowQuery, StoredRow,
-    Table, TableError, TableService, Transaction,
-};
+use cuminlb_platform::{Table, TableError, TableService};
 use cuminlb_types::prelude::*;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 
+use crate::plan_table::{FakeTable, Fate};
+
 const SEED: u64 = 0x0b0a_7005;
 
 /// The number of instances.
 const INSTANCES: usize = 8;
 
-/// What becomes of one call that commits.
-#[derive(Clone, Copy, Debug)]
-enum Fate {
-    Answered,
-    /// It takes effect and the answer is lost.
-    AnswerLost,
-    /// It is lost on its way.
-    CallLost,
-    /// No answer comes, and it takes effect only after a later call.
-    Late,
-    Unreachable,
-}
-
-#[derive(Debug, Default)]
-struct Rows {
-    last_version: RowVersion,
-    rows: BTreeMap<RowKey, (RowVersion, String)>,
-    late: Vec<Transaction>,
-    fates: Vec<Fate>,
-}
-
-impl Rows {
-    fn version(&self, key: &RowKey) -> Option<RowVersion> {
-        self.rows.get(key).map(|(version, _)| *version)
-    }
-
-    fn apply(&mut self, transaction: &Transaction) -> CommitOutcome {
-        let holds = |check: &RowCheck| Expected::from(self.version(&check.key)) == check.expected;
-        if let Some(failed) = transaction.checks.iter().find(|check| !holds(check)) {
-            let key = failed.key.clone();
-            let found = self.version(&key);
-            return CommitOutcome::Conflict { key, found };
-        }
-        self.last_version = self.last_version.next();
-        let version = self.last_version;
-        for write in &transaction.writes {
-            match &write.change {
-                RowChange::Put(text) => {
-                    self.rows.insert(write.key.clone(), (version, text.clone()));
-                }
-                RowChange::Delete => {
-                    self.rows.remove(&write.key);
-                }
-            }
-        }
-        CommitOutcome::Committed { version }
-    }
-
-    fn value<T: serde::de::DeserializeOwned>(&self, key: &RowKey) -> Option<T> {
-        let (_, text) = self.rows.get(key)?;
-        let row: StoredRow<T> = serde_json::from_str(text).unwrap();
-        Some(row.value)
-    }
-}
-
-/// The table, in memory.
-#[derive(Debug, Default)]
-struct FakeTable {
-    rows: Mutex<Rows>,
-}
-
-#[async_trait]
-impl TableService for FakeTable {
-    async fn read(&self, queries: &[RowQuery]) -> Result<Vec<RowAnswer>, PlatformError> {
-        tokio::task::yield_now().await;
-        let rows = self.rows.lock().unwrap();
-        let answer = |query: &RowQuery| match rows.rows.get(&query.key) {
-            None => RowAnswer::Absent,
-            Some((version, text)) => RowAnswer::Found {
-                version: *version,
-                text: text.clone(),
-            },
-        };
-        Ok(queries.iter().map(answer).collect())
-    }
-
-    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError> {
-        tokio::task::yield_now().await;
-        let no_answer = Err(PlatformError::NoAnswer {
-            timeout_ms: Millis(1),
-        });
-        let mut rows = self.rows.lock().unwrap();
-        let late = std::mem::take(&mut rows.late);
-        let fate = rows.fates.pop().unwrap_or(Fate::Answered);
-        let outcome = match fate {
-            Fate::Answered => Ok(rows.apply(transaction)),
-            Fate::AnswerLost => {
-                rows.apply(transaction);
-                no_answer
-            }
-            Fate::CallLost => no_answer,
-            Fate::Late => {
-                rows.late.push(transaction.clone());
-                no_answer
-            }
-            Fate::Unreachable => Err(PlatformError::Unreachable {
-                address: "table".into(),
-                reason: "refused".into(),
-            }),
-        };
-        for transaction in late {
-            rows.apply(&transaction);
-        }
-        outcome
-    }
-}
-
 /// A step that a planner tries, sensible or not; numbers choose groups and instances.
 #[derive(Clone, Debug)]
 enum Try {
