Withdraw a proof in place of forgetting it

The trail of a group tells a member that went missing from one that never came by its proof, and a refused probe removed the proof.

Change: a refused probe marks the proof as withdrawn; it then is not fresh.

--- a/src/cuminlb/control/group_watch.rs
+++ b/src/cuminlb/control/group_watch.rs
@@ -97,7 +97,7 @@
         for (member, outcome) in owned.record.members.iter().zip(outcomes) {
             match outcome {
                 ProbeOutcome::Refused | ProbeOutcome::Restarted | ProbeOutcome::Joining => {
-                    owned.forget_proof(member);
+                    owned.withdraw_proof(member);
                 }
                 ProbeOutcome::Proved { .. } | ProbeOutcome::Silent => {}
             }
--- a/src/cuminlb/control/member_probe.rs
+++ b/src/cuminlb/control/member_probe.rs
@@ -81,6 +81,7 @@
             incarnation: report.incarnation,
             warm: report.warm,
             running: report.running,
+            withdrawn: false,
         };
         self.owned.note_proof(member, proof);
         if !was_serving && self.owned.is_serving(Instant::now(), max_age_ms) {
--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -66,9 +66,11 @@
         self.changed.notify_waiters();
     }
 
-    /// Forgets the proof of a member that is certainly not up.
-    pub fn forget_proof(&self, member: &InstanceId) {
-        lock(&self.proofs).remove(member);
+    /// Withdraws the proof of a member that is certainly not up.
+    pub fn withdraw_proof(&self, member: &InstanceId) {
+        if let Some(proof) = lock(&self.proofs).get_mut(member) {
+            proof.withdrawn = true;
+        }
     }
 
     /// Grants no slots any more; those that are taken go on.
--- a/src/cuminlb/node/proof.rs
+++ b/src/cuminlb/node/proof.rs
@@ -14,11 +14,13 @@
     pub warm: bool,
     /// The number of requests that the member ran.
     pub running: SlotCount,
+    /// Whether a later probe showed that the member is not up any more.
+    pub withdrawn: bool,
 }
 
 impl Proof {
     /// Tells whether the proof still counts.
     pub fn is_fresh(&self, now: Instant, max_age_ms: Millis) -> bool {
-        now.saturating_duration_since(self.at) <= max_age_ms.duration()
+        !self.withdrawn && now.saturating_duration_since(self.at) <= max_age_ms.duration()
     }
 }
