--- a/src/cuminlb/observing/group_trail.rs
+++ b/src/cuminlb/observing/group_trail.rs
@@ -20,6 +20,7 @@
 struct NotedGroup {
     epoch: Epoch,
     serving: bool,
+    has_served: bool,
     missing: BTreeSet<InstanceId>,
 }
 
@@ -56,6 +57,11 @@
                 ..NotedGroup::default()
             };
         }
+        // Until the group serves for the first time, its members are joining and not missing.
+        last.has_served |= serving;
+        if !last.has_served {
+            return Vec::new();
+        }
         let mut events: Vec<EventKind> = missing
             .difference(&last.missing)
             .map(|instance| EventKind::MemberMissing {
@@ -81,7 +87,7 @@
 fn missing_members(owned: &OwnedGroup, now: Instant, max_age_ms: Millis) -> BTreeSet<InstanceId> {
     let is_missing = |member: &&InstanceId| {
         let proof = owned.proof(member);
-        proof.is_some_and(|proof| !proof.is_fresh(now, max_age_ms))
+        proof.is_none_or(|proof| !proof.is_fresh(now, max_age_ms))
     };
     owned
         .record
