--- a/src/bin/cuminctl/commands/check.rs
+++ b/src/bin/cuminctl/commands/check.rs
@@ -10,18 +10,20 @@
 use crate::cli::CommandContext;
 use crate::commands::CommandError;
 
-/// The arguments of `cuminctl check`.
+/// Checks a fleet file without a node.
 #[derive(Debug, Options)]
 pub(crate) struct CheckOptions {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
     #[options(free, required, help = "the fleet file (TOML)")]
     file: PathBuf,
 }
 
 pub(crate) fn exec(context: &CommandContext, options: &CheckOptions) -> Result<(), CommandError> {
     let (_, spec) = check_fleet(&options.file)?;
-    if context.json {
+    if context.json || options.json {
         print_json(&json!({
             "zones": spec.zones.len(),
             "teams": spec.teams.len(),
--- a/src/cuminlb/ops/run_node.rs
+++ b/src/cuminlb/ops/run_node.rs
@@ -1,11 +1,13 @@
 //! [`run_node`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cuminlb_caller::{OperatorToken, serve_callers, serve_operators};
 use cuminlb_config::NodeSettings;
 use cuminlb_events::EventKind;
 use cuminlb_peer::{PeerToken, serve_peers};
+use cuminlb_types::prelude::*;
 use log::{info, warn};
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
@@ -21,10 +23,15 @@
 use crate::serving::claims::ClaimClient;
 use crate::serving::{PeerService, Router};
 
+/// The longest time that callers have for reading how their requests ended.
+const MAX_CUT_OFF_MARGIN: Duration = Duration::from_secs(1);
+
 /// Runs a node until `stop` is cancelled, and then shuts it down gracefully.
 ///
-/// The shutdown first turns the node unready, then lets the requests in flight end, and only
-/// then gives up its leases and ends its conversations. Every task is joined.
+/// The shutdown first turns the node unready, then refuses new requests and lets those in flight
+/// end. Shortly before the drain timeout the rest are told the truth about them. Only then the
+/// node records the ends of its claims, gives up its leases and ends its conversations. Every
+/// task is joined.
 ///
 /// # Errors
 ///
@@ -72,13 +79,14 @@
     ));
 
     let serving_stop = CancellationToken::new();
+    let closed = CancellationToken::new();
     let (claims, claim_tasks) = ClaimClient::start(&node.table);
-    let router = Router::new(Arc::clone(&node), claims, serving_stop.clone());
+    let router = Router::new(Arc::clone(&node), claims, closed.clone());
     let callers = serve_callers(
         listen.caller,
         router.clone(),
         serving_stop.clone(),
-        drain_ms,
+        cut_off_margin(drain_ms).into(),
     );
     let operators = serve_operators(
         listen.operator,
@@ -91,13 +99,24 @@
         info!("node {} drains", node.id());
         node.start_draining();
         node.events.record(EventKind::NodeDraining);
-        // The balancer sees that the node is unready before the port closes.
+        // The balancer sees that the node is unready before requests are refused.
         tokio::time::sleep(node.settings.control.poll_period_ms.duration()).await;
+        closed.cancel();
+        // The port stays open, so that callers are refused in words while others are answered.
+        let cut_off_after = drain_ms.duration() - cut_off_margin(drain_ms);
+        if tokio::time::timeout(cut_off_after, router.join())
+            .await
+            .is_err()
+        {
+            warn!("node {} ends the requests that are left", node.id());
+            router.cut_off();
+        }
         serving_stop.cancel();
         Ok(())
     };
     let served = tokio::try_join!(callers, operators, drain);
 
+    router.cut_off();
     router.join().await;
     drop(router);
     claim_tasks.stop().await;
@@ -114,3 +133,8 @@
     info!("node {} has ended", node.id());
     outcome
 }
+
+/// Returns the time before the drain timeout at which the requests that are left are told so.
+fn cut_off_margin(drain_ms: Millis) -> Duration {
+    (drain_ms.duration() / 4).min(MAX_CUT_OFF_MARGIN)
+}
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use smol_str::ToSmolStr;
 use tokio::time::Instant;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::claims::{HeldClaim, WholeAnswer};
 use super::destination::Destination;
@@ -40,6 +41,8 @@
     /// The groups at which a try was made.
     pub(super) tried_groups: Vec<GroupId>,
     pub(super) may_have_run: bool,
+    /// Lets a shutdown wait for the request.
+    pub(super) _in_flight: TaskTrackerToken,
 }
 
 impl RequestRun {
