--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -62,6 +62,7 @@
 
     fn pass(&mut self, event: StreamEvent) -> StreamPart {
         self.has_passed_any = true;
+        self.run.trail.first_byte();
         match event {
             StreamEvent::Chunk { raw, data } => {
                 // A comment has no data and is no chunk of the answer.
