Say `not_run` when a suspect's time ends before it was sent

Cause: a suspect whose deadline came while it waited for a group of its own was refused as `unknown`, although nothing of that try had been sent.

Change: the end of the wait is a refusal of a try that was not sent; it is `unknown` only if an earlier try may have run.

No test aims at this case.

Conclusion: the refusal is more exact; it was not false before.

--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -143,7 +143,9 @@
         }
         let lanes = self.suspicion.lanes();
         let groups = self.groups_without(&avoided);
-        let (busy, choosing) = self.bounds.within(lanes.wait_for_free(&groups)).await?;
+        let waited = self.bounds.within(lanes.wait_for_free(&groups)).await;
+        // Nothing of this try was sent yet.
+        let (busy, choosing) = waited.map_err(|error| self.refusal(&error))?;
         self.suspicion.check()?;
         avoided.extend(busy);
         let slot = self.acquire_slot(&avoided).await?;
