--- a/crates/cuminlb-caller/src/caller/endpoint.rs
+++ b/crates/cuminlb-caller/src/caller/endpoint.rs
@@ -24,6 +24,9 @@
 /// The paths of the chat and completion API.
 const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
 
+/// The largest headers that a caller may send, names and values together.
+const MAX_HEADERS_LEN_BYTES: usize = 16 << 10;
+
 /// Decodes a caller's request, lets the handler answer it and encodes the answer.
 #[derive(Clone, Debug)]
 pub(super) struct CallerEndpoint<H> {
@@ -37,6 +40,7 @@
 
     async fn decode(&self, id: &RequestId, req: &mut Request) -> Result<CallerRequest, Refusal> {
         let headers = req.headers().clone();
+        check_size(&headers)?;
         let path: SmolStr = match req.uri().path_and_query() {
             Some(path) => path.as_str().into(),
             None => "/".into(),
@@ -105,6 +109,17 @@
     }
 }
 
+fn check_size(headers: &HeaderMap) -> Result<(), Refusal> {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    if sizes.sum::<usize>() > MAX_HEADERS_LEN_BYTES {
+        let max_bytes = ByteCount(MAX_HEADERS_LEN_BYTES as u64);
+        return Err(Refusal::not_run(RefusalKind::HeadersTooLarge { max_bytes }));
+    }
+    Ok(())
+}
+
 fn encode(id: &RequestId, answer: CallerAnswer, res: &mut Response) {
     match answer {
         CallerAnswer::Whole {
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use smol_str::ToSmolStr;
 use tokio::time::Instant;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::claims::{HeldClaim, WholeAnswer};
 use super::destination::Destination;
@@ -40,6 +41,8 @@
     /// The groups at which a try was made.
     pub(super) tried_groups: Vec<GroupId>,
     pub(super) may_have_run: bool,
+    /// Lets a shutdown wait for the request.
+    pub(super) _in_flight: TaskTrackerToken,
 }
 
 impl RequestRun {
@@ -140,7 +143,9 @@
         }
         let lanes = self.suspicion.lanes();
         let groups = self.groups_without(&avoided);
-        let (busy, choosing) = self.bounds.within(lanes.wait_for_free(&groups)).await?;
+        let waited = self.bounds.within(lanes.wait_for_free(&groups)).await;
+        // Nothing of this try was sent yet.
+        let (busy, choosing) = waited.map_err(|error| self.refusal(&error))?;
         self.suspicion.check()?;
         avoided.extend(busy);
         let slot = self.acquire_slot(&avoided).await?;
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -8,6 +8,7 @@
 use cuminlb_types::prelude::*;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::claimed_request::run_claimed_request;
 use super::claims::{ClaimClient, WholeAnswer};
@@ -32,8 +33,8 @@
     claims: ClaimClient,
     lanes: Arc<SuspectLanes>,
     failed_groups: Arc<FailedGroups>,
-    /// The claimed requests that run; they go on when their callers leave.
-    claimed: TaskTracker,
+    /// The requests in flight; those that are claimed go on when their callers leave.
+    in_flight: TaskTracker,
     /// Cancelled when the node takes no new requests any more.
     closed: CancellationToken,
     /// Cancelled when the time for the requests in flight is over.
@@ -52,7 +53,7 @@
             claims,
             lanes: Arc::default(),
             failed_groups: Arc::default(),
-            claimed: TaskTracker::new(),
+            in_flight: TaskTracker::new(),
             closed,
             cutoff: CancellationToken::new(),
             node,
@@ -64,10 +65,10 @@
         self.cutoff.cancel();
     }
 
-    /// Waits for the claimed requests whose callers have left.
+    /// Waits until no request is in flight.
     pub async fn join(&self) {
-        self.claimed.close();
-        self.claimed.wait().await;
+        self.in_flight.close();
+        self.in_flight.wait().await;
     }
 
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, Refusal> {
@@ -77,12 +78,14 @@
         let service = destination.service.id.clone();
         let node = Arc::clone(&self.node);
         let mut trail = RequestTrail::new(node, request.id.clone(), team.id, service.clone());
+        // Counted before the check, so that a shutdown waits for what passes it.
+        let in_flight = self.in_flight.token();
         let admitted = self
             .check_state()
             .and_then(|()| self.admission.enter(&service));
         match admitted {
             Ok(permit) => {
-                let run = self.start(request, destination, trail);
+                let run = self.start(request, destination, trail, in_flight);
                 self.answer(run, permit).await
             }
             Err(refusal) => {
@@ -122,6 +125,7 @@
         request: CallerRequest,
         destination: Destination,
         trail: RequestTrail,
+        in_flight: TaskTrackerToken,
     ) -> RequestRun {
         let longest_ms = self.node.settings.limits.request_timeout_ms;
         let timeout_ms = request
@@ -141,6 +145,7 @@
             tries: 0,
             tried_groups: Vec::new(),
             may_have_run: false,
+            _in_flight: in_flight,
         }
     }
 
@@ -153,7 +158,7 @@
             return answer_idempotent(run, permit).await;
         }
         let claims = self.claims.clone();
-        let task = self.claimed.spawn(async move {
+        let task = self.in_flight.spawn(async move {
             let answer = run_claimed_request(run, &claims).await;
             drop(permit);
             answer
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -95,7 +95,10 @@
                 return Err(StreamError::Incomplete.into());
             };
             match answer.next_bytes(idle_ms, &self.run.bounds).await? {
-                Some(bytes) => self.decoder.push(&bytes),
+                Some(bytes) => {
+                    self.run.trail.first_byte();
+                    self.decoder.push(&bytes);
+                }
                 None => return Err(StreamError::Incomplete.into()),
             }
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod plan_faults;
 mod plan_table;
 mod quarantine;
+mod shutdown;
 mod streams;
 mod support;
 mod text_difference;
