Split the tests of the command line by what they command

Change: the commands that show and change the whole fleet have a file of their own; nothing is changed in what is checked.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 
 mod cold_start;
 mod command_line;
+mod fleet_commands;
 mod latency;
 mod metrics;
 mod pages;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -2,7 +2,9 @@
 
 use std::process::Output;
 
+use cuminlb_caller::{FleetDocument, FleetStatus};
 use cuminlb_test_support::Site;
+use tempfile::NamedTempFile;
 use tokio::process::Command;
 
 /// Runs `cuminctl` against all nodes of a site.
@@ -25,3 +27,34 @@
 pub fn stderr(output: &Output) -> String {
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
+
+/// Writes a text to a file that is deleted with the value.
+pub fn file_of(text: &str) -> NamedTempFile {
+    let file = NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text).unwrap();
+    file
+}
+
+/// Returns the path of a file as an argument.
+pub fn path_of(file: &NamedTempFile) -> &str {
+    file.path().to_str().unwrap()
+}
+
+/// Checks the exit status of a program.
+pub fn assert_code(output: &Output, code: i32) {
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+}
+
+/// Returns the fleet file in force.
+pub async fn fleet_in_force(site: &Site) -> FleetDocument {
+    let output = cuminctl(site, &["show", "--json"]).await;
+    assert_code(&output, 0);
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+/// Returns the state of the fleet.
+pub async fn status(site: &Site) -> FleetStatus {
+    let output = cuminctl(site, &["status", "--json"]).await;
+    assert_code(&output, 0);
+    serde_json::from_slice(&output.stdout).unwrap()
+}
