--- a/crates/cuminlb-standins/src/plain/server.rs
+++ b/crates/cuminlb-standins/src/plain/server.rs
@@ -1,12 +1,11 @@
 //! [`PlainService`].
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use cuminlb_types::prelude::*;
-use cuminlb_upstream::{EngineReport, REQUEST_ID_HEADER};
+use cuminlb_upstream::{EngineReport, REQUEST_ID_HEADER, RUNNING_PATH};
 use http::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
@@ -21,7 +20,8 @@
     options: PlainOptions,
     incarnation: Incarnation,
     executed: Mutex<Vec<Reservation>>,
-    running: AtomicU32,
+    /// The requests whose calls are under way.
+    running: Mutex<Vec<String>>,
 }
 
 impl PlainService {
@@ -39,7 +39,7 @@
             options,
             incarnation,
             executed: Mutex::default(),
-            running: AtomicU32::new(0),
+            running: Mutex::default(),
         };
         StandinServer::start(address, FaultState::default(), Arc::new(service)).await
     }
@@ -50,20 +50,18 @@
             membership: None,
             fencing: FencingNumber(0),
             warm: true,
-            running: SlotCount(self.running.load(Ordering::Relaxed)),
+            running: SlotCount(u32::try_from(self.running().len()).unwrap_or(u32::MAX)),
         }
     }
 
     /// Executes a call: each execution is one reservation more, also of the same request.
     async fn reserve(&self, request: &Request<Bytes>) -> Response<AnswerBody> {
-        let _executing = Executing::start(&self.running);
-        tokio::time::sleep(self.options.call_ms.duration()).await;
         let id = request.headers().get(REQUEST_ID_HEADER);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let _executing = Executing::start(&self.running, id);
+        tokio::time::sleep(self.options.call_ms.duration()).await;
         let reservation = Reservation {
-            request: id
-                .and_then(|id| id.to_str().ok())
-                .unwrap_or_default()
-                .to_owned(),
+            request: id.to_owned(),
             body: String::from_utf8_lossy(request.body()).into_owned(),
             at: UnixMillis::now(),
         };
@@ -79,6 +77,20 @@
         response
     }
 
+    fn tell_running(&self, path: &str) -> Response<AnswerBody> {
+        let id = path.strip_prefix(RUNNING_PATH);
+        let is_running = id.is_some_and(|id| self.running().iter().any(|running| running == id));
+        status(if is_running {
+            StatusCode::OK
+        } else {
+            StatusCode::NOT_FOUND
+        })
+    }
+
+    fn running(&self) -> MutexGuard<'_, Vec<String>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn executed(&self) -> MutexGuard<'_, Vec<Reservation>> {
         self.executed.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -89,8 +101,10 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/control/report") => json_answer(&self.report()),
             (&Method::GET, "/control/executed") => json_answer(&*self.executed()),
+            (&Method::GET, "/control/running") => json_answer(&*self.running()),
             (&Method::POST, "/reservations" | "/passes") => self.reserve(&request).await,
             (&Method::GET, "/fleet") => text(StatusCode::OK, "{\"boats\":12}"),
+            (&Method::GET, path) => self.tell_running(path),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,12 +7,18 @@
     reason = "a test fails by panicking"
 )]
 
+mod at_most_once;
+mod claim_properties;
+mod claim_world;
 mod cold_start;
 mod command_line;
 mod fleet_commands;
 mod latency;
+mod memory_table;
 mod metrics;
 mod pages;
+mod quarantine;
+mod streams;
 mod support;
 mod text_difference;
 mod timeline;
