Tell in the time line which request crashed a group

Cause: a crash that counts against a request was only in the log of one node, so the time line could not say why a request is quarantined.

Change: an event with request, group, epoch and fingerprint, kept in the ring of rare events; the refusal of a repeat names the same fingerprint.

Conclusion: from a quarantined request one finds the groups that it took, and back.

--- a/crates/cuminlb-events/src/event_kind.rs
+++ b/crates/cuminlb-events/src/event_kind.rs
@@ -119,6 +119,22 @@
         /// The member.
         instance: InstanceId,
     },
+    /// A group crashed while it ran a request.
+    #[error(
+        "group {group} of {service} crashed at epoch {epoch} with request {request} ({fingerprint})"
+    )]
+    GroupCrashed {
+        /// The service.
+        service: ServiceId,
+        /// The group.
+        group: GroupId,
+        /// The epoch.
+        epoch: Epoch,
+        /// The request, which may be innocent.
+        request: RequestId,
+        /// What repeats of the request have in common.
+        fingerprint: RequestFingerprint,
+    },
     /// A group was dissolved and its members are free again.
     #[error("group {group} of {service} dissolved at epoch {epoch}: {cause}")]
     GroupDissolved {
--- a/crates/cuminlb-events/src/event_log.rs
+++ b/crates/cuminlb-events/src/event_log.rs
@@ -66,7 +66,7 @@
             zone: self.zone.clone(),
             kind: kind.with_bounded_texts(),
         };
-        if event.kind.request().is_some() {
+        if event.kind.is_of_every_request() {
             rings.requests.push(event);
         } else {
             rings.fleet.push(event);
--- a/crates/cuminlb-events/src/event_subjects.rs
+++ b/crates/cuminlb-events/src/event_subjects.rs
@@ -21,6 +21,7 @@
             Self::GroupServing { .. } => "group_serving",
             Self::GroupStopped { .. } => "group_stopped",
             Self::MemberMissing { .. } => "member_missing",
+            Self::GroupCrashed { .. } => "group_crashed",
             Self::GroupDissolved { .. } => "group_dissolved",
             Self::SlotsDenied { .. } => "slots_denied",
             Self::RequestSent { .. } => "request_sent",
@@ -29,10 +30,19 @@
         }
     }
 
+    /// Tells whether there is such an event for every request, rather than for something rare.
+    pub const fn is_of_every_request(&self) -> bool {
+        matches!(
+            self,
+            Self::RequestSent { .. } | Self::RequestRejected { .. } | Self::RequestEnded { .. }
+        )
+    }
+
     /// Returns the request that the event is about.
     pub const fn request(&self) -> Option<&RequestId> {
         match self {
-            Self::RequestSent { request, .. }
+            Self::GroupCrashed { request, .. }
+            | Self::RequestSent { request, .. }
             | Self::RequestRejected { request, .. }
             | Self::RequestEnded { request, .. } => Some(request),
             _ => None,
@@ -46,6 +56,7 @@
             | Self::GroupServing { group, .. }
             | Self::GroupStopped { group, .. }
             | Self::MemberMissing { group, .. }
+            | Self::GroupCrashed { group, .. }
             | Self::GroupDissolved { group, .. }
             | Self::SlotsDenied { group, .. }
             | Self::RequestSent { group, .. } => Some(group),
@@ -87,6 +98,7 @@
             Self::GroupFormed { service, .. }
             | Self::GroupServing { service, .. }
             | Self::GroupStopped { service, .. }
+            | Self::GroupCrashed { service, .. }
             | Self::GroupDissolved { service, .. }
             | Self::SlotsDenied { service, .. }
             | Self::RequestSent { service, .. }
--- a/crates/cuminlb-events/tests/events/strategies.rs
+++ b/crates/cuminlb-events/tests/events/strategies.rs
@@ -60,7 +60,7 @@
 /// Returns events of every kind.
 pub fn kind() -> impl Strategy<Value = EventKind> {
     let names = (0..4_u8, any::<u64>(), "[ -~]{0,40}");
-    (names, cause(), denial(), outcome(), 0..18_u8).prop_map(
+    (names, cause(), denial(), outcome(), 0..19_u8).prop_map(
         |((name, number, text), cause, denial, outcome, kind)| {
             build(name, number, &text, cause, denial, outcome, kind)
         },
@@ -146,6 +146,13 @@
             group,
             epoch,
         },
+        18 => EventKind::GroupCrashed {
+            service,
+            group,
+            epoch,
+            request,
+            fingerprint: id("f-1"),
+        },
         16 => EventKind::RequestRejected {
             request,
             code: "bad_request".into(),
--- a/src/cuminlb/serving/suspicion.rs
+++ b/src/cuminlb/serving/suspicion.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cuminlb_caller::{CallTarget, CallerRequest};
+use cuminlb_events::EventKind;
 use cuminlb_routing::{Crash, CrashId, Refusal, RefusalKind, request_fingerprint};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{OrderError, StreamError, UpstreamError};
@@ -18,6 +19,7 @@
 pub(super) struct Suspicion {
     node: Arc<Node>,
     request: RequestId,
+    service: ServiceId,
     fingerprint: RequestFingerprint,
     is_model: bool,
     lanes: Arc<SuspectLanes>,
@@ -36,6 +38,7 @@
         Self {
             node: Arc::clone(node),
             request: request.id.clone(),
+            service: trail.service().clone(),
             fingerprint,
             is_model: matches!(request.target, CallTarget::Model(_)),
             lanes: Arc::clone(lanes),
@@ -83,6 +86,13 @@
             self.request,
             self.fingerprint
         );
+        self.node.events.record(EventKind::GroupCrashed {
+            service: self.service.clone(),
+            group: slot.group().clone(),
+            epoch: slot.epoch,
+            request: self.request.clone(),
+            fingerprint: self.fingerprint.clone(),
+        });
         let id = CrashId {
             group: slot.group().clone(),
             epoch: slot.epoch,
--- a/tests/testsuite/timeline.rs
+++ b/tests/testsuite/timeline.rs
@@ -2,7 +2,8 @@
 
 use cuminlb_events::{DissolveCause, Event, EventKind, RequestOutcome};
 use cuminlb_test_support::{ModelPlan, Site, SiteBuilder, wait_until};
-use http::StatusCode;
+use cuminlb_types::prelude::*;
+use http::{Method, StatusCode};
 use tokio::process::Command;
 
 use crate::support::cuminctl;
@@ -196,3 +197,53 @@
     assert!(output.status.success());
     site.shut_down().await;
 }
+
+#[tokio::test]
+async fn it_names_the_request_that_crashed_a_group() {
+    let site = SiteBuilder::default()
+        .nodes(1)
+        .model(ModelPlan::new("oar-assist", 3, 1))
+        .start_serving()
+        .await
+        .unwrap();
+    for engine in &site.upstreams {
+        let url = format!("http://{}/control/crash-on", engine.record.address);
+        let set = site.client().call(Method::PUT, &url, &[], "dawn").await;
+        set.unwrap();
+    }
+    // The question of the site's caller holds the word.
+    let refused = site.chat(0, "oar-assist", false, 2).await.unwrap();
+    let error = refused.json()["error"].clone();
+    let request = refused.headers["x-request-id"].to_str().unwrap();
+    let events = timeline(&site, &["--request", request]).await;
+    let crashes: Vec<(&GroupId, &RequestFingerprint)> = events
+        .iter()
+        .filter_map(|event| match &event.kind {
+            EventKind::GroupCrashed {
+                group, fingerprint, ..
+            } => Some((group, fingerprint)),
+            _ => None,
+        })
+        .collect();
+    assert!(!crashes.is_empty(), "{error} {events:#?}");
+    let (group, fingerprint) = crashes[0];
+    let of_group = timeline(&site, &["--group", group.as_str()]).await;
+    let names_request = |event: &Event| {
+        matches!(&event.kind, EventKind::GroupCrashed { request: found, .. }
+            if found.as_str() == request)
+    };
+    assert!(of_group.iter().any(names_request), "{of_group:#?}");
+
+    // The refusal of a repeat names the same fingerprint.
+    let mut repeat = error;
+    for _ in 0..4 {
+        if repeat["code"] == "quarantined" {
+            break;
+        }
+        let answer = site.chat(0, "oar-assist", false, 2).await.unwrap();
+        repeat = answer.json()["error"].clone();
+    }
+    let message = repeat["message"].as_str().unwrap();
+    assert!(message.contains(fingerprint.as_str()), "{repeat}");
+    site.shut_down().await;
+}
