--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod claim_world;
 mod cold_start;
 mod command_line;
+mod fleet_commands;
 mod fleet_support;
 mod group_orders;
 mod groups;
