Order waiting requests fairly, spread refusals, and choose groups by told load

Cause: whoever came first took the queue, so a large team starved a small one; all refused callers came back in the same moment; a wait could outlast its bound (51 s of 40 s); groups were chosen without any load.

Change: one queue per service at each node, weighted fair queueing over the teams, bounded, a full queue gives up from the longest line against its weight; only the first 8 ask owners; requests that would miss their deadline are refused at once; x-priority orders a team's own requests; a team's rate is divided by the live nodes and saved up for 5 s; Retry-After is spread over a window of backlog by rate, 2 s to 60 s. Owners tell taken and limit with each grant and denial; the choice is the better of two by that load, with zone cost and prefix affinity, which counts only where the load is known and below 0.75.

Seen failing: first come first served, evicting the newest of all, a fixed Retry-After window, no early refusal, a turn not passed on, affinity without load, an unknown load taken for none (each by its own test).

Conclusion: unused rate is shared over time at a node, not yet between nodes.

--- a/crates/cuminlb-routing/src/admission/gate.rs
+++ b/crates/cuminlb-routing/src/admission/gate.rs
@@ -1,39 +1,65 @@
 //! [`Admission`].
 
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
 
+use cuminlb_config::TeamSpec;
 use cuminlb_types::prelude::*;
-use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
-use super::{AdmissionLimits, AdmissionPermit};
+use super::{AdmissionLimits, AdmissionPermit, ServiceQueue, TeamRates};
 use crate::{Refusal, RefusalKind};
 
-/// Lets requests in up to a bound.
-#[derive(Clone, Debug)]
+/// Lets requests in: each team up to its rate, and each service's in a fair order.
+#[derive(Debug)]
 pub struct Admission {
-    inside: Arc<Semaphore>,
+    limits: AdmissionLimits,
+    inside: Arc<()>,
+    rates: Mutex<TeamRates>,
+    queues: Mutex<HashMap<ServiceId, Arc<ServiceQueue>>>,
 }
 
 impl Admission {
     /// Creates an admission with nobody inside.
     pub fn new(limits: &AdmissionLimits) -> Self {
-        let inside = usize::try_from(limits.max_inside.get()).unwrap_or(Semaphore::MAX_PERMITS);
         Self {
-            inside: Arc::new(Semaphore::new(inside.min(Semaphore::MAX_PERMITS))),
+            limits: *limits,
+            inside: Arc::default(),
+            rates: Mutex::default(),
+            queues: Mutex::default(),
         }
     }
 
     /// Lets a request in, or refuses it at once.
     ///
+    /// The rate of a team is for all nodes; this node lets in its part of it.
+    ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] when too many requests are inside.
-    pub fn enter(&self, service: &ServiceId) -> Result<AdmissionPermit, Refusal> {
-        match Arc::clone(&self.inside).try_acquire_owned() {
-            Ok(permit) => Ok(AdmissionPermit::new(permit)),
-            Err(_) => Err(Refusal::not_run(RefusalKind::QueueFull {
-                service: service.clone(),
-            })),
-        }
+    /// Returns a [`Refusal`] when the team has used up its rate at this node.
+    pub fn enter(&self, team: &TeamSpec, live_nodes: usize) -> Result<AdmissionPermit, Refusal> {
+        let rate = RequestsPerSecond(team.rate.get() / live_nodes.max(1) as f64);
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = rates.take(&team.id, rate, Instant::now(), &mut rand::rng());
+        taken.map_err(|retry_after_ms| {
+            let team = team.id.clone();
+            let refusal = Refusal::not_run(RefusalKind::RateExceeded { team, rate });
+            refusal.with_retry_after(retry_after_ms)
+        })?;
+        Ok(AdmissionPermit::new(Arc::clone(&self.inside)))
+    }
+
+    /// Returns the queue of a service.
+    pub fn queue(&self, service: &ServiceId) -> Arc<ServiceQueue> {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = queues.entry(service.clone());
+        let queue =
+            queue.or_insert_with(|| Arc::new(ServiceQueue::new(service.clone(), &self.limits)));
+        Arc::clone(queue)
+    }
+
+    /// Returns the number of requests that are inside.
+    pub fn inside(&self) -> usize {
+        Arc::strong_count(&self.inside) - 1
     }
 }
--- a/crates/cuminlb-routing/src/admission/permit.rs
+++ b/crates/cuminlb-routing/src/admission/permit.rs
@@ -1,15 +1,15 @@
 //! [`AdmissionPermit`].
 
-use tokio::sync::OwnedSemaphorePermit;
+use std::sync::Arc;
 
 /// The right of one request to be inside; it ends when this is dropped.
 #[derive(Debug)]
 pub struct AdmissionPermit {
-    _permit: OwnedSemaphorePermit,
+    _inside: Arc<()>,
 }
 
 impl AdmissionPermit {
-    pub(super) const fn new(permit: OwnedSemaphorePermit) -> Self {
-        Self { _permit: permit }
+    pub(super) const fn new(inside: Arc<()>) -> Self {
+        Self { _inside: inside }
     }
 }
--- a/crates/cuminlb-routing/src/choice/mod.rs
+++ b/crates/cuminlb-routing/src/choice/mod.rs
@@ -1,5 +1,11 @@
 //! Which group a request should try.
 
 mod group_choice;
+mod group_chooser;
+mod load_estimates;
+mod prefix_key;
 
-pub use self::group_choice::{GroupChoice, choose_group};
+pub use self::group_choice::GroupChoice;
+pub use self::group_chooser::GroupChooser;
+pub use self::load_estimates::LoadEstimates;
+pub use self::prefix_key::PrefixKey;
--- a/crates/cuminlb-routing/src/refusal/refusal_kind.rs
+++ b/crates/cuminlb-routing/src/refusal/refusal_kind.rs
@@ -50,6 +50,14 @@
         /// The service.
         service: ServiceId,
     },
+    /// The request would get its turn too late for its caller.
+    #[error("service {service} is expected to take {expected_ms}, which is too late")]
+    DeadlineTooClose {
+        /// The service.
+        service: ServiceId,
+        /// The time that the request is expected to wait.
+        expected_ms: Millis,
+    },
     /// No slot came free in time.
     #[error("no group of service {service} had a free slot within {waited_ms}")]
     NoSlot {
@@ -104,6 +112,7 @@
             Self::Quarantined => 422,
             Self::UpstreamFailed { .. } => 502,
             Self::QueueFull { .. }
+            | Self::DeadlineTooClose { .. }
             | Self::NoSlot { .. }
             | Self::NoGroup { .. }
             | Self::ClaimUnavailable
@@ -122,6 +131,7 @@
             Self::ReceiveTimeout { .. } => "receive_timeout",
             Self::RateExceeded { .. } => "rate_exceeded",
             Self::QueueFull { .. } => "queue_full",
+            Self::DeadlineTooClose { .. } => "deadline_too_close",
             Self::NoSlot { .. } => "no_slot",
             Self::NoGroup { .. } => "no_group",
             Self::UpstreamFailed { .. } => "upstream_failed",
--- /dev/null
+++ b/crates/cuminlb-routing/tests/choice.rs
@@ -0,0 +1,143 @@
+//! Properties of the choice of a group.
+#![allow(
+    clippy::expect_used,
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminlb_routing::{GroupChoice, GroupChooser, LoadEstimates, PrefixKey, SlotLoad};
+use cuminlb_types::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+/// The number of choices that a spread is judged by.
+const CHOICES: u32 = 2_000;
+
+fn config() -> Config {
+    Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0xC401),
+        cases: 64,
+        ..Config::default()
+    }
+}
+
+fn group(number: usize) -> GroupId {
+    format!("oar-assist-{number}").parse().unwrap()
+}
+
+fn choice(number: usize, load: Option<f64>) -> GroupChoice {
+    GroupChoice {
+        group: group(number),
+        epoch: Epoch(1),
+        is_near: true,
+        load: load.map(Ratio),
+    }
+}
+
+fn counts(choices: &[GroupChoice], prefix: &[u8], seed: u64) -> BTreeMap<GroupId, u32> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let chooser = GroupChooser {
+        prefix: Some(PrefixKey::of_body(prefix)),
+    };
+    let mut counts = BTreeMap::new();
+    for _ in 0..CHOICES {
+        let chosen = chooser.choose(choices, &mut rng).unwrap();
+        *counts.entry(chosen.group.clone()).or_insert(0) += 1;
+    }
+    counts
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A node that knows no load spreads evenly, also when every request has the same prefix.
+    #[test]
+    fn without_any_load_the_spread_is_even(
+        groups in 2..12_usize,
+        prefix in vec(any::<u8>(), 0..600),
+        seed in any::<u64>(),
+    ) {
+        let choices: Vec<GroupChoice> = (0..groups).map(|number| choice(number, None)).collect();
+        let even = f64::from(CHOICES) / groups as f64;
+        let counts = counts(&choices, &prefix, seed);
+        for number in 0..groups {
+            let count = f64::from(counts.get(&group(number)).copied().unwrap_or_default());
+            prop_assert!((count - even).abs() <= 0.35 * even + 20.0, "{counts:?}");
+        }
+    }
+
+    /// A group whose load alone is not known is neither shunned nor everyone's favourite.
+    #[test]
+    fn one_unknown_load_makes_no_favourite(
+        loads in vec(0.2..0.8_f64, 3..10),
+        seed in any::<u64>(),
+    ) {
+        let mut choices: Vec<GroupChoice> = loads
+            .iter()
+            .enumerate()
+            .map(|(number, load)| choice(number, Some(*load)))
+            .collect();
+        choices.push(choice(loads.len(), None));
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let chooser = GroupChooser::default();
+        let is_unknown = |choice: &GroupChoice| choice.load.is_none();
+        let chosen = (0..CHOICES).filter(|_| is_unknown(chooser.choose(&choices, &mut rng).unwrap()));
+        let chosen = chosen.count() as f64;
+        // Of two choices it wins against the groups whose load is above the mean.
+        let known = loads.len() as f64;
+        let mean = loads.iter().sum::<f64>() / known;
+        let above = loads.iter().filter(|load| **load > mean).count() as f64;
+        let expected = f64::from(CHOICES) * 2.0 / (known + 1.0) * above / known;
+        prop_assert!((chosen - expected).abs() <= 0.2 * expected + 40.0, "{chosen} {expected}");
+    }
+
+    /// A prefix keeps to its group while that group has room, and no longer.
+    #[test]
+    fn a_prefix_keeps_to_its_group_while_there_is_room(
+        groups in 3..10_usize,
+        prefix in vec(any::<u8>(), 1..600),
+        seed in any::<u64>(),
+    ) {
+        let idle: Vec<GroupChoice> = (0..groups).map(|n| choice(n, Some(0.1))).collect();
+        let idle_counts = counts(&idle, &prefix, seed);
+        let (favourite, count) = idle_counts.iter().max_by_key(|(_, count)| **count).unwrap();
+        prop_assert_eq!(*count, CHOICES);
+        let busy: Vec<GroupChoice> = idle
+            .into_iter()
+            .map(|mut choice| {
+                if choice.group == *favourite {
+                    choice.load = Some(Ratio(0.9));
+                }
+                choice
+            })
+            .collect();
+        let busy_counts = counts(&busy, &prefix, seed);
+        prop_assert_eq!(busy_counts.get(favourite), None);
+    }
+}
+
+#[test]
+fn a_load_is_corrected_by_own_ends_and_forgotten_when_old() {
+    let loads = LoadEstimates::default();
+    let now = Instant::now();
+    let told = SlotLoad {
+        taken: SlotCount(4),
+        limit: SlotCount(8),
+    };
+    assert_eq!(loads.load(&group(0), now), None);
+    loads.note_told(&group(0), told, now);
+    assert_eq!(loads.load(&group(0), now), Some(Ratio(0.5)));
+    loads.note_ended(&group(0));
+    loads.note_ended(&group(0));
+    assert_eq!(loads.load(&group(0), now), Some(Ratio(0.25)));
+    assert_eq!(loads.load(&group(0), now + Duration::from_secs(10)), None);
+}
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -9,7 +9,7 @@
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
 };
-use cuminlb_routing::{SlotHolder, SlotTerms};
+use cuminlb_routing::{LoadEstimates, SlotHolder, SlotTerms};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
 use smol_str::format_smolstr;
@@ -62,7 +62,9 @@
     pub owned: OwnedGroups,
     /// Told when the table should be read at once.
     pub poll_now: Notify,
-    /// The slots of other groups that this node holds.
+    /// The load of the groups as their owners told it.
+    pub loads: LoadEstimates,
+    /// The asks for slots of this node.
     pub holdings: SlotHoldings,
     /// Takes the slots to give back, with the owner that was asked for each.
     pub releases: mpsc::UnboundedSender<(NodeId, ReleasedSlot)>,
@@ -103,6 +105,7 @@
             knowledge: TableKnowledge::default(),
             peers: Peers::default(),
             owned: OwnedGroups::new(slot_terms(&settings)),
+            loads: LoadEstimates::default(),
             holdings: SlotHoldings::default(),
             poll_now: Notify::new(),
             releases,
--- a/src/cuminlb/serving/asked_slot.rs
+++ b/src/cuminlb/serving/asked_slot.rs
@@ -19,6 +19,7 @@
     pub(super) use_by: Instant,
     /// How the use of the slot ended.
     pub(super) end: SlotEnd,
+    held: bool,
 }
 
 impl AskedSlot {
@@ -31,11 +32,13 @@
             group: group.clone(),
             use_by: Instant::now() + node.slot_use_ms().duration(),
             end: SlotEnd::Finished,
+            held: false,
         }
     }
 
     /// Notes that the owner granted the slot.
-    pub(super) fn hold(&self) {
+    pub(super) fn hold(&mut self) {
+        self.held = true;
         self.node.holdings.hold(&self.group, self.ticket);
     }
 
@@ -51,6 +54,9 @@
 impl Drop for AskedSlot {
     fn drop(&mut self) {
         self.node.holdings.end(&self.group, self.ticket);
+        if self.held {
+            self.node.loads.note_ended(&self.group);
+        }
         if self.owner == *self.node.id() {
             self.node.owned.release(&self.group, &self.id(), self.end);
             return;
--- a/src/cuminlb/serving/held_slot.rs
+++ b/src/cuminlb/serving/held_slot.rs
@@ -18,7 +18,7 @@
 
 impl HeldSlot {
     /// Holds what was granted.
-    pub(super) fn new(asked: AskedSlot, grant: &SlotGrant) -> Self {
+    pub(super) fn new(mut asked: AskedSlot, grant: &SlotGrant) -> Self {
         asked.hold();
         Self {
             asked,
--- a/src/cuminlb/serving/mod.rs
+++ b/src/cuminlb/serving/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod held_slot;
 mod peer_service;
+mod priority_header;
 mod request_trail;
 mod router;
 mod slot_client;
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -4,7 +4,9 @@
 
 use cuminlb_caller::{CallTarget, CallerAnswer, CallerHandler, CallerRequest};
 use cuminlb_config::{ApiKeyDigest, FleetSpec, ServiceKind, ServiceSpec, TeamSpec};
-use cuminlb_routing::{Admission, AdmissionLimits, AdmissionPermit, Refusal, RefusalKind};
+use cuminlb_routing::{
+    Admission, AdmissionLimits, AdmissionPermit, PrefixKey, Refusal, RefusalKind,
+};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::UpstreamError;
 use http::header::CONTENT_TYPE;
@@ -12,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::exchange::{answer_headers, read_whole, send};
+use super::priority_header::priority;
 use super::request_trail::RequestTrail;
 use super::slot_client::SlotClient;
 use super::stream_relay::StreamRelay;
@@ -24,7 +27,7 @@
 #[derive(Clone)]
 pub struct Router {
     node: Arc<Node>,
-    admission: Admission,
+    admission: Arc<Admission>,
 }
 
 /// Where a request goes: the service and the path at the upstream.
@@ -37,9 +40,9 @@
     /// Routes for a node.
     pub fn new(node: Arc<Node>) -> Self {
         let limits = AdmissionLimits {
-            max_inside: node.settings.limits.max_queued,
+            max_waiting: node.settings.limits.max_queued,
         };
-        let admission = Admission::new(&limits);
+        let admission = Arc::new(Admission::new(&limits));
         Self { node, admission }
     }
 
@@ -49,13 +52,14 @@
             resolved.inspect_err(|refusal| self.note_rejected(&request.id, refusal))?;
         let service = destination.service.id.clone();
         let node = Arc::clone(&self.node);
-        let mut trail = RequestTrail::new(node, request.id.clone(), team.id, service.clone());
+        let mut trail = RequestTrail::new(node, request.id.clone(), team.id.clone(), service);
+        let live_nodes = self.node.view.borrow().nodes().iter().count();
         let admitted = self
             .check_state()
-            .and_then(|()| self.admission.enter(&service));
+            .and_then(|()| self.admission.enter(&team, live_nodes));
         let answer = match admitted {
             Ok(permit) => {
-                self.exchange(&request, &destination, &mut trail, permit)
+                self.exchange(&request, &team, &destination, &mut trail, permit)
                     .await
             }
             Err(refusal) => Err(refusal),
@@ -112,6 +116,7 @@
     async fn exchange(
         &self,
         request: &CallerRequest,
+        team: &TeamSpec,
         destination: &Destination,
         trail: &mut RequestTrail,
         permit: AdmissionPermit,
@@ -120,11 +125,20 @@
         let idempotent = destination
             .service
             .is_idempotent(request.method.as_str(), &destination.path);
-        let queue_deadline = Instant::now() + limits.max_queue_wait_ms.duration();
+        let priority = priority(&request.headers)?;
+        let max_wait_ms = match request.timeout_ms {
+            Some(timeout_ms) => timeout_ms.min(limits.max_queue_wait_ms),
+            None => limits.max_queue_wait_ms,
+        };
+        let queue_deadline = Instant::now() + max_wait_ms.duration();
         let mut tries = 1;
         loop {
             let slots = SlotClient {
                 node: &self.node,
+                admission: &self.admission,
+                team,
+                priority,
+                prefix: PrefixKey::of_body(&request.body),
                 service: &destination.service.id,
             };
             let mut slot = slots.acquire(queue_deadline).await?;
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_fleet::rows::{GroupRecord, GroupState};
+use cuminlb_config::TeamSpec;
+use cuminlb_fleet::rows::GroupState;
 use cuminlb_peer::SlotRequest;
-use cuminlb_routing::{GroupChoice, Refusal, RefusalKind, SlotDenial, choose_group};
+use cuminlb_routing::{
+    Admission, GroupChoice, GroupChooser, PrefixKey, Priority, Refusal, RefusalKind, SlotDenial,
+};
 use cuminlb_types::prelude::*;
 use log::debug;
 use tokio::time::Instant;
@@ -17,68 +20,74 @@
 /// The pause after no group had a slot.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// The cost of leaving the zone of this node, in requests.
-const ZONE_COST: f64 = 4.0;
-
 /// Acquires a slot for one request.
 pub(super) struct SlotClient<'a> {
     pub(super) node: &'a Arc<Node>,
+    pub(super) admission: &'a Admission,
+    pub(super) team: &'a TeamSpec,
+    pub(super) priority: Priority,
+    pub(super) prefix: PrefixKey,
     pub(super) service: &'a ServiceId,
 }
 
 impl SlotClient<'_> {
-    /// Asks the owners of the groups for a slot, until one grants it or `deadline` has come.
+    /// Waits for the request's turn, and then asks the owners of the groups for a slot, until one
+    /// grants it or `deadline` has come.
     pub(super) async fn acquire(&self, deadline: Instant) -> Result<HeldSlot, Refusal> {
         let started = Instant::now();
-        let mut group_seen = false;
+        let queue = self.admission.queue(self.service);
+        let turn = queue.wait_turn(&self.team.id, self.team.share, self.priority, deadline);
+        let turn = turn.await?;
+        if let Ok(slot) = tokio::time::timeout_at(deadline, self.ask_groups(deadline)).await {
+            turn.served();
+            return Ok(slot);
+        }
+        let service = self.service.clone();
+        Err(queue.refuse(if self.choices().is_empty() {
+            RefusalKind::NoGroup { service }
+        } else {
+            let waited_ms = started.elapsed().into();
+            RefusalKind::NoSlot { service, waited_ms }
+        }))
+    }
+
+    /// Asks one group after the other, over and over, until one grants a slot.
+    async fn ask_groups(&self, deadline: Instant) -> HeldSlot {
         loop {
             let mut choices = self.choices();
-            group_seen |= !choices.is_empty();
-            while let Some(choice) = pick(&choices) {
+            while let Some(choice) = self.pick(&choices) {
                 if let Some(slot) = self.ask_owners(&choice, deadline).await {
-                    return Ok(slot);
+                    return slot;
                 }
                 choices.retain(|other| other.group != choice.group);
-                if Instant::now() >= deadline {
-                    break;
-                }
-            }
-            if Instant::now() + PAUSE >= deadline {
-                return Err(self.refusal(group_seen, started.elapsed().into()));
             }
             tokio::time::sleep(PAUSE).await;
         }
     }
 
-    fn refusal(&self, group_seen: bool, waited_ms: Millis) -> Refusal {
-        let service = self.service.clone();
-        Refusal::not_run(if group_seen {
-            RefusalKind::NoSlot { service, waited_ms }
-        } else {
-            RefusalKind::NoGroup { service }
-        })
+    fn pick(&self, choices: &[GroupChoice]) -> Option<GroupChoice> {
+        let chooser = GroupChooser {
+            prefix: Some(self.prefix),
+        };
+        chooser.choose(choices, &mut rand::rng()).cloned()
     }
 
     fn choices(&self) -> Vec<GroupChoice> {
+        let now = Instant::now();
         let view = self.node.view.borrow();
         let groups = view.groups(self.service).iter();
         groups
             .filter(|group| group.state == GroupState::Intact)
             .filter(|group| view.spec().is_some_and(|spec| spec.zone_is_in(&group.zone)))
-            .map(|group| self.choice(group))
+            .map(|group| GroupChoice {
+                group: group.id.clone(),
+                epoch: group.epoch,
+                is_near: group.zone == self.node.settings.zone,
+                load: self.node.loads.load(&group.id, now),
+            })
             .collect()
     }
 
-    fn choice(&self, group: &GroupRecord) -> GroupChoice {
-        let is_near = group.zone == self.node.settings.zone;
-        let cost = if is_near { 0.0 } else { ZONE_COST };
-        GroupChoice {
-            group: group.id.clone(),
-            epoch: group.epoch,
-            cost,
-        }
-    }
-
     /// Asks the node that was last seen as the owner, then the other candidates.
     async fn ask_owners(&self, choice: &GroupChoice, deadline: Instant) -> Option<HeldSlot> {
         let view = self.node.view();
@@ -96,6 +105,11 @@
                     candidates.extend(hint.filter(|hint| !candidates.contains(hint)));
                 }
                 Some(Err(denial)) => {
+                    if let SlotDenial::Full { load } = denial {
+                        let now = Instant::now();
+                        self.node.loads.note_told(&choice.group, load, now);
+                        self.node.owned.note_owner(&choice.group, owner);
+                    }
                     self.node
                         .note_denial(self.service, &choice.group, Some(&denial));
                     debug!("group {} grants no slot: {denial}", choice.group);
@@ -135,14 +149,14 @@
                 }
             }
         };
-        Some(answer.map(|grant| HeldSlot::new(asked, &grant)))
+        Some(answer.map(|grant| {
+            let now = Instant::now();
+            self.node.loads.note_told(&choice.group, grant.load, now);
+            HeldSlot::new(asked, &grant)
+        }))
     }
 }
 
-fn pick(choices: &[GroupChoice]) -> Option<GroupChoice> {
-    choose_group(choices, &mut rand::rng()).cloned()
-}
-
 fn owner_candidates(
     node: &Node,
     view: &FleetView,
