--- a/src/cuminlb/serving/request_trail.rs
+++ b/src/cuminlb/serving/request_trail.rs
@@ -40,9 +40,14 @@
         }
     }
 
-    /// Returns the request.
-    pub(super) const fn request(&self) -> &RequestId {
-        &self.request
+    /// Returns the team.
+    pub(super) const fn team(&self) -> &TeamId {
+        &self.team
+    }
+
+    /// Returns the service.
+    pub(super) const fn service(&self) -> &ServiceId {
+        &self.service
     }
 
     /// Records that the request was sent to a group.
@@ -74,6 +79,7 @@
         let outcome = match refusal.run_state {
             RunState::NotRun => RequestOutcome::NotRun,
             RunState::Unknown => RequestOutcome::Unknown,
+            RunState::Ran => RequestOutcome::Answered,
         };
         self.end(outcome, refusal.kind.code(), refusal.kind.to_smolstr());
     }
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -3,17 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_config::TeamSpec;
 use cuminlb_fleet::rows::GroupState;
 use cuminlb_peer::SlotRequest;
 use cuminlb_routing::{
-    Admission, GroupChoice, GroupChooser, PrefixKey, Priority, Refusal, RefusalKind, SlotDenial,
+    Admission, GroupChoice, GroupChooser, PrefixKey, Refusal, RefusalKind, SlotDenial,
 };
 use cuminlb_types::prelude::*;
 use log::debug;
 use tokio::time::Instant;
 
 use super::asked_slot::AskedSlot;
+use super::caller_standing::CallerStanding;
 use super::held_slot::HeldSlot;
 use crate::node::{FleetView, MAX_WAIT_AT_OWNER_MS, Node};
 
@@ -24,10 +24,11 @@
 pub(super) struct SlotClient<'a> {
     pub(super) node: &'a Arc<Node>,
     pub(super) admission: &'a Admission,
-    pub(super) team: &'a TeamSpec,
-    pub(super) priority: Priority,
+    pub(super) standing: &'a CallerStanding,
     pub(super) prefix: PrefixKey,
     pub(super) service: &'a ServiceId,
+    /// The groups that are taken only where there is no other.
+    pub(super) avoided: &'a [GroupId],
 }
 
 impl SlotClient<'_> {
@@ -36,7 +37,8 @@
     pub(super) async fn acquire(&self, deadline: Instant) -> Result<HeldSlot, Refusal> {
         let started = Instant::now();
         let queue = self.admission.queue(self.service);
-        let turn = queue.wait_turn(&self.team.id, self.team.share, self.priority, deadline);
+        let CallerStanding { team, priority } = self.standing;
+        let turn = queue.wait_turn(&team.id, team.share, *priority, deadline);
         let turn = turn.await?;
         if let Ok(slot) = tokio::time::timeout_at(deadline, self.ask_groups(deadline)).await {
             turn.served();
@@ -54,7 +56,7 @@
     /// Asks one group after the other, over and over, until one grants a slot.
     async fn ask_groups(&self, deadline: Instant) -> HeldSlot {
         loop {
-            let mut choices = self.choices();
+            let mut choices = self.preferred(self.choices());
             while let Some(choice) = self.pick(&choices) {
                 if let Some(slot) = self.ask_owners(&choice, deadline).await {
                     return slot;
@@ -72,6 +74,15 @@
         chooser.choose(choices, &mut rand::rng()).cloned()
     }
 
+    /// Leaves out the groups that are avoided, unless there is no other.
+    fn preferred(&self, mut choices: Vec<GroupChoice>) -> Vec<GroupChoice> {
+        let is_preferred = |choice: &GroupChoice| !self.avoided.contains(&choice.group);
+        if choices.iter().any(is_preferred) {
+            choices.retain(is_preferred);
+        }
+        choices
+    }
+
     fn choices(&self) -> Vec<GroupChoice> {
         let now = Instant::now();
         let view = self.node.view.borrow();
