Prove fairness and quick, spread refusals through a node

Cause: admission was proved by properties only. Conclusion: holds at one node; order across nodes is by the owner's turns.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod admission;
 mod at_most_once;
 mod claim_properties;
 mod claim_world;
