--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -1,6 +1,7 @@
 //! [`OwnedGroup`].
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cuminlb_config::ServiceSpec;
@@ -25,6 +26,7 @@
     lease: watch::Receiver<HeldLease>,
     proofs: Mutex<HashMap<InstanceId, Proof>>,
     ledger: Mutex<Option<SlotLedger>>,
+    draining: AtomicBool,
     /// Told when a slot came free or the group began to serve.
     pub changed: Notify,
 }
@@ -39,6 +41,7 @@
             lease,
             proofs: Mutex::default(),
             ledger: Mutex::default(),
+            draining: AtomicBool::new(false),
             changed: Notify::new(),
         }
     }
@@ -63,6 +66,28 @@
         self.changed.notify_waiters();
     }
 
+    /// Forgets the proof of a member that is certainly not up.
+    pub fn forget_proof(&self, member: &InstanceId) {
+        lock(&self.proofs).remove(member);
+    }
+
+    /// Grants no slots any more; those that are taken go on.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Tells whether no slots are granted any more.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Tells whether no slot is taken and no member reports that it runs a request.
+    pub fn is_idle(&self) -> bool {
+        let no_slot_taken = self.taken() == SlotCount(0);
+        let proofs = lock(&self.proofs);
+        no_slot_taken && proofs.values().all(|proof| proof.running == SlotCount(0))
+    }
+
     /// Returns the newest proof of a member.
     pub fn proof(&self, member: &InstanceId) -> Option<Proof> {
         lock(&self.proofs).get(member).copied()
@@ -100,7 +125,7 @@
         let Some(ledger) = ledger.as_mut() else {
             return Err(SlotDenial::NotServing);
         };
-        if !self.is_serving(now, proof_max_age_ms) {
+        if self.is_draining() || !self.is_serving(now, proof_max_age_ms) {
             return Err(SlotDenial::NotServing);
         }
         let limit = spec.slots(self.is_warm());
