--- a/src/cuminlb/serving/mod.rs
+++ b/src/cuminlb/serving/mod.rs
@@ -5,6 +5,7 @@
 //! claimed first, see [`claims`].
 
 mod asked_slot;
+mod caller_standing;
 mod claimed_request;
 pub mod claims;
 mod destination;
@@ -13,6 +14,7 @@
 mod held_slot;
 mod open_answer;
 mod peer_service;
+mod priority_header;
 mod request_run;
 mod request_trail;
 mod retry_budgets;
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use cuminlb_caller::CallerRequest;
-use cuminlb_routing::{FailedTry, Refusal, RefusalKind, RetryBudget, RunState};
+use cuminlb_routing::{
+    Admission, FailedTry, PrefixKey, Refusal, RefusalKind, RetryBudget, RunState,
+};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::UpstreamError;
 use http::Response;
@@ -12,6 +14,7 @@
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
+use super::caller_standing::CallerStanding;
 use super::claims::{HeldClaim, WholeAnswer};
 use super::destination::Destination;
 use super::exchange::upstream_request;
@@ -29,6 +32,8 @@
 /// One request on its way: all its tries, until it has an answer or a refusal.
 pub(super) struct RequestRun {
     pub(super) node: Arc<Node>,
+    pub(super) admission: Arc<Admission>,
+    pub(super) standing: CallerStanding,
     pub(super) request: CallerRequest,
     pub(super) destination: Destination,
     pub(super) bounds: RunBounds,
@@ -165,6 +170,9 @@
         let max_wait = self.node.settings.limits.max_queue_wait_ms.duration();
         let slots = SlotClient {
             node: &self.node,
+            admission: &self.admission,
+            standing: &self.standing,
+            prefix: PrefixKey::of_body(&self.request.body),
             service: &self.destination.service.id,
             avoided,
         };
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -10,11 +10,13 @@
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
+use super::caller_standing::CallerStanding;
 use super::claimed_request::run_claimed_request;
 use super::claims::{ClaimClient, WholeAnswer};
 use super::destination::Destination;
 use super::exchange::answer_headers;
 use super::failed_groups::FailedGroups;
+use super::priority_header::priority;
 use super::request_run::RequestRun;
 use super::request_trail::RequestTrail;
 use super::retry_budgets::RetryBudgets;
@@ -28,7 +30,7 @@
 #[derive(Clone)]
 pub struct Router {
     node: Arc<Node>,
-    admission: Admission,
+    admission: Arc<Admission>,
     budgets: RetryBudgets,
     claims: ClaimClient,
     lanes: Arc<SuspectLanes>,
@@ -45,10 +47,10 @@
     /// Routes for a node; new requests are refused once `closed` is cancelled.
     pub fn new(node: Arc<Node>, claims: ClaimClient, closed: CancellationToken) -> Self {
         let limits = AdmissionLimits {
-            max_inside: node.settings.limits.max_queued,
+            max_waiting: node.settings.limits.max_queued,
         };
         Self {
-            admission: Admission::new(&limits),
+            admission: Arc::new(Admission::new(&limits)),
             budgets: RetryBudgets::default(),
             claims,
             lanes: Arc::default(),
@@ -77,15 +79,18 @@
             resolved.inspect_err(|refusal| self.note_rejected(&request.id, refusal))?;
         let service = destination.service.id.clone();
         let node = Arc::clone(&self.node);
-        let mut trail = RequestTrail::new(node, request.id.clone(), team.id, service.clone());
+        let mut trail = RequestTrail::new(node, request.id.clone(), team.id.clone(), service);
         // Counted before the check, so that a shutdown waits for what passes it.
         let in_flight = self.in_flight.token();
+        let live_nodes = self.node.view.borrow().nodes().iter().count();
         let admitted = self
             .check_state()
-            .and_then(|()| self.admission.enter(&service));
+            .and_then(|()| priority(&request.headers))
+            .and_then(|priority| Ok((priority, self.admission.enter(&team, live_nodes)?)));
         match admitted {
-            Ok(permit) => {
-                let run = self.start(request, destination, trail, in_flight);
+            Ok((priority, permit)) => {
+                let standing = CallerStanding { team, priority };
+                let run = self.start(request, standing, destination, trail, in_flight);
                 self.answer(run, permit).await
             }
             Err(refusal) => {
@@ -123,6 +128,7 @@
     fn start(
         &self,
         request: CallerRequest,
+        standing: CallerStanding,
         destination: Destination,
         trail: RequestTrail,
         in_flight: TaskTrackerToken,
@@ -139,6 +145,8 @@
             bounds: RunBounds::new(timeout_ms, self.cutoff.clone()),
             budget: self.budgets.first_try(&destination.service.id),
             is_idempotent: destination.is_idempotent(&request),
+            admission: Arc::clone(&self.admission),
+            standing,
             request,
             destination,
             trail,
