Let nodes act on in an outage of the platform while a majority hears it no longer

Cause: a node stopped serving once its knowledge of the table was older than its bound, also when the table was down for everyone; and a relayed sign of the table was not used at all.

Change: cuminlb-fleet::standing holds the decisions (hearing, statements, cover, clearance, replacement). A node is confirmed by fresh knowledge, read or relayed, and past that by a majority of the listed nodes that state silence and know no newer configuration. Statements are asked for only while a node hears the table no longer. A lapsed lease is taken over only after half of the listed nodes took a notice that the table is heard, and a lease counts past its end while its holder has been covered without a gap. A newer configuration can no longer be replaced by an older one that was read at the same time.

Conclusion: an outage for everyone stops no request; a node alone becomes unready and refuses.

--- a/crates/cuminlb-fleet/src/lease/seen_lease.rs
+++ b/crates/cuminlb-fleet/src/lease/seen_lease.rs
@@ -29,8 +29,18 @@
         }
     }
 
+    /// Returns the time at which the lease has certainly run out.
+    pub fn lapses_at(&self) -> Instant {
+        self.first_seen_at + self.row.length_ms.duration()
+    }
+
+    /// Tells whether the holder has given the lease up.
+    pub fn is_released(&self) -> bool {
+        self.row.length_ms == Millis(0)
+    }
+
     /// Tells whether the lease has certainly run out.
     pub fn has_lapsed(&self, now: Instant) -> bool {
-        now.duration_since(self.first_seen_at) >= self.row.length_ms.duration()
+        now >= self.lapses_at()
     }
 }
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
+    EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest, TableNotice,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
--- a/crates/cuminlb-peer/src/message/peer_statement.rs
+++ b/crates/cuminlb-peer/src/message/peer_statement.rs
@@ -16,7 +16,11 @@
     pub time: HybridTime,
     /// The configuration in force on the node.
     pub config: ConfigVersion,
-    /// How long ago the node last heard the table, directly or through a peer; `None` where it
-    /// has not heard it since its start.
+    /// The newest configuration that the node knows to be committed.
+    pub newest_config: ConfigVersion,
+    /// The age of the node's knowledge of the table, read by itself or relayed by a peer; `None`
+    /// where it has none since its start.
     pub table_age_ms: Option<Millis>,
+    /// Whether the node has read the table since its start and hears it no longer.
+    pub is_silent: bool,
 }
--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -2,7 +2,9 @@
 
 use cuminlb_events::Event;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+};
 
 /// The calls between nodes.
 #[tarpc::service]
@@ -10,6 +12,9 @@
     /// Exchanges statements; the answer is that of the node called.
     async fn exchange(statement: PeerStatement) -> PeerStatement;
 
+    /// Takes in that the table is heard, and returns the statement of the node called.
+    async fn announce(notice: TableNotice) -> PeerStatement;
+
     /// Asks the owner of a group for a slot.
     async fn acquire_slot(request: SlotRequest) -> SlotAnswer;
 
--- a/crates/cuminlb-peer/src/peer_handler.rs
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -4,13 +4,18 @@
 
 use cuminlb_events::Event;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+};
 
 /// What a node does with the calls of its peers.
 pub trait PeerHandler: Clone + Send + Sync + 'static {
     /// Takes in the statement of a peer and returns that of this node.
     fn exchange(&self, statement: PeerStatement) -> PeerStatement;
 
+    /// Takes in that the table is heard, and only then returns the statement of this node.
+    fn announce(&self, notice: TableNotice) -> PeerStatement;
+
     /// Grants a slot or says why not.
     fn acquire_slot(&self, request: SlotRequest) -> impl Future<Output = SlotAnswer> + Send;
 
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -14,7 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+};
 use crate::{PeerApiClient, PeerError, PeerToken};
 
 /// The client's end of the conversation with one peer.
@@ -56,6 +58,18 @@
         .await
     }
 
+    /// Tells the peer that the table is heard.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came; the peer may have taken the notice all the same.
+    pub async fn announce(&self, notice: TableNotice) -> Result<PeerStatement, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.announce(context, notice).await
+        })
+        .await
+    }
+
     /// Asks the peer for a slot.
     ///
     /// # Errors
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -12,7 +12,9 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::message::{EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest};
+use crate::message::{
+    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+};
 use crate::{PeerApi, PeerHandler, PeerToken};
 
 /// The number of calls of one peer that may run at once.
@@ -74,6 +76,10 @@
         self.handler.exchange(statement)
     }
 
+    async fn announce(self, _: Context, notice: TableNotice) -> PeerStatement {
+        self.handler.announce(notice)
+    }
+
     async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
         self.handler.acquire_slot(request).await
     }
--- a/src/cuminlb/control/fleet_poller.rs
+++ b/src/cuminlb/control/fleet_poller.rs
@@ -55,7 +55,8 @@
     for (service, (key, answer)) in services.iter().zip(answers) {
         take_roster(node, service, key, answer)?;
     }
-    node.knowledge.note(sent_at);
+    let config = node.view.borrow().config_version();
+    node.knowledge.note_read(sent_at, config);
     if services_changed {
         node.poll_now.notify_one();
     }
@@ -96,10 +97,17 @@
                 body: row.value.body,
                 spec,
             };
-            node.view
-                .send_modify(|view| view.config = Some(Arc::new(config)));
-            node.events.record(EventKind::ConfigInForce { version });
-            Ok(true)
+            let is_newer = node.view.send_if_modified(|view| {
+                let is_newer = version > view.config_version();
+                if is_newer {
+                    view.config = Some(Arc::new(config));
+                }
+                is_newer
+            });
+            if is_newer {
+                node.events.record(EventKind::ConfigInForce { version });
+            }
+            Ok(is_newer)
         }
     }
 }
--- a/src/cuminlb/control/group_keeper.rs
+++ b/src/cuminlb/control/group_keeper.rs
@@ -101,7 +101,7 @@
             }
         };
         tokio::select! {
-            () = renew_until_lost(seat, &lease, stop) => {}
+            () = renew_until_lost(&self.node, seat, &lease, stop) => {}
             () = watching => {}
         }
         *lease.borrow()
@@ -140,7 +140,12 @@
         {
             return Some(owned);
         }
-        let owned = Arc::new(OwnedGroup::new(self.service.clone(), record.clone(), lease));
+        let owned = Arc::new(OwnedGroup::new(
+            self.service.clone(),
+            record.clone(),
+            lease,
+            self.node.knowledge.watch_cover(),
+        ));
         self.node.owned.insert(Arc::clone(&owned));
         Some(owned)
     }
@@ -203,7 +208,7 @@
         member: &InstanceId,
         held: HeldLease,
     ) {
-        if !held.is_valid(Instant::now()) {
+        if !self.node.is_lease_valid(&held) {
             return;
         }
         let members = owned.record.members.iter().filter_map(|instance| {
@@ -300,12 +305,13 @@
 /// Renews the lease once a period until it has run out, another node holds it, or `stop` is
 /// cancelled.
 async fn renew_until_lost(
+    node: &Node,
     seat: &mut LeaseSeat,
     lease: &watch::Sender<HeldLease>,
     stop: &CancellationToken,
 ) {
     let period = seat.terms().renewal_period_ms().duration();
-    while lease.borrow().is_valid(Instant::now()) {
+    while node.is_lease_valid(&lease.borrow()) {
         tokio::select! {
             () = stop.cancelled() => return,
             () = tokio::time::sleep(period) => {}
@@ -316,7 +322,7 @@
                 lease.send_replace(renewed);
             }
             Err(SeatError::HeldBy { .. }) => return,
-            Err(SeatError::Table(error)) => debug!("no renewal yet: {error}"),
+            Err(error) => debug!("no renewal yet: {error}"),
         }
     }
 }
--- a/src/cuminlb/control/lease_seat.rs
+++ b/src/cuminlb/control/lease_seat.rs
@@ -5,11 +5,13 @@
 use cuminlb_events::EventKind;
 use cuminlb_fleet::lease::{HeldLease, LeaseTerms, SeenLease};
 use cuminlb_fleet::rows::{LeaseRow, RowKeys};
+use cuminlb_fleet::standing::Clearance;
 use cuminlb_platform::{CommitOutcome, Row, TableError};
 use cuminlb_types::prelude::*;
 use log::debug;
 use tokio::time::Instant;
 
+use super::gathering::gather;
 use crate::node::Node;
 
 /// A node's seat at one lease: it watches the row, takes the lease and renews it.
@@ -30,6 +32,14 @@
         /// The holder.
         holder: NodeId,
     },
+    /// The lease has lapsed, and too few nodes can be told that it will be taken over.
+    #[error("only {told} of {listed} listed nodes could be told")]
+    TooFewTold {
+        /// The number of nodes that were told, this one included.
+        told: usize,
+        /// The number of listed nodes.
+        listed: usize,
+    },
     /// The table gave no certain answer.
     #[error(transparent)]
     Table(#[from] TableError),
@@ -63,21 +73,51 @@
     /// Returns [`SeatError`] when another node holds the lease or the table gave no answer.
     pub async fn try_acquire(&mut self) -> Result<HeldLease, SeatError> {
         let key = RowKeys::lease(&self.lease);
+        let read_sent_at = Instant::now();
         let row = self.node.table.read::<LeaseRow>(&key).await?;
+        self.node.knowledge.note_heard();
         let now = Instant::now();
         let Some(row) = row else {
             return self.write(None, FencingNumber(1)).await;
         };
         let seen = SeenLease::note(self.seen.take(), row.version, row.value, now);
-        let holder = seen.row.holder.clone();
-        let lapsed = seen.has_lapsed(now);
         let (version, fencing) = (seen.version, seen.row.fencing.next());
+        let holder = seen.row.holder.clone();
+        let is_released = seen.is_released();
+        let lapses_at = seen.lapses_at();
         self.seen = Some(seen);
-        if lapsed {
-            self.write(Some(version), fencing).await
-        } else {
-            Err(SeatError::HeldBy { holder })
+        if is_released {
+            return self.write(Some(version), fencing).await;
+        }
+        if now + self.node.knowledge.bounds().statement_ms.duration() < lapses_at {
+            return Err(SeatError::HeldBy { holder });
+        }
+        let clearance = self.clear(read_sent_at, lapses_at).await?;
+        tokio::time::sleep_until(clearance.effective_at()).await;
+        self.write(Some(version), fencing).await
+    }
+
+    /// Tells half of the listed nodes that the table is heard, unless a clearance that was
+    /// gathered for another lease serves for this one too.
+    async fn clear(
+        &self,
+        read_sent_at: Instant,
+        lapses_at: Instant,
+    ) -> Result<Clearance, SeatError> {
+        let knowledge = &self.node.knowledge;
+        let last = knowledge.last_clearance();
+        if let Some(last) = last.filter(|last| last.effective_at() >= lapses_at) {
+            return Ok(last);
         }
+        let bounds = knowledge.bounds();
+        let deadline = read_sent_at + bounds.gather_ms.duration();
+        let newest = knowledge.statement().newest_config;
+        let gathered = gather(&self.node, read_sent_at, newest, deadline).await;
+        let (told, listed) = (gathered.told, gathered.listed);
+        let clearance = Clearance::judge(read_sent_at, Instant::now(), told, listed, bounds)
+            .ok_or(SeatError::TooFewTold { told, listed })?;
+        knowledge.keep_clearance(clearance);
+        Ok(clearance)
     }
 
     /// Extends a lease that this node holds.
@@ -150,6 +190,7 @@
             .await?
         {
             CommitOutcome::Committed { version } => {
+                self.node.knowledge.note_heard();
                 Ok(HeldLease::new(fencing, version, sent_at, &self.terms))
             }
             CommitOutcome::Conflict { .. } => {
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -4,10 +4,12 @@
 //! joined by the task that spawned it.
 
 mod fleet_poller;
+mod gathering;
 mod group_keeper;
 mod group_supervisor;
 mod instance_poller;
 mod lease_seat;
+mod outage_watch;
 mod peer_supervisor;
 mod peer_task;
 mod plan_supervisor;
@@ -16,9 +18,11 @@
 mod slot_releaser;
 
 pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
+pub use self::gathering::{Gathered, gather};
 pub use self::group_supervisor::supervise_groups;
 pub use self::instance_poller::poll_instances;
 pub use self::lease_seat::{LeaseSeat, SeatError};
+pub use self::outage_watch::watch_outage;
 pub use self::peer_supervisor::supervise_peers;
 pub use self::plan_supervisor::supervise_plans;
 pub use self::plan_transactions::PlanTransactions;
--- a/src/cuminlb/control/peer_task.rs
+++ b/src/cuminlb/control/peer_task.rs
@@ -4,6 +4,7 @@
 
 use cuminlb_types::prelude::*;
 use log::debug;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
@@ -17,8 +18,9 @@
             return;
         };
         let config = view.borrow_and_update().config_version();
+        let sent_at = Instant::now();
         match link.exchange(node.statement()).await {
-            Ok(statement) => node.take_statement(&statement),
+            Ok(statement) => node.take_answer(&peer, sent_at, &statement),
             Err(error) => debug!("peer {peer}: {error}"),
         }
         let config_changed = view.wait_for(|view| view.config_version() > config);
--- a/src/cuminlb/control/planner.rs
+++ b/src/cuminlb/control/planner.rs
@@ -9,7 +9,6 @@
 use cuminlb_platform::{InstanceRole, InstanceState, TableError};
 use cuminlb_types::prelude::*;
 use log::{debug, warn};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::plan_transactions::PlanTransactions;
@@ -38,9 +37,9 @@
                 held = Some(lease_now);
             }
             Err(SeatError::HeldBy { .. }) => held = None,
-            Err(SeatError::Table(error)) => debug!("the lease {lease} is not renewed: {error}"),
+            Err(error) => debug!("the lease {lease} is not taken or renewed: {error}"),
         }
-        held = held.filter(|lease| lease.is_valid(Instant::now()));
+        held = held.filter(|lease| node.is_lease_valid(lease));
         if let Some(lease) = held
             && let Err(error) = plan_once(&node, &service, lease).await
         {
@@ -70,7 +69,7 @@
     let roster = plans.read_roster().await?;
     let roster = roster.map(|row| row.value).unwrap_or_default();
     for step in plan_groups(spec, &roster, &candidates(&view, service)) {
-        if !held.is_valid(Instant::now()) {
+        if !node.is_lease_valid(&held) {
             return Ok(());
         }
         plans.carry_out(step).await?;
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -5,7 +5,9 @@
 
 use cuminlb_config::NodeSettings;
 use cuminlb_events::EventLog;
-use cuminlb_peer::{PeerStatement, SlotRelease};
+use cuminlb_fleet::lease::HeldLease;
+use cuminlb_fleet::standing::{StandingBounds, TableStatement};
+use cuminlb_peer::{PeerStatement, SlotRelease, TableNotice};
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
 };
@@ -13,6 +15,7 @@
 use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
 use smol_str::format_smolstr;
 use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::Instant;
 
 use super::{FleetView, OwnedGroups, Peers, TableKnowledge};
 
@@ -39,7 +42,7 @@
     pub upstreams: UpstreamClient,
     /// What this node knows of the fleet.
     pub view: watch::Sender<FleetView>,
-    /// When this node last heard the table.
+    /// What this node knows of the table, and whether it may act on it.
     pub knowledge: TableKnowledge,
     /// The links to the other nodes.
     pub peers: Peers,
@@ -70,7 +73,10 @@
             engines: Arc::new(HttpEngineControl::new(control.proof_max_age_ms)),
             upstreams: UpstreamClient::new(control.peer_timeout_ms, settings.limits.stream_idle_ms),
             view: watch::Sender::new(FleetView::default()),
-            knowledge: TableKnowledge::default(),
+            knowledge: TableKnowledge::new(
+                settings.id.clone(),
+                StandingBounds::new(control.knowledge_max_age_ms),
+            ),
             peers: Peers::default(),
             owned: OwnedGroups::default(),
             poll_now: Notify::new(),
@@ -104,8 +110,19 @@
 
     /// Tells whether this node may act on the configuration that it has.
     pub fn is_config_confirmed(&self) -> bool {
-        self.knowledge
-            .is_fresh(self.settings.control.knowledge_max_age_ms)
+        self.knowledge.is_confirmed()
+    }
+
+    /// Tells whether the holder of a lease may act: while the lease runs, and past that in an
+    /// outage of the platform.
+    pub fn is_lease_valid(&self, lease: &HeldLease) -> bool {
+        self.knowledge.is_lease_valid(lease)
+    }
+
+    /// Returns the ids of the nodes that the platform listed last.
+    pub fn listed_nodes(&self) -> Vec<NodeId> {
+        let view = self.view.borrow();
+        view.nodes().iter().map(|(id, _)| id).collect()
     }
 
     /// Tells whether the balancer should send requests here.
@@ -132,19 +149,52 @@
 
     /// Returns what this node says of itself to a peer.
     pub fn statement(&self) -> PeerStatement {
+        let said = self.knowledge.statement();
         PeerStatement {
             node: self.id().clone(),
             incarnation: self.incarnation,
             time: self.events.clock().tick(),
             config: self.view.borrow().config_version(),
-            table_age_ms: self.knowledge.age_ms(),
+            newest_config: said.newest_config,
+            table_age_ms: said.table_age_ms,
+            is_silent: said.is_silent,
         }
     }
 
-    /// Takes in what a peer says of itself.
+    /// Takes in what a peer says of itself when it calls; the call may have been under way for
+    /// any time, so it says nothing about the present.
     pub fn take_statement(&self, statement: &PeerStatement) {
         self.events.clock().observe(statement.time);
-        if statement.config > self.view.borrow().config_version() {
+        self.knowledge.note_newest(statement.newest_config);
+        self.poll_if_newer(statement.newest_config);
+    }
+
+    /// Takes in the answer of a peer to a call that was sent at `sent_at`.
+    pub fn take_answer(&self, peer: &NodeId, sent_at: Instant, statement: &PeerStatement) {
+        self.events.clock().observe(statement.time);
+        if statement.node != *peer {
+            return;
+        }
+        let said = TableStatement {
+            table_age_ms: statement.table_age_ms,
+            is_silent: statement.is_silent,
+            newest_config: statement.newest_config,
+        };
+        let config = self.view.borrow().config_version();
+        self.knowledge
+            .note_answer(peer.clone(), sent_at, said, config);
+        self.poll_if_newer(statement.newest_config);
+    }
+
+    /// Takes in that a peer hears the table.
+    pub fn take_notice(&self, notice: &TableNotice) {
+        self.knowledge
+            .note_notice(notice.read_age_ms, notice.newest_config);
+        self.poll_if_newer(notice.newest_config);
+    }
+
+    fn poll_if_newer(&self, config: ConfigVersion) {
+        if config > self.view.borrow().config_version() {
             self.poll_now.notify_one();
         }
     }
--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -6,6 +6,7 @@
 use cuminlb_config::ServiceSpec;
 use cuminlb_fleet::lease::HeldLease;
 use cuminlb_fleet::rows::GroupRecord;
+use cuminlb_fleet::standing::OutageCover;
 use cuminlb_routing::{SlotDenial, SlotLedger};
 use cuminlb_types::prelude::*;
 use tokio::sync::{Notify, watch};
@@ -23,6 +24,7 @@
     /// When this node began to own the group at this epoch.
     pub owned_since: Instant,
     lease: watch::Receiver<HeldLease>,
+    cover: watch::Receiver<OutageCover>,
     proofs: Mutex<HashMap<InstanceId, Proof>>,
     ledger: Mutex<SlotLedger>,
     /// Told when a slot came free or the group began to serve.
@@ -31,13 +33,19 @@
 
 impl OwnedGroup {
     /// Starts to own a group; it serves once every member is proved to be up.
-    pub fn new(service: ServiceId, record: GroupRecord, lease: watch::Receiver<HeldLease>) -> Self {
+    pub fn new(
+        service: ServiceId,
+        record: GroupRecord,
+        lease: watch::Receiver<HeldLease>,
+        cover: watch::Receiver<OutageCover>,
+    ) -> Self {
         let ledger = Mutex::new(SlotLedger::new(record.epoch));
         Self {
             service,
             record,
             owned_since: Instant::now(),
             lease,
+            cover,
             proofs: Mutex::default(),
             ledger,
             changed: Notify::new(),
@@ -49,6 +57,13 @@
         *self.lease.borrow()
     }
 
+    /// Tells whether the holder of the lease may act, in an outage past its end too.
+    fn is_lease_valid(&self, now: Instant) -> bool {
+        let lease = self.lease();
+        let cover = *self.cover.borrow();
+        lease.is_valid(now) || cover.is_covered_since(lease.valid_until, now)
+    }
+
     /// Notes the proof of a member.
     pub fn note_proof(&self, member: &InstanceId, proof: Proof) {
         lock(&self.proofs).insert(member.clone(), proof);
@@ -65,7 +80,7 @@
         let proofs = lock(&self.proofs);
         let fresh = |proof: &Proof| proof.is_fresh(now, proof_max_age_ms);
         let is_proved = |member| proofs.get(member).is_some_and(fresh);
-        self.lease().is_valid(now) && self.record.members.iter().all(is_proved)
+        self.is_lease_valid(now) && self.record.members.iter().all(is_proved)
     }
 
     /// Tells whether every member has left its cold start behind.
--- a/src/cuminlb/node/table_knowledge.rs
+++ b/src/cuminlb/node/table_knowledge.rs
@@ -1,31 +1,125 @@
 //! [`TableKnowledge`].
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use cuminlb_fleet::lease::HeldLease;
+use cuminlb_fleet::standing::{
+    Clearance, NodeStanding, OutageCover, StandingBounds, TableStatement,
+};
 use cuminlb_types::prelude::*;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// When this node last heard the table.
-#[derive(Debug, Default)]
+/// What this node knows of the table, as its tasks share it.
+#[derive(Debug)]
 pub struct TableKnowledge {
-    heard_at: Mutex<Option<Instant>>,
+    bounds: StandingBounds,
+    standing: Mutex<NodeStanding>,
+    cover: watch::Sender<OutageCover>,
+    clearance: Mutex<Option<Clearance>>,
 }
 
 impl TableKnowledge {
-    /// Notes an answer to a read that was sent at `sent_at`.
-    pub fn note(&self, sent_at: Instant) {
-        let mut heard_at = self.heard_at.lock().unwrap_or_else(PoisonError::into_inner);
-        *heard_at = (*heard_at).max(Some(sent_at));
+    /// Starts without any knowledge.
+    pub fn new(node: NodeId, bounds: StandingBounds) -> Self {
+        Self {
+            bounds,
+            standing: Mutex::new(NodeStanding::new(node, bounds)),
+            cover: watch::Sender::default(),
+            clearance: Mutex::default(),
+        }
+    }
+
+    /// Returns the bounds of the standing.
+    pub const fn bounds(&self) -> &StandingBounds {
+        &self.bounds
+    }
+
+    /// Notes a read of the configuration that was sent at `sent_at`; `config` is in force here.
+    pub fn note_read(&self, sent_at: Instant, config: ConfigVersion) {
+        self.lock().note_read(sent_at, Instant::now(), config);
+    }
+
+    /// Notes an answer of the table about anything else.
+    pub fn note_heard(&self) {
+        self.lock().note_heard(Instant::now());
+    }
+
+    /// Notes the statement of a peer that was asked at `sent_at`.
+    pub fn note_answer(
+        &self,
+        peer: NodeId,
+        sent_at: Instant,
+        said: TableStatement,
+        config: ConfigVersion,
+    ) {
+        self.lock().note_answer(peer, sent_at, said, config);
+    }
+
+    /// Notes the notice of a peer that it read the table.
+    pub fn note_notice(&self, read_age_ms: Millis, newest: ConfigVersion) {
+        self.lock().note_notice(Instant::now(), read_age_ms, newest);
+    }
+
+    /// Notes that a configuration is known to be committed.
+    pub fn note_newest(&self, config: ConfigVersion) {
+        self.lock().note_newest(config);
+    }
+
+    /// Extends the cover of this node by the statements at hand.
+    pub fn extend_cover(&self, listed: &[NodeId], config: ConfigVersion) {
+        let mut standing = self.lock();
+        standing.extend_cover(Instant::now(), listed, config);
+        self.cover.send_replace(standing.cover());
+    }
+
+    /// Returns what this node states about the table.
+    pub fn statement(&self) -> TableStatement {
+        self.lock().statement(Instant::now())
     }
 
     /// Returns the age of the knowledge, or `None` before the first answer.
     pub fn age_ms(&self) -> Option<Millis> {
-        let heard_at = self.heard_at.lock().unwrap_or_else(PoisonError::into_inner);
-        heard_at.map(|heard_at| heard_at.elapsed().into())
+        self.lock().age_ms(Instant::now())
+    }
+
+    /// Tells whether this node hears the table no longer.
+    pub fn is_silent(&self) -> bool {
+        self.lock().is_silent(Instant::now())
+    }
+
+    /// Tells whether this node may act on the configuration in force here.
+    pub fn is_confirmed(&self) -> bool {
+        self.lock().is_confirmed(Instant::now())
+    }
+
+    /// Tells whether the holder of a lease may act.
+    pub fn is_lease_valid(&self, lease: &HeldLease) -> bool {
+        self.lock().is_lease_valid(lease, Instant::now())
+    }
+
+    /// Returns the cover as it changes.
+    pub fn watch_cover(&self) -> watch::Receiver<OutageCover> {
+        self.cover.subscribe()
+    }
+
+    /// Keeps a clearance for other leases that lapse about now.
+    pub fn keep_clearance(&self, clearance: Clearance) {
+        *self.lock_clearance() = Some(clearance);
+    }
+
+    /// Returns the clearance that was gathered last.
+    pub fn last_clearance(&self) -> Option<Clearance> {
+        *self.lock_clearance()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, NodeStanding> {
+        self.standing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells whether the knowledge is at most `max_age_ms` old.
-    pub fn is_fresh(&self, max_age_ms: Millis) -> bool {
-        self.age_ms().is_some_and(|age_ms| age_ms <= max_age_ms)
+    fn lock_clearance(&self) -> MutexGuard<'_, Option<Clearance>> {
+        self.clearance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/cuminlb/serving/peer_service.rs
+++ b/src/cuminlb/serving/peer_service.rs
@@ -5,6 +5,7 @@
 use cuminlb_events::Event;
 use cuminlb_peer::{
     EventsQuery, PeerHandler, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
+    TableNotice,
 };
 use cuminlb_routing::SlotDenial;
 use tokio::time::Instant;
@@ -30,6 +31,11 @@
         self.node.statement()
     }
 
+    fn announce(&self, notice: TableNotice) -> PeerStatement {
+        self.node.take_notice(&notice);
+        self.node.statement()
+    }
+
     async fn acquire_slot(&self, request: SlotRequest) -> SlotAnswer {
         self.node.grant_slot(&request).await
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,5 +7,6 @@
     reason = "a test fails by panicking"
 )]
 
+mod outage;
 mod whole_path;
 mod wrong_files;
--- /dev/null
+++ b/tests/testsuite/outage.rs
@@ -0,0 +1,86 @@
+//! The platform is down or slow, and single nodes are cut off.
+
+use std::time::Duration;
+
+use cuminlb_standins::Fault;
+use cuminlb_test_support::{ModelPlan, Site, SiteBuilder, wait_until};
+use cuminlb_types::prelude::*;
+use http::StatusCode;
+use tokio::time::Instant;
+
+/// How long the platform is down: several times the age at which knowledge goes stale.
+const OUTAGE: Duration = Duration::from_secs(12);
+
+async fn start_site(nodes: u32) -> Site {
+    SiteBuilder::default()
+        .nodes(nodes)
+        .model(ModelPlan::new("oar-assist", 2, 2))
+        .start_serving()
+        .await
+        .unwrap()
+}
+
+/// Sends requests through every node until `OUTAGE` has passed, and demands that all are answered.
+async fn serve_through_outage(site: &Site) {
+    let end = Instant::now() + OUTAGE;
+    let mut answered = 0;
+    while Instant::now() < end {
+        for node in 0..site.nodes.len() {
+            let answer = site.chat(node, "oar-assist", false, 2).await.unwrap();
+            let text = answer.text();
+            assert_eq!(answer.status, StatusCode::OK, "{answered} before: {text}");
+            answered += 1;
+        }
+    }
+    assert!(answered > 0);
+}
+
+/// Applies the fleet file again, which needs the table and a majority, and waits for all nodes.
+async fn apply_again(site: &Site) -> ConfigVersion {
+    let report = site.apply(&site.fleet_toml()).await.unwrap();
+    assert!(report.not_confirmed.is_empty(), "{report:?}");
+    report.version
+}
+
+#[tokio::test]
+async fn a_refusing_platform_stops_no_request() {
+    let site = start_site(3).await;
+    let before = apply_again(&site).await;
+    site.set_platform_fault(Fault::Refusing).await.unwrap();
+    serve_through_outage(&site).await;
+    site.set_platform_fault(Fault::None).await.unwrap();
+    site.wait_serving().await.unwrap();
+    assert_eq!(apply_again(&site).await, before.next());
+    site.shut_down().await;
+}
+
+#[tokio::test]
+async fn a_paused_platform_stops_no_request() {
+    let site = start_site(3).await;
+    let before = apply_again(&site).await;
+    site.set_platform_fault(Fault::Paused).await.unwrap();
+    serve_through_outage(&site).await;
+    site.set_platform_fault(Fault::None).await.unwrap();
+    site.wait_serving().await.unwrap();
+    assert_eq!(apply_again(&site).await, before.next());
+    site.shut_down().await;
+}
+
+#[tokio::test]
+async fn a_node_alone_with_its_silence_is_unready_and_refuses() {
+    let mut site = start_site(3).await;
+    site.set_platform_fault(Fault::Refusing).await.unwrap();
+    for node in [0, 1] {
+        site.nodes[node].process.kill().await;
+    }
+    wait_until("the last node is unready", async || {
+        !site.status(2).await.unwrap().ready
+    })
+    .await
+    .unwrap();
+    let refused = site.chat(2, "oar-assist", false, 2).await.unwrap();
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.json()["error"]["code"], "config_unconfirmed");
+    assert_eq!(refused.json()["error"]["run_state"], "not_run");
+    site.shut_down().await;
+}
