Tell the writer of a transaction the truth when its answer was lost and others wrote since

Cause: after a lost answer, a conflict on a row that carries another operation was reported as a conflict, although the writer's own try may have taken effect before the other wrote.

Change: each row says which version it replaced. After a conflict the rows are read back: own operation means committed; another operation that replaced the very version expected means conflict; all else is unknown. A lost answer is also resolved by reading back before the next try.

--- a/crates/cuminlb-platform/src/platform_error.rs
+++ b/crates/cuminlb-platform/src/platform_error.rs
@@ -21,6 +21,9 @@
         /// The time that was waited.
         timeout_ms: Millis,
     },
+    /// The answer was lost, and others have written to the same rows since.
+    #[error("the answer was lost, and others have written to the same rows since")]
+    Overtaken,
     /// The service answered that it can't serve the call now.
     #[error("the platform refused the call with status {status}")]
     Refused {
@@ -40,7 +43,10 @@
     pub const fn may_have_taken_effect(&self) -> bool {
         match self {
             Self::Unreachable { .. } => false,
-            Self::NoAnswer { .. } | Self::Refused { .. } | Self::Malformed { .. } => true,
+            Self::NoAnswer { .. }
+            | Self::Overtaken
+            | Self::Refused { .. }
+            | Self::Malformed { .. } => true,
         }
     }
 }
--- a/crates/cuminlb-platform/src/table/mod.rs
+++ b/crates/cuminlb-platform/src/table/mod.rs
@@ -10,6 +10,7 @@
 mod table_error;
 mod table_service;
 mod transaction;
+mod written_back;
 
 pub use self::commit_outcome::CommitOutcome;
 pub use self::row::Row;
@@ -21,3 +22,4 @@
 pub use self::table_error::TableError;
 pub use self::table_service::TableService;
 pub use self::transaction::Transaction;
+use self::written_back::WrittenBack;
--- a/crates/cuminlb-platform/src/table/row.rs
+++ b/crates/cuminlb-platform/src/table/row.rs
@@ -9,6 +9,8 @@
     pub version: RowVersion,
     /// The operation that last wrote the row.
     pub operation: OperationId,
+    /// The version that this operation replaced; `None` where the row was absent.
+    pub replaced: Option<RowVersion>,
     /// The value of the row.
     pub value: T,
 }
--- a/crates/cuminlb-platform/src/table/row_check.rs
+++ b/crates/cuminlb-platform/src/table/row_check.rs
@@ -24,6 +24,16 @@
     Version(RowVersion),
 }
 
+impl Expected {
+    /// Returns the version that the row must have; `None` where it must be absent.
+    pub const fn version(self) -> Option<RowVersion> {
+        match self {
+            Self::Absent => None,
+            Self::Version(version) => Some(version),
+        }
+    }
+}
+
 impl From<Option<RowVersion>> for Expected {
     fn from(version: Option<RowVersion>) -> Self {
         version.map_or(Self::Absent, Self::Version)
--- a/crates/cuminlb-platform/src/table/table_client.rs
+++ b/crates/cuminlb-platform/src/table/table_client.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use super::{
-    CommitOutcome, Row, RowAnswer, RowChange, RowQuery, StoredRow, TableError, TableService,
-    Transaction,
+    CommitOutcome, Row, RowAnswer, RowQuery, StoredRow, TableError, TableService, Transaction,
+    WrittenBack,
 };
 use crate::PlatformError;
 
@@ -119,6 +119,7 @@
         Ok(Some(Row {
             version,
             operation: stored.operation,
+            replaced: stored.replaced,
             value: stored.value,
         }))
     }
@@ -142,13 +143,15 @@
     /// Commits a transaction and, where its answer is lost, finds out what became of it.
     ///
     /// The same transaction is sent again until the table answers: each row that it writes is
-    /// also checked, so it can't take effect twice, and a conflict on a row that carries its own
-    /// operation id means that an earlier try took effect.
+    /// also checked, so it can't take effect twice. Between the tries, and after a conflict, the
+    /// rows are read back, and tell by the operation that wrote them whether an earlier try took
+    /// effect.
     ///
     /// # Errors
     ///
     /// Returns [`TableError::NotReached`] when it is certain that nothing has been written, and
-    /// [`TableError::Unknown`] when the time ran out before the effect was known.
+    /// [`TableError::Unknown`] when the time ran out before the effect was known, or when others
+    /// have written since and it can no longer be known.
     pub async fn commit(
         &self,
         transaction: &Transaction,
@@ -166,6 +169,11 @@
                 Err(error) => error,
             };
             may_be_written |= error.may_have_taken_effect();
+            if may_be_written
+                && let Ok(WrittenBack::Own { version }) = self.read_back(transaction).await
+            {
+                return Ok(CommitOutcome::Committed { version });
+            }
             let jittered_ms = rand::rng().random_range(pause_ms / 2..=pause_ms);
             let next_try = Instant::now() + Duration::from_millis(jittered_ms);
             if next_try >= deadline {
@@ -183,30 +191,36 @@
         key: RowKey,
         found: Option<RowVersion>,
     ) -> Result<CommitOutcome, TableError> {
-        let is_put = |change: &RowChange| matches!(change, RowChange::Put(_));
-        let put = transaction
-            .writes
-            .iter()
-            .find(|write| is_put(&write.change));
-        let Some(put) = put else {
-            return Ok(CommitOutcome::Conflict { key, found });
-        };
-        let row = self
-            .read::<serde_json::Value>(&put.key)
-            .await
-            .map_err(|error| match error {
-                TableError::NotReached(source) => TableError::Unknown {
-                    operation: transaction.operation.clone(),
-                    source,
-                },
-                other => other,
-            })?;
-        match row {
-            Some(row) if row.operation == transaction.operation => Ok(CommitOutcome::Committed {
-                version: row.version,
+        match self.read_back(transaction).await {
+            Ok(WrittenBack::Own { version }) => Ok(CommitOutcome::Committed { version }),
+            Ok(WrittenBack::OtherInstead) => Ok(CommitOutcome::Conflict { key, found }),
+            Ok(WrittenBack::Unchanged) if transaction.fails_for_good(&key) => {
+                Ok(CommitOutcome::Conflict { key, found })
+            }
+            Ok(WrittenBack::Unchanged | WrittenBack::Unclear) => Err(TableError::Unknown {
+                operation: transaction.operation.clone(),
+                source: PlatformError::Overtaken,
             }),
-            _ => Ok(CommitOutcome::Conflict { key, found }),
+            Err(TableError::NotReached(source)) => Err(TableError::Unknown {
+                operation: transaction.operation.clone(),
+                source,
+            }),
+            Err(other) => Err(other),
+        }
+    }
+
+    /// Reads the rows that a transaction writes, and judges whether it took effect.
+    async fn read_back(&self, transaction: &Transaction) -> Result<WrittenBack, TableError> {
+        let puts: Vec<RowKey> = transaction.put_keys().cloned().collect();
+        if puts.is_empty() {
+            return Ok(WrittenBack::Unclear);
         }
+        let rows = self.read_many::<serde_json::Value>(&puts).await?;
+        let judged = puts
+            .iter()
+            .zip(&rows)
+            .map(|(key, row)| WrittenBack::judge(transaction, key, row.as_ref()));
+        Ok(judged.max().unwrap_or(WrittenBack::Unclear))
     }
 
     fn give_up(
--- a/crates/cuminlb-platform/src/table/transaction.rs
+++ b/crates/cuminlb-platform/src/table/transaction.rs
@@ -51,8 +51,10 @@
         expected: impl Into<Expected>,
         value: &T,
     ) -> Result<Self, TableError> {
+        let expected = expected.into();
         let row = StoredRow {
             operation: self.operation.clone(),
+            replaced: expected.version(),
             value,
         };
         let text = serde_json::to_string(&row).map_err(|error| TableError::encode(&key, &error))?;
@@ -63,6 +65,24 @@
         Ok(self.check(key, expected))
     }
 
+    /// Returns the keys of the rows that are written whole.
+    pub fn put_keys(&self) -> impl Iterator<Item = &RowKey> {
+        let is_put = |write: &&RowWrite| matches!(write.change, RowChange::Put(_));
+        self.writes.iter().filter(is_put).map(|write| &write.key)
+    }
+
+    /// Returns the state in which the transaction expects a row that it checks.
+    pub fn expected(&self, key: &RowKey) -> Option<Expected> {
+        let check = self.checks.iter().find(|check| check.key == *key)?;
+        Some(check.expected)
+    }
+
+    /// Tells whether the transaction can never take effect once the check of `key` has failed:
+    /// the version that it expects has been replaced.
+    pub fn fails_for_good(&self, key: &RowKey) -> bool {
+        matches!(self.expected(key), Some(Expected::Version(_)))
+    }
+
     /// Adds a row that is removed if it has the expected version.
     #[must_use]
     pub fn delete(mut self, key: RowKey, expected: RowVersion) -> Self {
