Apply a configuration whole, and say truthfully where it is in force

Cause: an apply reported nodes as not confirmed without knowing whether they had stopped; a body of any size stood in the row; a node without the table could not have a new configuration; and a call to a paused peer took the two seconds of the handshake, so an apply took longer than 5 s.

Change: an apply is committed only by a node that hears enough of the listed nodes, and is told to all of them afterwards; it ends when every listed node has it in force or the bound has passed after which those that lack it have provably stopped (ApplyReport::stopped). Bodies above 16 KiB go to the object store under their digest, which the row holds. A node takes a newer configuration from a peer as well as from the table, in one step with the comparison. A row that can't be put in force leaves the knowledge stale. Opening a peer's connection is bounded by the time of one call. The platform's stand-in can lose the answers of writes only.

Figures: 8 races of two operators, a 110 KB fleet file, answers lost, SIGSTOP of a node, and 4 rounds of apply, kill and outage pass. Seen failing: without the conditional write both operators win; without reading back a committed apply ends as unknown; with the standing ignored, the resumed node answers 200 to a removed team, and a node alone stays ready for 60 s. The test that no node reverts passes also with the standing ignored. Before the bound on opening connections, the apply beside a paused node took more than 5 s.

Conclusion: two racing operators have one winner, and an accepted version is in force or stopped for within 5 s.

--- a/crates/cuminlb-caller/src/operator/apply_report.rs
+++ b/crates/cuminlb-caller/src/operator/apply_report.rs
@@ -11,6 +11,8 @@
     pub version: ConfigVersion,
     /// The nodes on which it is in force.
     pub in_force: Vec<NodeId>,
-    /// The listed nodes that have not confirmed it yet.
+    /// The listed nodes that have not confirmed it and have provably stopped taking new work.
+    pub stopped: Vec<NodeId>,
+    /// The listed nodes that have not confirmed it yet and may act on the one before.
     pub not_confirmed: Vec<NodeId>,
 }
--- a/crates/cuminlb-fleet/src/rows/keys.rs
+++ b/crates/cuminlb-fleet/src/rows/keys.rs
@@ -5,6 +5,8 @@
 use cuminlb_types::prelude::*;
 use smol_str::format_smolstr;
 
+use super::ConfigDigest;
+
 /// The keys of the rows; the only place that spells them.
 #[derive(Clone, Copy, Debug)]
 pub struct RowKeys;
@@ -15,6 +17,20 @@
         Self::join("config", &"head")
     }
 
+    /// Returns the key of the object that holds the text of a large configuration.
+    ///
+    /// # Panics
+    ///
+    /// Never: a word and hexadecimal digits form a valid key.
+    #[expect(
+        clippy::expect_used,
+        reason = "a word and hexadecimal digits form a valid key"
+    )]
+    pub fn config_object(digest: &ConfigDigest) -> ObjectKey {
+        let text = format_smolstr!("config/{digest}");
+        text.parse().expect("a word and a digest form a key")
+    }
+
     /// Returns the key of the groups of a service.
     pub fn roster(service: &ServiceId) -> RowKey {
         Self::join("roster", service)
--- a/crates/cuminlb-fleet/src/rows/mod.rs
+++ b/crates/cuminlb-fleet/src/rows/mod.rs
@@ -7,6 +7,8 @@
 //! | `instance/INSTANCE` | with the roster, in the same transaction | an instance joins or leaves a group |
 //! | `lease/NAME` | its holder | each renewal |
 
+mod config_body;
+mod config_digest;
 mod config_row;
 mod group_record;
 mod group_state;
@@ -15,6 +17,8 @@
 mod lease_row;
 mod roster;
 
+pub use self::config_body::ConfigBody;
+pub use self::config_digest::ConfigDigest;
 pub use self::config_row::ConfigRow;
 pub use self::group_record::GroupRecord;
 pub use self::group_state::GroupState;
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -14,7 +14,8 @@
 
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
+    TableNotice,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
--- a/crates/cuminlb-peer/src/message/mod.rs
+++ b/crates/cuminlb-peer/src/message/mod.rs
@@ -1,5 +1,6 @@
 //! The messages between nodes.
 
+mod config_document;
 mod events_query;
 mod peer_statement;
 mod slot_grant;
@@ -7,6 +8,7 @@
 mod slot_request;
 mod table_notice;
 
+pub use self::config_document::ConfigDocument;
 pub use self::events_query::EventsQuery;
 pub use self::peer_statement::PeerStatement;
 pub use self::slot_grant::{SlotAnswer, SlotGrant};
--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -3,7 +3,7 @@
 use cuminlb_events::Event;
 
 use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
 };
 
 /// The calls between nodes.
@@ -15,6 +15,9 @@
     /// Takes in that the table is heard, and returns the statement of the node called.
     async fn announce(notice: TableNotice) -> PeerStatement;
 
+    /// Returns the configuration in force on the node called.
+    async fn config() -> Option<ConfigDocument>;
+
     /// Asks the owner of a group for a slot.
     async fn acquire_slot(request: SlotRequest) -> SlotAnswer;
 
--- a/crates/cuminlb-peer/src/peer_handler.rs
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -5,7 +5,7 @@
 use cuminlb_events::Event;
 
 use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
 };
 
 /// What a node does with the calls of its peers.
@@ -16,6 +16,9 @@
     /// Takes in that the table is heard, and only then returns the statement of this node.
     fn announce(&self, notice: TableNotice) -> PeerStatement;
 
+    /// Returns the configuration in force on this node.
+    fn config(&self) -> Option<ConfigDocument>;
+
     /// Grants a slot or says why not.
     fn acquire_slot(&self, request: SlotRequest) -> impl Future<Output = SlotAnswer> + Send;
 
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -5,7 +5,7 @@
 
 use cuminlb_events::Event;
 use cuminlb_types::prelude::*;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::serde_transport;
@@ -15,7 +15,7 @@
 use tokio::sync::Mutex;
 
 use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
 };
 use crate::{PeerApiClient, PeerError, PeerToken};
 
@@ -70,6 +70,18 @@
         .await
     }
 
+    /// Asks the peer for the configuration in force there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn config(&self) -> Result<Option<ConfigDocument>, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.config(context).await
+        })
+        .await
+    }
+
     /// Asks the peer for a slot.
     ///
     /// # Errors
@@ -114,7 +126,7 @@
         call: impl AsyncFnOnce(PeerApiClient, Context) -> Result<T, RpcError>,
     ) -> Result<T, PeerError> {
         let timeout_ms = self.timeout_ms + extra_ms;
-        let client = self.connected().await?;
+        let client = self.connected_in_time().await?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + timeout_ms.duration();
         match call(client, context).await {
@@ -129,6 +141,15 @@
         }
     }
 
+    /// Returns the open connection, or opens it within the time of one call. A peer that is
+    /// paused accepts connections and then stays silent.
+    async fn connected_in_time(&self) -> Result<PeerApiClient, PeerError> {
+        let connected = tokio::time::timeout(self.timeout_ms.duration(), self.connected());
+        connected
+            .await
+            .unwrap_or_else(|_elapsed| Err(not_connected("no connection in time")))
+    }
+
     async fn connected(&self) -> Result<PeerApiClient, PeerError> {
         let mut slot = self.client.lock().await;
         if let Some(client) = slot.as_ref() {
@@ -140,11 +161,8 @@
     }
 
     async fn open(&self) -> Result<PeerApiClient, PeerError> {
-        let not_connected = |reason| PeerError::NotConnected { reason };
-        let connect = TcpStream::connect(self.address);
-        let stream = tokio::time::timeout(self.timeout_ms.duration(), connect).await;
-        let mut stream = stream
-            .map_err(|_| not_connected("the connection did not open in time".into()))?
+        let mut stream = TcpStream::connect(self.address)
+            .await
             .map_err(|error| not_connected(error.to_smolstr()))?;
         stream
             .set_nodelay(true)
@@ -155,3 +173,9 @@
         Ok(PeerApiClient::new(tarpc::client::Config::default(), transport).spawn())
     }
 }
+
+fn not_connected(reason: impl Into<SmolStr>) -> PeerError {
+    PeerError::NotConnected {
+        reason: reason.into(),
+    }
+}
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{
-    EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
 };
 use crate::{PeerApi, PeerHandler, PeerToken};
 
@@ -80,6 +80,10 @@
         self.handler.announce(notice)
     }
 
+    async fn config(self, _: Context) -> Option<ConfigDocument> {
+        self.handler.config()
+    }
+
     async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
         self.handler.acquire_slot(request).await
     }
--- a/crates/cuminlb-standins/src/fault/fault_kind.rs
+++ b/crates/cuminlb-standins/src/fault/fault_kind.rs
@@ -20,6 +20,8 @@
     Refusing,
     /// Every call takes effect and its answer is lost.
     AnswerLost,
+    /// Every write to the table takes effect and its answer is lost; all other calls work.
+    WriteAnswerLost,
     /// Every call hangs until the fault ends, and then takes effect.
     Paused,
     /// Streams break off after so many chunks, as if the process had crashed.
--- a/crates/cuminlb-standins/src/http_server.rs
+++ b/crates/cuminlb-standins/src/http_server.rs
@@ -131,9 +131,13 @@
         return switch_fault(fault, &body);
     }
     fault.hold().await;
+    let is_write = head.uri.path() == "/table/commit";
     match fault.get() {
         Fault::Refusing => status(StatusCode::SERVICE_UNAVAILABLE),
-        Fault::AnswerLost => {
+        Fault::WriteAnswerLost if !is_write => {
+            answers.answer(Request::from_parts(head, body)).await
+        }
+        Fault::AnswerLost | Fault::WriteAnswerLost => {
             let _ = answers.answer(Request::from_parts(head, body)).await;
             std::future::pending().await
         }
--- a/src/bin/cuminctl/commands/apply.rs
+++ b/src/bin/cuminctl/commands/apply.rs
@@ -45,13 +45,19 @@
     let ApplyReport {
         version,
         in_force,
+        stopped,
         not_confirmed,
     } = report;
     print_line(&format!("configuration {version} accepted"));
     print_line(&format!("in force on {} nodes", in_force.len()));
-    for node in not_confirmed {
+    for node in stopped {
         print_line(&format!(
             "not confirmed by {node}; it takes no new work until it has it"
         ));
     }
+    for node in not_confirmed {
+        print_line(&format!(
+            "not confirmed by {node}; it may still act on the configuration before"
+        ));
+    }
 }
--- a/src/cuminlb/control/fleet_poller.rs
+++ b/src/cuminlb/control/fleet_poller.rs
@@ -2,16 +2,16 @@
 
 use std::sync::Arc;
 
-use cuminlb_config::FleetSpec;
-use cuminlb_events::EventKind;
 use cuminlb_fleet::rows::{ConfigRow, Roster, RowKeys};
 use cuminlb_platform::{Row, RowAnswer, RowQuery, Table, TableError};
 use cuminlb_types::prelude::*;
-use log::{error, warn};
+use log::warn;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::node::{ConfigInForce, FleetView, Node, RosterInForce};
+use super::ConfigError;
+use super::config_store::take_row;
+use crate::node::{FleetView, Node, RosterInForce};
 
 /// Reads the table once a period, or at once when [`Node::poll_now`] is told.
 pub async fn poll_fleet(node: Arc<Node>, stop: CancellationToken) {
@@ -32,8 +32,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`TableError`] when the table could not be read or a row could not be decoded.
-pub async fn poll_fleet_once(node: &Node) -> Result<(), TableError> {
+/// Returns [`ConfigError`] when the table could not be read, or when what it holds could not be
+/// put in force; the node's knowledge is then not fresh.
+pub async fn poll_fleet_once(node: &Node) -> Result<(), ConfigError> {
     let view = node.view();
     let services: Vec<ServiceId> = view
         .spec()
@@ -48,18 +49,16 @@
     let sent_at = Instant::now();
     let answers = node.table.query(&queries).await?;
     let mut answers = queries.iter().map(|query| &query.key).zip(answers);
-    let mut services_changed = false;
-    if let Some((key, answer)) = answers.next() {
-        services_changed = take_config(node, key, answer)?;
+    if let Some((key, answer)) = answers.next()
+        && let Some(row) = Table::decode::<ConfigRow>(key, answer)?
+    {
+        take_row(node, row).await?;
     }
     for (service, (key, answer)) in services.iter().zip(answers) {
         take_roster(node, service, key, answer)?;
     }
     let config = node.view.borrow().config_version();
     node.knowledge.note_read(sent_at, config);
-    if services_changed {
-        node.poll_now.notify_one();
-    }
     Ok(())
 }
 
@@ -76,42 +75,6 @@
     std::iter::once(config).chain(rosters).collect()
 }
 
-/// Puts a configuration in force if it is newer, and tells whether it was.
-fn take_config(node: &Node, key: &RowKey, answer: RowAnswer) -> Result<bool, TableError> {
-    let Some(row): Option<Row<ConfigRow>> = Table::decode(key, answer)? else {
-        return Ok(false);
-    };
-    if row.value.version <= node.view.borrow().config_version() {
-        return Ok(false);
-    }
-    let version = row.value.version;
-    match FleetSpec::parse("config/head", &row.value.body) {
-        Err(mistakes) => {
-            error!("configuration {version} can't be read and is not put in force: {mistakes}");
-            Ok(false)
-        }
-        Ok(spec) => {
-            let config = ConfigInForce {
-                version,
-                row: row.version,
-                body: row.value.body,
-                spec,
-            };
-            let is_newer = node.view.send_if_modified(|view| {
-                let is_newer = version > view.config_version();
-                if is_newer {
-                    view.config = Some(Arc::new(config));
-                }
-                is_newer
-            });
-            if is_newer {
-                node.events.record(EventKind::ConfigInForce { version });
-            }
-            Ok(is_newer)
-        }
-    }
-}
-
 fn take_roster(
     node: &Node,
     service: &ServiceId,
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -3,6 +3,8 @@
 //! Each task is written straight down as one loop that ends when its token is cancelled, and is
 //! joined by the task that spawned it.
 
+mod config_error;
+mod config_store;
 mod fleet_poller;
 mod gathering;
 mod group_keeper;
@@ -17,6 +19,8 @@
 mod planner;
 mod slot_releaser;
 
+pub use self::config_error::ConfigError;
+pub use self::config_store::{put_text, store_text};
 pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
 pub use self::gathering::{Gathered, gather};
 pub use self::group_supervisor::supervise_groups;
--- a/src/cuminlb/control/peer_task.rs
+++ b/src/cuminlb/control/peer_task.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::config_store::pull_from_peer;
 use crate::node::Node;
 
 /// Exchanges statements with a peer once a period, and at once when the configuration changes.
@@ -20,7 +21,12 @@
         let config = view.borrow_and_update().config_version();
         let sent_at = Instant::now();
         match link.exchange(node.statement()).await {
-            Ok(statement) => node.take_answer(&peer, sent_at, &statement),
+            Ok(statement) => {
+                node.take_answer(&peer, sent_at, &statement);
+                if statement.config > config {
+                    pull_from_peer(&node, &peer, &link).await;
+                }
+            }
             Err(error) => debug!("peer {peer}: {error}"),
         }
         let config_changed = view.wait_for(|view| view.config_version() > config);
--- a/src/cuminlb/operating/apply.rs
+++ b/src/cuminlb/operating/apply.rs
@@ -9,19 +9,23 @@
 use cuminlb_fleet::rows::{ConfigRow, RowKeys};
 use cuminlb_platform::{CommitOutcome, TableError};
 use cuminlb_types::prelude::*;
-use futures_util::future::join_all;
 use log::warn;
-use smol_str::ToSmolStr;
+use smol_str::{ToSmolStr, format_smolstr};
 use tokio::time::Instant;
 
-use crate::control::poll_fleet_once;
+use super::confirmation::confirm;
+use crate::control::{gather, put_text, store_text};
 use crate::node::Node;
 
-/// The time in which a committed configuration should be confirmed by every node.
-const CONFIRM_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time in which enough nodes must be heard before a configuration is replaced.
+const GATHER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The pause between two rounds of asking the nodes.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(50);
+/// A configuration that was committed.
+struct Committed {
+    version: ConfigVersion,
+    row: RowVersion,
+    text: String,
+}
 
 /// Checks a fleet file, commits it and waits for the nodes to confirm it.
 pub(super) async fn apply(
@@ -31,92 +35,82 @@
     FleetSpec::parse("fleet file", &request.body).map_err(|mistakes| ApplyError::Invalid {
         report: mistakes.to_smolstr(),
     })?;
-    let version = commit(node, request).await?;
+    let committed = commit(node, request).await?;
+    let committed_by = Instant::now();
+    let version = committed.version;
+    node.knowledge.note_newest(version);
     node.events.record(EventKind::ConfigAccepted { version });
-    if let Err(error) = poll_fleet_once(node).await {
-        warn!("configuration {version} is committed and not read back yet: {error}");
+    if let Err(error) = put_text(node, version, committed.row, committed.text) {
+        warn!("configuration {version} is committed and not in force here: {error}");
     }
-    Ok(confirm(node, version).await)
+    Ok(confirm(node, version, committed_by).await)
 }
 
-/// Writes the configuration if the one in force is still the one that the operator edited.
-async fn commit(node: &Node, request: ApplyRequest) -> Result<ConfigVersion, ApplyError> {
+/// Writes the configuration if the one in force is still the one that the operator edited, and if
+/// enough nodes are heard to make the one before provably stop.
+async fn commit(node: &Node, request: ApplyRequest) -> Result<Committed, ApplyError> {
     let key = RowKeys::config_head();
-    let row = node
-        .table
-        .read::<ConfigRow>(&key)
-        .await
-        .map_err(apply_error)?;
+    let read_sent_at = Instant::now();
+    let row = node.table.read::<ConfigRow>(&key).await;
+    let row = row.map_err(apply_error)?;
     let in_force = row.as_ref().map(|row| row.value.version);
     if in_force != request.base {
-        return Err(ApplyError::Conflict {
-            in_force: in_force.unwrap_or_default(),
-        });
+        return Err(conflict(in_force));
+    }
+    if let Some(in_force) = in_force {
+        require_majority(node, read_sent_at, in_force).await?;
     }
     let version = in_force.unwrap_or_default().next();
-    let value = ConfigRow {
-        version,
-        body: request.body,
-    };
+    let value = ConfigRow::new(version, &request.body);
+    store_text(node, &value, &request.body)
+        .await
+        .map_err(|error| ApplyError::NotReached {
+            reason: error.to_smolstr(),
+        })?;
     let within = node.settings.platform.timeout_ms.duration() * 3;
     let expected = row.map(|row| row.version);
-    match node
-        .table
-        .put(key.clone(), expected, &value, within)
-        .await
-        .map_err(apply_error)?
-    {
-        CommitOutcome::Committed { .. } => Ok(version),
+    let outcome = node.table.put(key.clone(), expected, &value, within).await;
+    match outcome.map_err(apply_error)? {
+        CommitOutcome::Committed { version: row } => Ok(Committed {
+            version,
+            row,
+            text: request.body,
+        }),
         CommitOutcome::Conflict { .. } => {
-            let row = node
-                .table
-                .read::<ConfigRow>(&key)
-                .await
-                .map_err(apply_error)?;
-            let in_force = row.map(|row| row.value.version).unwrap_or_default();
-            Err(ApplyError::Conflict { in_force })
+            let row = node.table.read::<ConfigRow>(&key).await;
+            let row = row.map_err(apply_error)?;
+            Err(conflict(row.map(|row| row.value.version)))
         }
     }
 }
 
-/// Asks the listed nodes until all have confirmed the version or the time has run out.
-async fn confirm(node: &Node, version: ConfigVersion) -> ApplyReport {
-    let deadline = Instant::now() + CONFIRM_TIMEOUT;
+/// Hears so many of the listed nodes that no majority without them can go on with the
+/// configuration before.
+async fn require_majority(
+    node: &Node,
+    read_sent_at: Instant,
+    in_force: ConfigVersion,
+) -> Result<(), ApplyError> {
+    let deadline = Instant::now() + GATHER_TIMEOUT;
     loop {
-        let report = ask_nodes(node, version).await;
-        if report.not_confirmed.is_empty() || Instant::now() >= deadline {
-            return report;
+        let gathered = gather(node, read_sent_at, in_force, deadline).await;
+        if gathered.is_enough() {
+            return Ok(());
+        }
+        if Instant::now() >= deadline {
+            let (told, listed) = (gathered.told, gathered.listed);
+            return Err(ApplyError::NotReached {
+                reason: format_smolstr!("this node hears only {told} of {listed} listed nodes"),
+            });
         }
-        tokio::time::sleep(CONFIRM_PAUSE).await;
+        tokio::time::sleep(node.knowledge.bounds().pull_period_ms().duration()).await;
     }
 }
 
-async fn ask_nodes(node: &Node, version: ConfigVersion) -> ApplyReport {
-    let peers = node.peers.all();
-    let calls = peers.iter().map(async |(id, link)| {
-        let answer = link.exchange(node.statement()).await;
-        (
-            id.clone(),
-            answer.is_ok_and(|statement| statement.config >= version),
-        )
-    });
-    let mut report = ApplyReport {
-        version,
-        in_force: Vec::new(),
-        not_confirmed: Vec::new(),
-    };
-    let own = (
-        node.id().clone(),
-        node.view.borrow().config_version() >= version,
-    );
-    for (id, confirmed) in join_all(calls).await.into_iter().chain([own]) {
-        if confirmed {
-            report.in_force.push(id);
-        } else {
-            report.not_confirmed.push(id);
-        }
+fn conflict(in_force: Option<ConfigVersion>) -> ApplyError {
+    ApplyError::Conflict {
+        in_force: in_force.unwrap_or_default(),
     }
-    report
 }
 
 fn apply_error(error: TableError) -> ApplyError {
--- a/src/cuminlb/operating/mod.rs
+++ b/src/cuminlb/operating/mod.rs
@@ -1,6 +1,7 @@
 //! Answers operators.
 
 mod apply;
+mod confirmation;
 mod operator_service;
 mod status;
 
--- a/src/cuminlb/serving/peer_service.rs
+++ b/src/cuminlb/serving/peer_service.rs
@@ -4,8 +4,8 @@
 
 use cuminlb_events::Event;
 use cuminlb_peer::{
-    EventsQuery, PeerHandler, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
-    TableNotice,
+    ConfigDocument, EventsQuery, PeerHandler, PeerStatement, SlotAnswer, SlotGrant, SlotRelease,
+    SlotRequest, TableNotice,
 };
 use cuminlb_routing::SlotDenial;
 use tokio::time::Instant;
@@ -36,6 +36,16 @@
         self.node.statement()
     }
 
+    fn config(&self) -> Option<ConfigDocument> {
+        let view = self.node.view.borrow();
+        let config = view.config.as_ref()?;
+        Some(ConfigDocument {
+            version: config.version,
+            row: config.row,
+            text: config.body.clone(),
+        })
+    }
+
     async fn acquire_slot(&self, request: SlotRequest) -> SlotAnswer {
         self.node.grant_slot(&request).await
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod configuration;
 mod latency;
 mod outage;
 mod whole_path;
