--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! it again after a failure; [`serve_peers`] runs the server's end, one task for each connection,
 //! and hands each call to a [`PeerHandler`]. Both ends show the peer token before the first call.
 
+mod call_counts;
 mod handshake;
 mod message;
 mod peer_api;
@@ -12,10 +13,11 @@
 mod peer_link;
 mod peer_server;
 
+pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotGrant, SlotRelease, SlotRequest,
-    TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, ReleasedSlot, RenewalAnswer, RenewedGroup,
+    SlotAnswer, SlotGrant, SlotRelease, SlotRenewal, SlotRequest, TableNotice,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
--- a/crates/cuminlb-peer/src/peer_handler.rs
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -2,10 +2,11 @@
 
 use std::future::Future;
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 
 use crate::message::{
-    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
+    SlotRenewal, SlotRequest, TableNotice,
 };
 
 /// What a node does with the calls of its peers.
@@ -22,9 +23,18 @@
     /// Grants a slot or says why not.
     fn acquire_slot(&self, request: SlotRequest) -> impl Future<Output = SlotAnswer> + Send;
 
-    /// Takes a slot back.
-    fn release_slot(&self, release: SlotRelease);
+    /// Takes slots back.
+    fn release_slots(&self, release: SlotRelease);
+
+    /// Takes in what a peer says that it holds.
+    fn renew_slots(&self, renewal: SlotRenewal) -> RenewalAnswer;
 
     /// Returns the newest events of this node.
     fn events(&self, query: EventsQuery) -> Vec<Event>;
+
+    /// Returns what this node reports of itself.
+    fn report(&self) -> NodeReport;
+
+    /// Notes that a message has come in; `kind` is the name of the call.
+    fn note_received(&self, kind: &'static str);
 }
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! [`serve_peers`].
 
-use cuminlb_events::Event;
+use cuminlb_events::{Event, NodeReport};
 use futures_util::StreamExt;
 use log::{debug, warn};
 use tarpc::context::Context;
@@ -13,7 +13,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{
-    ConfigDocument, EventsQuery, PeerStatement, SlotAnswer, SlotRelease, SlotRequest, TableNotice,
+    ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
+    SlotRenewal, SlotRequest, TableNotice,
 };
 use crate::{PeerApi, PeerHandler, PeerToken};
 
@@ -73,6 +74,7 @@
 
 impl<H: PeerHandler> PeerApi for Server<H> {
     async fn exchange(self, _: Context, statement: PeerStatement) -> PeerStatement {
+        self.handler.note_received("exchange");
         self.handler.exchange(statement)
     }
 
@@ -85,14 +87,27 @@
     }
 
     async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
+        self.handler.note_received("acquire_slot");
         self.handler.acquire_slot(request).await
     }
 
-    async fn release_slot(self, _: Context, release: SlotRelease) {
-        self.handler.release_slot(release);
+    async fn release_slots(self, _: Context, release: SlotRelease) {
+        self.handler.note_received("release_slots");
+        self.handler.release_slots(release);
+    }
+
+    async fn renew_slots(self, _: Context, renewal: SlotRenewal) -> RenewalAnswer {
+        self.handler.note_received("renew_slots");
+        self.handler.renew_slots(renewal)
     }
 
     async fn events(self, _: Context, query: EventsQuery) -> Vec<Event> {
+        self.handler.note_received("events");
         self.handler.events(query)
     }
+
+    async fn report(self, _: Context) -> NodeReport {
+        self.handler.note_received("report");
+        self.handler.report()
+    }
 }
--- a/src/cuminlb/control/config_store.rs
+++ b/src/cuminlb/control/config_store.rs
@@ -14,6 +14,7 @@
 
 use super::ConfigError;
 use crate::node::{ConfigInForce, Node};
+use crate::observing::record_zone_changes;
 
 /// Puts a configuration in force that was read from the table, unless it is not newer than the
 /// one in force; tells whether it was.
@@ -71,14 +72,17 @@
         spec,
     });
     // Several tasks put configurations in force, so the comparison and the change are one step.
+    let mut before = None;
     let is_newer = node.view.send_if_modified(|view| {
         let is_newer = version > view.config_version();
         if is_newer {
-            view.config = Some(config);
+            before = view.config.replace(Arc::clone(&config));
         }
         is_newer
     });
     if is_newer {
+        let before = before.as_ref().map(|before| &before.spec);
+        record_zone_changes(&node.events, before, &config.spec, version);
         node.events.record(EventKind::ConfigInForce { version });
         node.poll_now.notify_one();
     }
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -18,6 +18,7 @@
 mod plan_transactions;
 mod planner;
 mod slot_releaser;
+mod slot_reporter;
 
 pub use self::config_error::ConfigError;
 pub use self::config_store::{put_text, store_text};
--- a/src/cuminlb/operating/mod.rs
+++ b/src/cuminlb/operating/mod.rs
@@ -2,6 +2,8 @@
 
 mod apply;
 mod confirmation;
+mod events;
+mod fleet_status;
 mod operator_service;
 mod status;
 
--- a/src/cuminlb/serving/router.rs
+++ b/src/cuminlb/serving/router.rs
@@ -44,7 +44,9 @@
     }
 
     async fn route(&self, request: CallerRequest) -> Result<CallerAnswer, Refusal> {
-        let (team, destination) = self.resolve(&request)?;
+        let resolved = self.resolve(&request);
+        let (team, destination) =
+            resolved.inspect_err(|refusal| self.note_rejected(&request.id, refusal))?;
         let service = destination.service.id.clone();
         let node = Arc::clone(&self.node);
         let mut trail = RequestTrail::new(node, request.id.clone(), team.id, service.clone());
@@ -124,10 +126,12 @@
             let slots = SlotClient {
                 node: &self.node,
                 service: &destination.service.id,
-                request: &request.id,
             };
-            let slot = slots.acquire(queue_deadline).await?;
-            trail.sent(&slot.group, slot.epoch);
+            let mut slot = slots.acquire(queue_deadline).await?;
+            if !slot.start_use() {
+                continue;
+            }
+            trail.sent(slot.group(), slot.epoch);
             let sent = send(&self.node.upstreams, request, &slot, &destination.path).await;
             let error = match sent {
                 Ok(response) if is_stream(&response) => {
@@ -138,6 +142,7 @@
                     let headers = answer_headers(response.headers());
                     match read_whole(response, limits.stream_idle_ms).await {
                         Ok(body) => {
+                            slot.finish();
                             let answer = CallerAnswer::Whole {
                                 status,
                                 headers,
@@ -150,6 +155,9 @@
                 }
                 Err(error) => error,
             };
+            if !error.may_have_run() {
+                slot.finish();
+            }
             let repeatable = idempotent || !error.may_have_run();
             if !repeatable || tries >= MAX_TRIES {
                 return Err(upstream_refusal(&error));
@@ -225,6 +233,10 @@
             .unwrap_or_else(CallerAnswer::Refused)
     }
 
+    fn note_rejected(&self, request: &RequestId, refusal: &Refusal) {
+        self.node.note_rejected(request, refusal);
+    }
+
     fn new_request_id(&self) -> RequestId {
         self.node.new_request_id()
     }
@@ -240,8 +252,4 @@
     fn is_ready(&self) -> bool {
         self.node.is_ready()
     }
-
-    fn metrics_text(&self) -> String {
-        String::new()
-    }
 }
--- a/src/cuminlb/serving/stream_relay.rs
+++ b/src/cuminlb/serving/stream_relay.rs
@@ -23,7 +23,7 @@
     idle_ms: Millis,
     ended: bool,
     trail: RequestTrail,
-    _slot: HeldSlot,
+    slot: HeldSlot,
     _permit: AdmissionPermit,
 }
 
@@ -42,7 +42,7 @@
             idle_ms,
             ended: false,
             trail,
-            _slot: slot,
+            slot,
             _permit: permit,
         }
     }
@@ -67,6 +67,7 @@
             },
             Ok(StreamEvent::Done { raw }) => {
                 self.trail.answered();
+                self.slot.finish();
                 StreamPart::Data(raw)
             }
             Err(reason) => self.broken(reason),
@@ -105,6 +106,7 @@
             })?
             .ok_or_else(|| StreamError::Incomplete.to_smolstr())?
             .map_err(|error| error.to_smolstr())?;
+        self.trail.first_byte();
         Ok(frame.into_data().unwrap_or_default())
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,8 +7,15 @@
     reason = "a test fails by panicking"
 )]
 
+mod cold_start;
+mod command_line;
 mod configuration;
 mod latency;
+mod metrics;
 mod outage;
+mod pages;
+mod support;
+mod text_difference;
+mod timeline;
 mod whole_path;
 mod wrong_files;
