Test the links between nodes, over a link that can be cut or go silent

Cause: nothing showed that a wrong token is refused, that a connection that goes silent is replaced, or that a peer that accepts and stays silent costs one call's time only.

Change: cuminlb-standins has LossyLink, which forwards one address to another and can be cut, silenced, delayed, or silence just the connections that are open. The server's handshake ends with the server. The new calls are counted as received.

--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -52,7 +52,11 @@
     handler: H,
     stop: CancellationToken,
 ) {
-    if let Err(error) = token.answer(&mut stream).await {
+    let answered = tokio::select! {
+        () = stop.cancelled() => return,
+        answered = token.answer(&mut stream) => answered,
+    };
+    if let Err(error) = answered {
         debug!("a connection to the peer port was closed: {error}");
         return;
     }
@@ -79,10 +83,12 @@
     }
 
     async fn announce(self, _: Context, notice: TableNotice) -> PeerStatement {
+        self.handler.note_received("announce");
         self.handler.announce(notice)
     }
 
     async fn config(self, _: Context) -> Option<ConfigDocument> {
+        self.handler.note_received("config");
         self.handler.config()
     }
 
--- a/crates/cuminlb-standins/src/lib.rs
+++ b/crates/cuminlb-standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod fault;
 mod http_server;
+mod link;
 mod plain;
 mod platform;
 mod standin_error;
@@ -15,6 +16,7 @@
 pub use crate::engine::{Engine, EngineOptions};
 pub use crate::fault::{Fault, FaultState};
 pub use crate::http_server::StandinServer;
+pub use crate::link::{LinkFault, LossyLink};
 pub use crate::plain::{PlainOptions, PlainService, Reservation};
 pub use crate::platform::{Platform, PlatformOptions};
 pub use crate::standin_error::StandinError;
--- /dev/null
+++ b/crates/cuminlb-standins/src/link/lossy_link.rs
@@ -0,0 +1,149 @@
+//! [`LossyLink`].
+
+use std::net::SocketAddr;
+
+use smol_str::ToSmolStr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio_util::sync::CancellationToken;
+
+use super::LinkFault;
+use crate::StandinError;
+
+/// The number of bytes that are forwarded at once.
+const CHUNK_LEN_BYTES: usize = 16 << 10;
+
+/// The present fault, and the generation of connections that still forward.
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkState {
+    fault: LinkFault,
+    generation: u64,
+}
+
+/// Forwards connections from its own address to another.
+#[derive(Debug)]
+pub struct LossyLink {
+    address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl LossyLink {
+    /// Starts to forward what comes in at `listen` to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError`] when the address can't be listened on.
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> Result<Self, StandinError> {
+        let bind_error = |error: std::io::Error| StandinError::Bind {
+            address: listen,
+            reason: error.to_smolstr(),
+        };
+        let listener = TcpListener::bind(listen).await.map_err(bind_error)?;
+        let address = listener.local_addr().map_err(bind_error)?;
+        let state = watch::Sender::default();
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(accept(listener, target, state.subscribe(), stop.clone()));
+        Ok(Self {
+            address,
+            state,
+            stop,
+            task,
+        })
+    }
+
+    /// Returns the address that the link listens on.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Switches the fault.
+    pub fn set_fault(&self, fault: LinkFault) {
+        self.state.send_modify(|state| state.fault = fault);
+    }
+
+    /// Lets the connections that are open now go silent for good; new ones work.
+    pub fn silence_open_connections(&self) {
+        self.state.send_modify(|state| state.generation += 1);
+    }
+
+    /// Closes all connections and waits for the tasks.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        let _ = self.task.await;
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: watch::Receiver<LinkState>,
+    stop: CancellationToken,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => if let Ok((caller, _)) = accepted {
+                connections.spawn(forward(caller, target, state.clone(), stop.clone()));
+            },
+        }
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+/// Forwards one connection in both directions until either end closes it or the link is cut.
+async fn forward(
+    caller: TcpStream,
+    target: SocketAddr,
+    mut state: watch::Receiver<LinkState>,
+    stop: CancellationToken,
+) {
+    let generation = state.borrow_and_update().generation;
+    let both = async {
+        let target = TcpStream::connect(target).await?;
+        let _ = (caller.set_nodelay(true), target.set_nodelay(true));
+        let (caller_read, caller_write) = caller.into_split();
+        let (target_read, target_write) = target.into_split();
+        tokio::try_join!(
+            copy(caller_read, target_write, generation, state.clone()),
+            copy(target_read, caller_write, generation, state.clone()),
+        )
+    };
+    let mut cut = state.clone();
+    tokio::select! {
+        () = stop.cancelled() => {}
+        _ = cut.wait_for(|state| state.fault == LinkFault::Cut) => {}
+        _ = both => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    generation: u64,
+    mut state: watch::Receiver<LinkState>,
+) -> std::io::Result<()> {
+    let mut chunk = vec![0; CHUNK_LEN_BYTES];
+    loop {
+        let len = from.read(&mut chunk).await?;
+        let forwards =
+            |state: &LinkState| state.generation == generation && state.fault != LinkFault::Silent;
+        // The sender lives as long as the link, so a failed wait means that the link has ended.
+        let Ok(now) = state.wait_for(forwards).await.map(|state| *state) else {
+            return Ok(());
+        };
+        if let LinkFault::Delayed { delay_ms } = now.fault {
+            tokio::time::sleep(delay_ms.duration()).await;
+        }
+        if len == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk[..len]).await?;
+    }
+}
