Cut one node off from the platform, from everything, or into silence, with processes

Cause: no test showed that a node whose links fail, while others go on, stops or goes on as it should; and nothing showed that an older configuration can't replace a newer one.

Change: a site can put one node behind links of its own, to the table and to and from each peer. Three tests cut or silence them, and one test puts configurations in force out of their order.

Conclusion: a node alone stops within 5 s of an apply; one that has peers goes on.

--- a/crates/cuminlb-test-support/src/site.rs
+++ b/crates/cuminlb-test-support/src/site.rs
@@ -57,6 +57,8 @@
     pub zone: String,
     /// The address of the node; its ports are those of every site.
     pub ip: IpAddr,
+    /// Where the platform says that peers reach the node.
+    pub peer_address: SocketAddr,
     /// The process.
     pub process: Process,
 }
@@ -382,19 +384,72 @@
     ///
     /// Returns [`SiteError::Http`] when the platform does not answer.
     pub async fn list_instances(&self) -> Result<(), SiteError> {
+        self.list_instances_at(self.platform_address(), &self.records())
+            .await
+    }
+
+    /// Returns what the platform lists: the nodes and the upstreams.
+    pub fn records(&self) -> Vec<InstanceRecord> {
         let nodes = self.nodes.iter().filter_map(node_record);
         let upstreams = self
             .upstreams
             .iter()
             .map(|upstream| upstream.record.clone());
-        let records: Vec<InstanceRecord> = nodes.chain(upstreams).collect();
-        let url = format!("http://{}:{PLATFORM_PORT}/instances", self.ip);
+        nodes.chain(upstreams).collect()
+    }
+
+    /// Returns the address of the platform.
+    pub fn platform_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, PLATFORM_PORT))
+    }
+
+    /// Writes records into the list of another platform than the site's own.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::Http`] when that platform does not answer.
+    pub async fn list_instances_at(
+        &self,
+        platform: SocketAddr,
+        records: &[InstanceRecord],
+    ) -> Result<(), SiteError> {
+        let url = format!("http://{platform}/instances");
         self.client
             .call(Method::PUT, &url, &[], json!(records).to_string())
             .await?;
         Ok(())
     }
 
+    /// Starts a node again that reaches the table and the instance list at other addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError`] when its settings can't be changed or it can't be started.
+    pub async fn restart_node_behind(
+        &mut self,
+        node: usize,
+        table: SocketAddr,
+        instances: SocketAddr,
+    ) -> Result<(), SiteError> {
+        let id = self.nodes[node].id.clone();
+        let path = self.folder.path().join(format!("{id}.toml"));
+        let io = |source| SiteError::Io {
+            what: path.display().to_string(),
+            source,
+        };
+        let platform = self.platform_address();
+        let settings = std::fs::read_to_string(&path).map_err(io)?;
+        let settings = settings
+            .replace(
+                &format!("instances = \"{platform}\""),
+                &format!("instances = \"{instances}\""),
+            )
+            .replace(&format!("\"{platform}\""), &format!("\"{table}\""));
+        std::fs::write(&path, settings).map_err(io)?;
+        self.nodes[node].process.kill().await;
+        self.restart_node(node)
+    }
+
     /// Starts a node again in the place of one that has ended.
     ///
     /// # Errors
@@ -518,6 +573,7 @@
                 id,
                 zone,
                 ip,
+                peer_address: SocketAddr::from((ip, PEER_PORT)),
                 process,
             });
         }
@@ -574,7 +630,7 @@
     Some(InstanceRecord {
         id: node.id.parse().ok()?,
         role: InstanceRole::Node,
-        address: SocketAddr::from((node.ip, PEER_PORT)),
+        address: node.peer_address,
         zone: node.zone.parse().ok()?,
         domain: format!("{}-entry", node.zone).parse().ok()?,
         accelerators: AcceleratorCount(0),
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -4,7 +4,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use cuminlb::control::put_text;
+use cuminlb::node::Node;
 use cuminlb_caller::{ApplyError, ApplyReport, ApplyRequest, FleetDocument};
+use cuminlb_config::NodeSettings;
 use cuminlb_standins::Fault;
 use cuminlb_test_support::{Answer, ModelPlan, Site, SiteBuilder, wait_until};
 use cuminlb_types::prelude::*;
@@ -287,3 +290,22 @@
         );
     }
 }
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let repository = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let read = |path: &str| std::fs::read_to_string(repository.join(path)).unwrap();
+    let settings = NodeSettings::parse("node.toml", &read("settings/node.toml")).unwrap();
+    let node = Node::new(settings).0;
+    let newer = read("fleets/authority.toml");
+    let older = read("fleets/association.toml");
+    let put = |version, text: &str| {
+        let version = ConfigVersion(version);
+        put_text(&node, version, RowVersion(version.get()), text.to_owned())
+    };
+    assert_eq!(put(2, &newer), Ok(true));
+    assert_eq!(put(1, &older), Ok(false));
+    assert_eq!(put(2, &older), Ok(false));
+    let config = node.view().config.unwrap();
+    assert_eq!((config.version, &config.body), (ConfigVersion(2), &newer));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod cold_start;
 mod command_line;
 mod configuration;
+mod cut_off;
 mod latency;
 mod metrics;
 mod outage;
