--- a/crates/cuminlb-peer/src/message/peer_statement.rs
+++ b/crates/cuminlb-peer/src/message/peer_statement.rs
@@ -1,6 +1,7 @@
 //! [`PeerStatement`].
 
 use cuminlb_events::HybridTime;
+use cuminlb_routing::Suspect;
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -23,4 +24,6 @@
     pub table_age_ms: Option<Millis>,
     /// Whether the node has read the table since its start and hears it no longer.
     pub is_silent: bool,
+    /// The newest suspects of crashing what runs them.
+    pub suspects: Vec<Suspect>,
 }
--- a/crates/cuminlb-peer/tests/links.rs
+++ b/crates/cuminlb-peer/tests/links.rs
@@ -71,6 +71,7 @@
         newest_config: ConfigVersion(4),
         table_age_ms: Some(Millis(20)),
         is_silent: false,
+        suspects: Vec::new(),
     }
 }
 
--- a/crates/cuminlb-standins/src/fault/fault_kind.rs
+++ b/crates/cuminlb-standins/src/fault/fault_kind.rs
@@ -34,4 +34,6 @@
         /// The number of chunks that still come.
         after_chunks: u32,
     },
+    /// Answers carry the id of another request.
+    WrongIds,
 }
--- a/src/cuminlb/node/node_state.rs
+++ b/src/cuminlb/node/node_state.rs
@@ -11,7 +11,7 @@
 use cuminlb_platform::{
     HttpInstanceList, HttpObjectStore, HttpTable, InstanceList, ObjectStore, Table,
 };
-use cuminlb_routing::{SlotHolder, SlotTerms};
+use cuminlb_routing::{Quarantine, SlotHolder, SlotTerms};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::{EngineControl, HttpEngineControl, UpstreamClient};
 use smol_str::format_smolstr;
@@ -63,6 +63,8 @@
     pub peers: Peers,
     /// The groups that this node owns.
     pub owned: OwnedGroups,
+    /// The requests that are suspected of crashing what runs them.
+    pub quarantine: Quarantine,
     /// Told when the table should be read at once.
     pub poll_now: Notify,
     /// The slots of other groups that this node holds.
@@ -110,6 +112,7 @@
             peers: Peers::default(),
             owned: OwnedGroups::new(slot_terms(&settings)),
             holdings: SlotHoldings::default(),
+            quarantine: Quarantine::default(),
             poll_now: Notify::new(),
             releases,
             metrics,
@@ -206,6 +209,7 @@
             newest_config: said.newest_config,
             table_age_ms: said.table_age_ms,
             is_silent: said.is_silent,
+            suspects: self.quarantine.newest(),
         }
     }
 
@@ -213,6 +217,7 @@
     /// any time, so it says nothing about the present.
     pub fn take_statement(&self, statement: &PeerStatement) {
         self.events.clock().observe(statement.time);
+        self.quarantine.merge(&statement.suspects);
         self.knowledge.note_newest(statement.newest_config);
         self.poll_if_newer(statement.newest_config);
     }
@@ -223,6 +228,7 @@
         if statement.node != *peer {
             return;
         }
+        self.quarantine.merge(&statement.suspects);
         let said = TableStatement {
             table_age_ms: statement.table_age_ms,
             is_silent: statement.is_silent,
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -24,6 +24,8 @@
 pub(super) struct SlotClient<'a> {
     pub(super) node: &'a Arc<Node>,
     pub(super) service: &'a ServiceId,
+    /// The groups that are taken only where there is no other.
+    pub(super) avoided: &'a [GroupId],
 }
 
 impl SlotClient<'_> {
@@ -32,7 +34,7 @@
         let started = Instant::now();
         let mut group_seen = false;
         loop {
-            let mut choices = self.choices();
+            let mut choices = self.preferred(self.choices());
             group_seen |= !choices.is_empty();
             while let Some(choice) = pick(&choices) {
                 if let Some(slot) = self.ask_owners(&choice, deadline).await {
@@ -59,6 +61,15 @@
         })
     }
 
+    /// Leaves out the groups that are avoided, unless there is no other.
+    fn preferred(&self, mut choices: Vec<GroupChoice>) -> Vec<GroupChoice> {
+        let is_preferred = |choice: &GroupChoice| !self.avoided.contains(&choice.group);
+        if choices.iter().any(is_preferred) {
+            choices.retain(is_preferred);
+        }
+        choices
+    }
+
     fn choices(&self) -> Vec<GroupChoice> {
         let view = self.node.view.borrow();
         let groups = view.groups(self.service).iter();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,14 +7,20 @@
     reason = "a test fails by panicking"
 )]
 
+mod at_most_once;
+mod claim_properties;
+mod claim_world;
 mod cold_start;
 mod command_line;
 mod configuration;
 mod cut_off;
 mod latency;
+mod memory_table;
 mod metrics;
 mod outage;
 mod pages;
+mod quarantine;
+mod streams;
 mod support;
 mod text_difference;
 mod timeline;
