--- a/src/cuminlb/operating/status.rs
+++ b/src/cuminlb/operating/status.rs
@@ -3,7 +3,7 @@
 use cuminlb_caller::{GroupStatus, NodeStatus, OwnedGroupStatus, ServiceStatus};
 use cuminlb_config::ServiceSpec;
 use cuminlb_events::GroupReport;
-use cuminlb_fleet::rows::{GroupRecord, GroupState};
+use cuminlb_fleet::rows::GroupRecord;
 
 use crate::node::{FleetView, Node};
 
@@ -38,10 +38,6 @@
 }
 
 fn group_status(node: &Node, reports: &[GroupReport], group: &GroupRecord) -> GroupStatus {
-    let missing = match &group.state {
-        GroupState::Intact => Vec::new(),
-        GroupState::Broken { missing } => missing.clone(),
-    };
     let report = reports.iter().find(|report| report.group == group.id);
     let owner = match report {
         Some(_) => Some(node.id().clone()),
@@ -52,7 +48,7 @@
         epoch: group.epoch,
         zone: group.zone.clone(),
         members: group.members.clone(),
-        missing,
+        missing: group.state.missing().to_vec(),
         owner,
         owned: report.map(owned_status),
     }
