--- a/crates/cuminlb-fleet/src/rows/mod.rs
+++ b/crates/cuminlb-fleet/src/rows/mod.rs
@@ -11,6 +11,8 @@
 mod claim_name;
 mod claim_row;
 mod claim_state;
+mod config_body;
+mod config_digest;
 mod config_row;
 mod group_record;
 mod group_state;
@@ -23,6 +25,8 @@
 pub use self::claim_name::ClaimName;
 pub use self::claim_row::ClaimRow;
 pub use self::claim_state::ClaimState;
+pub use self::config_body::ConfigBody;
+pub use self::config_digest::ConfigDigest;
 pub use self::config_row::ConfigRow;
 pub use self::group_record::GroupRecord;
 pub use self::group_state::GroupState;
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -16,8 +16,8 @@
 pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    EventsQuery, PeerStatement, ReleasedSlot, RenewalAnswer, RenewedGroup, SlotAnswer, SlotGrant,
-    SlotRelease, SlotRenewal, SlotRequest,
+    ConfigDocument, EventsQuery, PeerStatement, ReleasedSlot, RenewalAnswer, RenewedGroup,
+    SlotAnswer, SlotGrant, SlotRelease, SlotRenewal, SlotRequest, TableNotice,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
--- a/crates/cuminlb-peer/src/message/mod.rs
+++ b/crates/cuminlb-peer/src/message/mod.rs
@@ -1,5 +1,6 @@
 //! The messages between nodes.
 
+mod config_document;
 mod events_query;
 mod peer_statement;
 mod renewal_answer;
@@ -7,7 +8,9 @@
 mod slot_release;
 mod slot_renewal;
 mod slot_request;
+mod table_notice;
 
+pub use self::config_document::ConfigDocument;
 pub use self::events_query::EventsQuery;
 pub use self::peer_statement::PeerStatement;
 pub use self::renewal_answer::RenewalAnswer;
@@ -15,3 +18,4 @@
 pub use self::slot_release::{ReleasedSlot, SlotRelease};
 pub use self::slot_renewal::{RenewedGroup, SlotRenewal};
 pub use self::slot_request::SlotRequest;
+pub use self::table_notice::TableNotice;
--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -3,7 +3,8 @@
 use cuminlb_events::{Event, NodeReport};
 
 use crate::message::{
-    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+    ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
+    SlotRenewal, SlotRequest, TableNotice,
 };
 
 /// The calls between nodes.
@@ -12,6 +13,12 @@
     /// Exchanges statements; the answer is that of the node called.
     async fn exchange(statement: PeerStatement) -> PeerStatement;
 
+    /// Takes in that the table is heard, and returns the statement of the node called.
+    async fn announce(notice: TableNotice) -> PeerStatement;
+
+    /// Returns the configuration in force on the node called.
+    async fn config() -> Option<ConfigDocument>;
+
     /// Asks the owner of a group for a slot.
     async fn acquire_slot(request: SlotRequest) -> SlotAnswer;
 
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -6,7 +6,7 @@
 
 use cuminlb_events::{Event, NodeReport};
 use cuminlb_types::prelude::*;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::serde_transport;
@@ -16,7 +16,8 @@
 use tokio::sync::Mutex;
 
 use crate::message::{
-    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+    ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
+    SlotRenewal, SlotRequest, TableNotice,
 };
 use crate::{CallCounts, PeerApiClient, PeerError, PeerToken};
 
@@ -68,6 +69,30 @@
         .await
     }
 
+    /// Tells the peer that the table is heard.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came; the peer may have taken the notice all the same.
+    pub async fn announce(&self, notice: TableNotice) -> Result<PeerStatement, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.announce(context, notice).await
+        })
+        .await
+    }
+
+    /// Asks the peer for the configuration in force there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn config(&self) -> Result<Option<ConfigDocument>, PeerError> {
+        self.call(Millis(0), async |client, context| {
+            client.config(context).await
+        })
+        .await
+    }
+
     /// Asks the peer for a slot.
     ///
     /// # Errors
@@ -138,7 +163,7 @@
         let timeout_ms = self.timeout_ms + extra_ms;
         self.counts.note_sent();
         let client = self
-            .connected()
+            .connected_in_time()
             .await
             .inspect_err(|_| self.counts.note_failed())?;
         let mut context = tarpc::context::current();
@@ -156,6 +181,15 @@
         }
     }
 
+    /// Returns the open connection, or opens it within the time of one call. A peer that is
+    /// paused accepts connections and then stays silent.
+    async fn connected_in_time(&self) -> Result<PeerApiClient, PeerError> {
+        let connected = tokio::time::timeout(self.timeout_ms.duration(), self.connected());
+        connected
+            .await
+            .unwrap_or_else(|_elapsed| Err(not_connected("no connection in time")))
+    }
+
     async fn connected(&self) -> Result<PeerApiClient, PeerError> {
         let mut slot = self.client.lock().await;
         if let Some(client) = slot.as_ref() {
@@ -167,11 +201,8 @@
     }
 
     async fn open(&self) -> Result<PeerApiClient, PeerError> {
-        let not_connected = |reason| PeerError::NotConnected { reason };
-        let connect = TcpStream::connect(self.address);
-        let stream = tokio::time::timeout(self.timeout_ms.duration(), connect).await;
-        let mut stream = stream
-            .map_err(|_| not_connected("the connection did not open in time".into()))?
+        let mut stream = TcpStream::connect(self.address)
+            .await
             .map_err(|error| not_connected(error.to_smolstr()))?;
         stream
             .set_nodelay(true)
@@ -182,3 +213,9 @@
         Ok(PeerApiClient::new(tarpc::client::Config::default(), transport).spawn())
     }
 }
+
+fn not_connected(reason: impl Into<SmolStr>) -> PeerError {
+    PeerError::NotConnected {
+        reason: reason.into(),
+    }
+}
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -13,7 +13,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::message::{
-    EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease, SlotRenewal, SlotRequest,
+    ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
+    SlotRenewal, SlotRequest, TableNotice,
 };
 use crate::{PeerApi, PeerHandler, PeerToken};
 
@@ -51,7 +52,11 @@
     handler: H,
     stop: CancellationToken,
 ) {
-    if let Err(error) = token.answer(&mut stream).await {
+    let answered = tokio::select! {
+        () = stop.cancelled() => return,
+        answered = token.answer(&mut stream) => answered,
+    };
+    if let Err(error) = answered {
         debug!("a connection to the peer port was closed: {error}");
         return;
     }
@@ -77,6 +82,16 @@
         self.handler.exchange(statement)
     }
 
+    async fn announce(self, _: Context, notice: TableNotice) -> PeerStatement {
+        self.handler.note_received("announce");
+        self.handler.announce(notice)
+    }
+
+    async fn config(self, _: Context) -> Option<ConfigDocument> {
+        self.handler.note_received("config");
+        self.handler.config()
+    }
+
     async fn acquire_slot(self, _: Context, request: SlotRequest) -> SlotAnswer {
         self.handler.note_received("acquire_slot");
         self.handler.acquire_slot(request).await
--- a/crates/cuminlb-standins/src/http_server.rs
+++ b/crates/cuminlb-standins/src/http_server.rs
@@ -140,9 +140,13 @@
         }
         self.fault.hold().await;
         let answers = Arc::clone(&self.answers);
+        let is_write = head.uri.path() == "/table/commit";
         match self.fault.get() {
             Fault::Refusing => status(StatusCode::SERVICE_UNAVAILABLE),
-            Fault::AnswerLost => {
+            Fault::WriteAnswerLost if !is_write => {
+                answers.answer(Request::from_parts(head, body)).await
+            }
+            Fault::AnswerLost | Fault::WriteAnswerLost => {
                 let _ = answers.answer(Request::from_parts(head, body)).await;
                 std::future::pending().await
             }
--- a/src/cuminlb/control/group_keeper.rs
+++ b/src/cuminlb/control/group_keeper.rs
@@ -8,7 +8,6 @@
 use cuminlb_types::prelude::*;
 use log::{debug, info, warn};
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::group_watch::GroupWatch;
@@ -100,7 +99,7 @@
             }
         };
         tokio::select! {
-            () = renew_until_lost(seat, &lease, stop) => {}
+            () = renew_until_lost(&self.node, seat, &lease, stop) => {}
             () = watching => {}
         }
         *lease.borrow()
@@ -110,12 +109,13 @@
 /// Renews the lease once a period until it has run out, another node holds it, or `stop` is
 /// cancelled.
 async fn renew_until_lost(
+    node: &Node,
     seat: &mut LeaseSeat,
     lease: &watch::Sender<HeldLease>,
     stop: &CancellationToken,
 ) {
     let period = seat.terms().renewal_period_ms().duration();
-    while lease.borrow().is_valid(Instant::now()) {
+    while node.is_lease_valid(&lease.borrow()) {
         tokio::select! {
             () = stop.cancelled() => return,
             () = tokio::time::sleep(period) => {}
@@ -126,7 +126,7 @@
                 lease.send_replace(renewed);
             }
             Err(SeatError::HeldBy { .. }) => return,
-            Err(SeatError::Table(error)) => debug!("no renewal yet: {error}"),
+            Err(error) => debug!("no renewal yet: {error}"),
         }
     }
 }
--- a/src/cuminlb/control/group_watch.rs
+++ b/src/cuminlb/control/group_watch.rs
@@ -79,7 +79,12 @@
         {
             return Some(owned);
         }
-        let owned = OwnedGroup::new(self.service.clone(), record.clone(), self.lease.clone());
+        let owned = OwnedGroup::new(
+            self.service.clone(),
+            record.clone(),
+            self.lease.clone(),
+            self.node.knowledge.watch_cover(),
+        );
         let owned = Arc::new(owned);
         self.members.clear();
         self.drain_started_at = None;
--- a/src/cuminlb/control/member_probe.rs
+++ b/src/cuminlb/control/member_probe.rs
@@ -97,7 +97,7 @@
 
     async fn order_join(&self, address: SocketAddr, member: &InstanceId) {
         let held = self.owned.lease();
-        if !held.is_valid(Instant::now()) {
+        if !self.node.is_lease_valid(&held) {
             return;
         }
         let members = self.owned.record.members.iter().filter_map(|instance| {
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -3,7 +3,10 @@
 //! Each task is written straight down as one loop that ends when its token is cancelled, and is
 //! joined by the task that spawned it.
 
+mod config_error;
+mod config_store;
 mod fleet_poller;
+mod gathering;
 mod group_keeper;
 mod group_supervisor;
 mod group_watch;
@@ -11,6 +14,7 @@
 mod lease_seat;
 mod member_probe;
 mod member_watch;
+mod outage_watch;
 mod peer_supervisor;
 mod peer_task;
 mod plan_inventory;
@@ -22,10 +26,14 @@
 mod slot_reporter;
 mod weight_loads;
 
+pub use self::config_error::ConfigError;
+pub use self::config_store::{put_text, store_text};
 pub use self::fleet_poller::{poll_fleet, poll_fleet_once};
+pub use self::gathering::{Gathered, gather};
 pub use self::group_supervisor::supervise_groups;
 pub use self::instance_poller::poll_instances;
 pub use self::lease_seat::{LeaseSeat, SeatError};
+pub use self::outage_watch::watch_outage;
 pub use self::peer_supervisor::supervise_peers;
 pub use self::plan_supervisor::supervise_plans;
 pub use self::plan_transactions::PlanTransactions;
--- a/src/cuminlb/control/planner.rs
+++ b/src/cuminlb/control/planner.rs
@@ -45,7 +45,7 @@
             renew_at = Instant::now() + period;
             held = hold(&node, &mut seat, held, &lease).await;
         }
-        held = held.filter(|lease| lease.is_valid(Instant::now()));
+        held = held.filter(|lease| node.is_lease_valid(lease));
         let known = PlanBasis::of(&view.borrow_and_update(), &service);
         if let Some(lease) = held
             && let Err(error) = planner.plan(lease).await
@@ -86,7 +86,7 @@
             Some(held_now)
         }
         Err(SeatError::HeldBy { .. }) => None,
-        Err(SeatError::Table(error)) => {
+        Err(error) => {
             debug!("the lease {lease} is not renewed: {error}");
             held
         }
@@ -126,7 +126,7 @@
         let plans = PlanTransactions::new(&node, &service);
         let mut changes = Vec::new();
         for step in self.steps(&plans).await? {
-            if !held.is_valid(Instant::now()) {
+            if !self.node.is_lease_valid(&held) {
                 break;
             }
             let Some(change) = plans.carry_out(&step).await? else {
--- a/src/cuminlb/metrics/state_gauges.rs
+++ b/src/cuminlb/metrics/state_gauges.rs
@@ -169,7 +169,7 @@
     fn read_leases(&self, node: &Node) {
         let now = Instant::now();
         let owned = node.owned.all();
-        let held = owned.iter().filter(|group| group.lease().is_valid(now));
+        let held = owned.iter().filter(|group| group.is_lease_valid(now));
         self.leases_held.set(int(held.count()));
     }
 
--- a/src/cuminlb/operating/mod.rs
+++ b/src/cuminlb/operating/mod.rs
@@ -1,6 +1,7 @@
 //! Answers operators.
 
 mod apply;
+mod confirmation;
 mod events;
 mod fleet_status;
 mod operator_service;
--- a/src/cuminlb/serving/peer_service.rs
+++ b/src/cuminlb/serving/peer_service.rs
@@ -4,8 +4,8 @@
 
 use cuminlb_events::{Event, NodeReport};
 use cuminlb_peer::{
-    EventsQuery, PeerHandler, PeerStatement, ReleasedSlot, RenewalAnswer, SlotAnswer, SlotGrant,
-    SlotRelease, SlotRenewal, SlotRequest,
+    ConfigDocument, EventsQuery, PeerHandler, PeerStatement, ReleasedSlot, RenewalAnswer,
+    SlotAnswer, SlotGrant, SlotRelease, SlotRenewal, SlotRequest, TableNotice,
 };
 use cuminlb_routing::{SlotDenial, SlotId};
 use tokio::time::Instant;
@@ -31,6 +31,21 @@
         self.node.statement()
     }
 
+    fn announce(&self, notice: TableNotice) -> PeerStatement {
+        self.node.take_notice(&notice);
+        self.node.statement()
+    }
+
+    fn config(&self) -> Option<ConfigDocument> {
+        let view = self.node.view.borrow();
+        let config = view.config.as_ref()?;
+        Some(ConfigDocument {
+            version: config.version,
+            row: config.row,
+            text: config.body.clone(),
+        })
+    }
+
     async fn acquire_slot(&self, request: SlotRequest) -> SlotAnswer {
         self.node.grant_slot(&request).await
     }
