Hand an idle group over without a wait

Ruled out: load (it failed alone).

Change: an owner whose ledger is idle says so in the row of the lease that it gives up, and the next one grants at once. The model of the slots has a step HandOver.

A group with requests of other nodes in flight is still handed over with the wait.

--- a/crates/cuminlb-fleet/src/rows/lease_row.rs
+++ b/crates/cuminlb-fleet/src/rows/lease_row.rs
@@ -15,4 +15,7 @@
     pub fencing: FencingNumber,
     /// The length, which a taker waits out in full.
     pub length_ms: Millis,
+    /// Whether the holder gave the lease up when nothing that it had allowed was under way.
+    #[serde(default)]
+    pub idle: bool,
 }
--- a/crates/cuminlb-fleet/tests/standing/handling.rs
+++ b/crates/cuminlb-fleet/tests/standing/handling.rs
@@ -138,6 +138,7 @@
             incarnation: Incarnation(u64::from(incarnation)),
             fencing,
             length_ms: TERMS.length_ms,
+            idle: false,
         };
         self.last_row = self.last_row.next();
         self.row = Some((self.last_row, row));
--- a/crates/cuminlb-routing/src/slots/slot_ledger.rs
+++ b/crates/cuminlb-routing/src/slots/slot_ledger.rs
@@ -37,6 +37,15 @@
     /// group that was dissolved while its requests still ran.
     pub fn new(fencing: FencingNumber, epoch: Epoch, terms: SlotTerms, now: Instant) -> Self {
         let blind_ms = terms.max_send_ms + terms.max_report_lag_ms;
+        Self {
+            recovers_at: Some(now + blind_ms.duration()),
+            ..Self::after_idle_owner(fencing, epoch, terms)
+        }
+    }
+
+    /// Opens the ledger of an owner that follows one that gave the lease up when its own ledger
+    /// was idle: it grants at once.
+    pub fn after_idle_owner(fencing: FencingNumber, epoch: Epoch, terms: SlotTerms) -> Self {
         Self {
             fencing,
             epoch,
@@ -44,7 +53,7 @@
             holders: HashMap::new(),
             lost: LostSlots::default(),
             report: None,
-            recovers_at: Some(now + blind_ms.duration()),
+            recovers_at: None,
         }
     }
 
@@ -166,6 +175,11 @@
         SlotCount(u32::try_from(taken).unwrap_or(u32::MAX))
     }
 
+    /// Tells whether it is certain that no slot is held and no request runs.
+    pub fn is_idle(&self) -> bool {
+        !self.is_recovering() && self.held().count() + self.lost.count() == 0
+    }
+
     /// Tells whether the ledger still waits for the requests of the owner before.
     pub const fn is_recovering(&self) -> bool {
         self.recovers_at.is_some()
--- a/crates/cuminlb-routing/tests/slots/op.rs
+++ b/crates/cuminlb-routing/tests/slots/op.rs
@@ -48,6 +48,8 @@
     Die { node: usize },
     /// Another node owns the group from now on.
     ChangeOwner,
+    /// The owner gives the group up, and tells the next one where nothing is under way.
+    HandOver,
     /// The group was dissolved while its requests still ran, and the same instances are a new
     /// group: its lease starts with the first fencing number.
     FormAnew,
@@ -84,6 +86,7 @@
         1 => node.prop_map(|node| Op::Die { node }),
         1 => Just(Op::ChangeOwner),
         1 => Just(Op::FormAnew),
+        1 => Just(Op::HandOver),
         1 => Just(Op::ChangeEpoch),
         2 => any::<bool>().prop_map(|warm| Op::SetWarm { warm }),
     ]
--- a/crates/cuminlb-routing/tests/slots/world.rs
+++ b/crates/cuminlb-routing/tests/slots/world.rs
@@ -124,6 +124,7 @@
             Op::LoseReleases { node, lost } => self.askers[node].releases_lost = lost,
             Op::Die { node } => self.die(node),
             Op::ChangeOwner => self.change_owner(self.fencing.next()),
+            Op::HandOver => self.hand_over(),
             Op::FormAnew => self.change_owner(FencingNumber(1)),
             Op::ChangeEpoch => {
                 self.epoch = self.epoch.next();
@@ -293,6 +294,16 @@
         self.ledger = SlotLedger::new(self.fencing, self.epoch, TERMS, self.now());
     }
 
+    fn hand_over(&mut self) {
+        let fencing = self.fencing.next();
+        if self.ledger.is_idle() {
+            self.fencing = fencing;
+            self.ledger = SlotLedger::after_idle_owner(fencing, self.epoch, TERMS);
+        } else {
+            self.change_owner(fencing);
+        }
+    }
+
     fn grants(&mut self, slot: &SlotId) -> bool {
         let (limit, now) = (self.limit_count(), self.now());
         self.ledger.grant(slot, self.epoch, limit, now).is_ok()
--- a/src/cuminlb/control/group_keeper.rs
+++ b/src/cuminlb/control/group_keeper.rs
@@ -43,10 +43,10 @@
             group: group.clone(),
         };
         let held = keeper.keep(&mut seat, acquired, &stop).await;
-        node.owned.remove(&group);
+        let idle = node.owned.remove(&group);
         node.group_trail.forget(&group);
         if stop.is_cancelled() {
-            seat.release(held).await;
+            seat.release(held, idle).await;
             return;
         }
         warn!("group {group} is no longer owned: its lease was lost");
@@ -92,6 +92,7 @@
             self.service.clone(),
             self.group.clone(),
             lease.subscribe(),
+            seat.follows_idle(),
         );
         let watching = async {
             loop {
--- a/src/cuminlb/control/group_watch.rs
+++ b/src/cuminlb/control/group_watch.rs
@@ -25,23 +25,27 @@
     service: ServiceId,
     group: GroupId,
     lease: watch::Receiver<HeldLease>,
+    follows_idle: bool,
     members: HashMap<InstanceId, MemberWatch>,
     drain_started_at: Option<Instant>,
 }
 
 impl GroupWatch {
-    /// Prepares to watch a group under a lease.
+    /// Prepares to watch a group under a lease; `follows_idle` tells that the owner before gave it
+    /// up with nothing under way.
     pub(super) fn new(
         node: Arc<Node>,
         service: ServiceId,
         group: GroupId,
         lease: watch::Receiver<HeldLease>,
+        follows_idle: bool,
     ) -> Self {
         Self {
             node,
             service,
             group,
             lease,
+            follows_idle,
             members: HashMap::new(),
             drain_started_at: None,
         }
@@ -88,7 +92,10 @@
         let owned = Arc::new(owned);
         self.members.clear();
         self.drain_started_at = None;
-        self.node.owned.insert(Arc::clone(&owned));
+        self.node
+            .owned
+            .insert(Arc::clone(&owned), self.follows_idle);
+        self.follows_idle = false;
         Some(owned)
     }
 
--- a/src/cuminlb/control/lease_seat.rs
+++ b/src/cuminlb/control/lease_seat.rs
@@ -20,6 +20,7 @@
     lease: LeaseName,
     terms: LeaseTerms,
     seen: Option<SeenLease>,
+    follows_idle: bool,
 }
 
 /// The reason why a lease was not taken or renewed.
@@ -58,6 +59,7 @@
             lease,
             terms,
             seen: None,
+            follows_idle: false,
         }
     }
 
@@ -84,6 +86,7 @@
         let (version, fencing) = (seen.version, seen.row.fencing.next());
         let holder = seen.row.holder.clone();
         let is_released = seen.is_released();
+        self.follows_idle = is_released && seen.row.idle;
         let lapses_at = seen.lapses_at();
         self.seen = Some(seen);
         if is_released {
@@ -97,6 +100,11 @@
         self.write(Some(version), fencing).await
     }
 
+    /// Tells whether the holder before gave the lease up with nothing under way.
+    pub const fn follows_idle(&self) -> bool {
+        self.follows_idle
+    }
+
     /// Tells half of the listed nodes that the table is heard, unless a clearance that was
     /// gathered for another lease serves for this one too.
     async fn clear(
@@ -145,9 +153,13 @@
         }
     }
 
-    /// Ends a lease that this node holds, so that another node can take it at once.
-    pub async fn release(&mut self, held: HeldLease) {
-        let row = self.row(held.fencing, Millis(0));
+    /// Ends a lease that this node holds, so that another node can take it at once; `idle` tells
+    /// it that nothing is under way.
+    pub async fn release(&mut self, held: HeldLease, idle: bool) {
+        let row = LeaseRow {
+            idle,
+            ..self.row(held.fencing, Millis(0))
+        };
         let key = RowKeys::lease(&self.lease);
         let within = self.node.settings.platform.timeout_ms.duration();
         if let Err(error) = self
@@ -208,6 +220,7 @@
             incarnation: self.node.incarnation,
             fencing,
             length_ms,
+            idle: false,
         }
     }
 }
--- a/src/cuminlb/control/planner.rs
+++ b/src/cuminlb/control/planner.rs
@@ -60,7 +60,7 @@
         }
     }
     if let Some(lease) = held {
-        seat.release(lease).await;
+        seat.release(lease, false).await;
     }
 }
 
--- a/src/cuminlb/node/owned_groups.rs
+++ b/src/cuminlb/node/owned_groups.rs
@@ -37,8 +37,9 @@
 
     /// Starts to own a group, or goes on with it at another epoch.
     ///
-    /// The requests of the epoch before go on counting for as long as the lease is the same.
-    pub fn insert(&self, group: Arc<OwnedGroup>) {
+    /// The requests of the epoch before go on counting for as long as the lease is the same;
+    /// `follows_idle` tells that the owner before left none under way.
+    pub fn insert(&self, group: Arc<OwnedGroup>, follows_idle: bool) {
         let mut owned = lock(&self.owned);
         let now = Instant::now();
         owned.close(&group.record.id, self.terms, now);
@@ -50,15 +51,18 @@
                 ledger.set_epoch(group.record.epoch);
                 ledger
             }
+            _ if follows_idle => {
+                SlotLedger::after_idle_owner(fencing, group.record.epoch, self.terms)
+            }
             _ => SlotLedger::new(fencing, group.record.epoch, self.terms, now),
         };
         group.open_ledger(ledger);
         owned.groups.insert(group.record.id.clone(), group);
     }
 
-    /// Ends the owning of a group.
-    pub fn remove(&self, group: &GroupId) {
-        lock(&self.owned).close(group, self.terms, Instant::now());
+    /// Ends the owning of a group; returns whether it was owned and nothing is under way.
+    pub fn remove(&self, group: &GroupId) -> bool {
+        lock(&self.owned).close(group, self.terms, Instant::now())
     }
 
     /// Returns a group that this node owns.
@@ -115,12 +119,15 @@
 }
 
 impl Owned {
-    fn close(&mut self, group: &GroupId, terms: SlotTerms, now: Instant) {
+    fn close(&mut self, group: &GroupId, terms: SlotTerms, now: Instant) -> bool {
         let open = self.groups.remove(group);
-        if let Some(ledger) = open.and_then(|open| open.close_ledger()) {
-            let ends_by = now + (terms.max_send_ms + terms.max_request_ms).duration();
-            self.closed.insert(group.clone(), (ledger, ends_by));
-        }
+        let Some(ledger) = open.and_then(|open| open.close_ledger()) else {
+            return false;
+        };
+        let is_idle = ledger.is_idle();
+        let ends_by = now + (terms.max_send_ms + terms.max_request_ms).duration();
+        self.closed.insert(group.clone(), (ledger, ends_by));
+        is_idle
     }
 }
 
