Mend what stood twice and what had grown large

Change: KeyedTasks keeps one task for each key and joins all at the end. The site of the tests and the model of the slots in files of their own; Site::chat_as. No test asserts less.

--- a/crates/cuminlb-routing/tests/slots/main.rs
+++ b/crates/cuminlb-routing/tests/slots/main.rs
@@ -7,7 +7,10 @@
     reason = "a test fails by panicking"
 )]
 
+mod asker;
+mod asks;
 mod op;
+mod request;
 mod world;
 
 use proptest::prelude::*;
--- a/crates/cuminlb-routing/tests/slots/world.rs
+++ b/crates/cuminlb-routing/tests/slots/world.rs
@@ -9,7 +9,9 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
+use crate::asker::Asker;
 use crate::op::{MAX_REQUEST_MS, MAX_SEND_MS, NODES, Op};
+use crate::request::Request;
 
 const TERMS: SlotTerms = SlotTerms {
     max_send_ms: Millis(MAX_SEND_MS),
@@ -25,39 +27,18 @@
 const WARM_LIMIT: u32 = 5;
 const COLD_LIMIT: u32 = 2;
 
-/// A request that was granted: it starts at the engine, and ends there.
-#[derive(Clone, Debug)]
-struct Request {
-    slot: SlotId,
-    node: usize,
-    starts_at_ms: u64,
-    ends_at_ms: u64,
-    /// Whether its node still answers for it.
-    held: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Asker {
-    incarnation: u64,
-    last: SlotTicket,
-    releases_lost: bool,
-    latest: Option<SlotId>,
-    /// The asks that were denied and are tried again, with the times of their requests.
-    waiting: Vec<(SlotTicket, u64, u64)>,
-}
-
 /// The nodes, the network, the engine and the owner of one group, on a clock of their own.
 #[derive(Debug)]
 pub struct World {
-    started: Instant,
-    now_ms: u64,
-    ledger: SlotLedger,
-    fencing: FencingNumber,
-    epoch: Epoch,
-    warm: bool,
-    askers: Vec<Asker>,
-    requests: Vec<Request>,
-    ended: Vec<Request>,
+    pub(crate) started: Instant,
+    pub(crate) now_ms: u64,
+    pub(crate) ledger: SlotLedger,
+    pub(crate) fencing: FencingNumber,
+    pub(crate) epoch: Epoch,
+    pub(crate) warm: bool,
+    pub(crate) askers: Vec<Asker>,
+    pub(crate) requests: Vec<Request>,
+    pub(crate) ended: Vec<Request>,
     pub overrun: Option<(usize, u32)>,
 }
 
@@ -156,76 +137,6 @@
         self.requests.len() - before
     }
 
-    fn ask(&mut self, node: usize, send_ms: u64, run_ms: u64) {
-        let slot = self.next_slot(node);
-        self.ask_for(slot, node, send_ms, run_ms);
-    }
-
-    fn ask_and_wait(&mut self, node: usize, send_ms: u64, run_ms: u64) {
-        let slot = self.next_slot(node);
-        let ticket = slot.ticket;
-        if !self.ask_for(slot, node, send_ms, run_ms) {
-            self.askers[node].waiting.push((ticket, send_ms, run_ms));
-        }
-    }
-
-    fn ask_again(&mut self, node: usize) {
-        let waiting = std::mem::take(&mut self.askers[node].waiting);
-        for (ticket, send_ms, run_ms) in waiting {
-            let holder = self.holder(node);
-            let slot = SlotId { holder, ticket };
-            if !self.ask_for(slot, node, send_ms, run_ms) {
-                self.askers[node].waiting.push((ticket, send_ms, run_ms));
-            }
-        }
-    }
-
-    fn ask_for(&mut self, slot: SlotId, node: usize, send_ms: u64, run_ms: u64) -> bool {
-        let is_granted = self.grants(&slot);
-        if is_granted {
-            let starts_at_ms = self.now_ms + send_ms;
-            self.requests.push(Request {
-                slot,
-                node,
-                starts_at_ms,
-                ends_at_ms: starts_at_ms + run_ms,
-                held: true,
-            });
-            if self.requests.len() > self.limit() {
-                self.overrun = Some((self.requests.len(), self.limit_count().get()));
-            }
-        }
-        is_granted
-    }
-
-    fn ask_in_vain(&mut self, node: usize, release_lost: bool) {
-        let slot = self.next_slot(node);
-        self.grants(&slot);
-        if !release_lost {
-            self.ledger.release(&slot, SlotEnd::Finished, self.now());
-        }
-    }
-
-    fn repeat_ask(&mut self, node: usize) {
-        if let Some(slot) = self.askers[node].latest.clone() {
-            self.grants(&slot);
-        }
-    }
-
-    fn abandon(&mut self, node: usize, engine_goes_on_ms: u64) {
-        let now_ms = self.now_ms;
-        let running = self
-            .requests
-            .iter_mut()
-            .find(|request| request.node == node && request.held && request.starts_at_ms <= now_ms);
-        if let Some(request) = running {
-            request.held = false;
-            request.ends_at_ms = request.ends_at_ms.min(now_ms + engine_goes_on_ms);
-            let slot = request.slot.clone();
-            self.release(node, &slot, SlotEnd::Abandoned);
-        }
-    }
-
     fn advance(&mut self, by_ms: u64) {
         self.now_ms += by_ms;
         let now_ms = self.now_ms;
@@ -239,7 +150,7 @@
         }
     }
 
-    fn release(&mut self, node: usize, slot: &SlotId, end: SlotEnd) {
+    pub(crate) fn release(&mut self, node: usize, slot: &SlotId, end: SlotEnd) {
         if !self.askers[node].releases_lost {
             self.ledger.release(slot, end, self.now());
         }
@@ -304,33 +215,23 @@
         }
     }
 
-    fn grants(&mut self, slot: &SlotId) -> bool {
+    pub(crate) fn grants(&mut self, slot: &SlotId) -> bool {
         let (limit, now) = (self.limit_count(), self.now());
         self.ledger.grant(slot, self.epoch, limit, now).is_ok()
     }
 
-    fn next_slot(&mut self, node: usize) -> SlotId {
-        let asker = &mut self.askers[node];
-        asker.last = asker.last.next();
-        let ticket = asker.last;
-        let holder = self.holder(node);
-        let slot = SlotId { holder, ticket };
-        self.askers[node].latest = Some(slot.clone());
-        slot
-    }
-
-    fn holder(&self, node: usize) -> SlotHolder {
+    pub(crate) fn holder(&self, node: usize) -> SlotHolder {
         SlotHolder {
             node: format!("node-{node}").parse().unwrap(),
             incarnation: Incarnation(self.askers[node].incarnation),
         }
     }
 
-    fn limit_count(&self) -> SlotCount {
+    pub(crate) fn limit_count(&self) -> SlotCount {
         SlotCount(if self.warm { WARM_LIMIT } else { COLD_LIMIT })
     }
 
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.started + Duration::from_millis(self.now_ms)
     }
 }
--- a/crates/cuminlb-test-support/src/http_client.rs
+++ b/crates/cuminlb-test-support/src/http_client.rs
@@ -8,6 +8,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::SiteError;
@@ -38,6 +39,14 @@
     }
 }
 
+/// Reads the JSON body of an answer as a typed value.
+pub(crate) fn parse_answer<T: DeserializeOwned>(answer: &Answer) -> Result<T, SiteError> {
+    serde_json::from_slice(&answer.body).map_err(|error| SiteError::Http {
+        url: "a call with a JSON answer".to_owned(),
+        reason: format!("{error}: {}", answer.text()),
+    })
+}
+
 /// A caller.
 #[derive(Clone, Debug)]
 pub struct TestClient {
--- a/crates/cuminlb-test-support/src/site_files.rs
+++ b/crates/cuminlb-test-support/src/site_files.rs
@@ -19,6 +19,12 @@
     ("lami-juniors", "key-of-lami-juniors", 1),
 ];
 
+/// The port of the platform of a site.
+pub(crate) const PLATFORM_PORT: u16 = 9_000;
+
+/// The first port of the upstreams of a site.
+pub(crate) const FIRST_UPSTREAM_PORT: u16 = 10_000;
+
 /// The ports of a node.
 pub(crate) const CALLER_PORT: u16 = 8_080;
 pub(crate) const OPERATOR_PORT: u16 = 8_081;
--- a/src/cuminlb/control/mod.rs
+++ b/src/cuminlb/control/mod.rs
@@ -11,6 +11,7 @@
 mod group_supervisor;
 mod group_watch;
 mod instance_poller;
+mod keyed_tasks;
 mod lease_seat;
 mod member_probe;
 mod member_watch;
--- a/src/cuminlb/control/peer_supervisor.rs
+++ b/src/cuminlb/control/peer_supervisor.rs
@@ -1,15 +1,15 @@
 //! Keeps one link and one task for each peer.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cuminlb_peer::{PeerLink, PeerToken};
 use cuminlb_types::prelude::*;
 use cuminlb_types::rendezvous_rank;
-use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::keyed_tasks::KeyedTasks;
 use super::peer_task::converse;
 use crate::node::{FleetView, Node};
 
@@ -20,33 +20,21 @@
 /// are joined before this returns.
 pub async fn supervise_peers(node: Arc<Node>, stop: CancellationToken) {
     let mut view = node.view.subscribe();
-    let mut running: HashMap<(NodeId, SocketAddr), CancellationToken> = HashMap::new();
-    let mut tasks = JoinSet::new();
+    let mut tasks = KeyedTasks::new(stop.clone());
     loop {
         let listed = other_nodes(&node, &view.borrow_and_update());
         update_links(&node, &listed);
         let wanted = neighbours(&node, listed);
-        running.retain(|peer, task_stop| {
-            let keep = wanted.contains(peer);
-            if !keep {
-                task_stop.cancel();
-            }
-            keep
+        tasks.set_keys(wanted, |(peer, _), task_stop| {
+            converse(Arc::clone(&node), peer, task_stop)
         });
-        for peer in wanted {
-            running.entry(peer.clone()).or_insert_with(|| {
-                let task_stop = stop.child_token();
-                tasks.spawn(converse(Arc::clone(&node), peer.0, task_stop.clone()));
-                task_stop
-            });
-        }
         tokio::select! {
             () = stop.cancelled() => break,
             changed = view.changed() => if changed.is_err() { break },
-            Some(_) = tasks.join_next() => {}
+            () = tasks.join_next() => {}
         }
     }
-    while tasks.join_next().await.is_some() {}
+    tasks.join_all().await;
 }
 
 fn other_nodes(node: &Node, view: &FleetView) -> Vec<(NodeId, SocketAddr)> {
--- a/src/cuminlb/control/plan_supervisor.rs
+++ b/src/cuminlb/control/plan_supervisor.rs
@@ -1,12 +1,12 @@
 //! Keeps one task for each service that this node may plan.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use cuminlb_types::prelude::*;
-use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::keyed_tasks::KeyedTasks;
 use super::planner::plan_service;
 use crate::node::{FleetView, Node};
 
@@ -14,31 +14,19 @@
 /// no candidate for any more. All tasks are joined before this returns.
 pub async fn supervise_plans(node: Arc<Node>, stop: CancellationToken) {
     let mut view = node.view.subscribe();
-    let mut running: HashMap<ServiceId, CancellationToken> = HashMap::new();
-    let mut tasks = JoinSet::new();
+    let mut tasks = KeyedTasks::new(stop.clone());
     loop {
         let wanted = candidate_services(&node, &view.borrow_and_update());
-        running.retain(|service, task_stop| {
-            let keep = wanted.contains(service);
-            if !keep {
-                task_stop.cancel();
-            }
-            keep
+        tasks.set_keys(wanted, |service, task_stop| {
+            plan_service(Arc::clone(&node), service, task_stop)
         });
-        for service in wanted {
-            running.entry(service.clone()).or_insert_with(|| {
-                let task_stop = stop.child_token();
-                tasks.spawn(plan_service(Arc::clone(&node), service, task_stop.clone()));
-                task_stop
-            });
-        }
         tokio::select! {
             () = stop.cancelled() => break,
             changed = view.changed() => if changed.is_err() { break },
-            Some(_) = tasks.join_next() => {}
+            () = tasks.join_next() => {}
         }
     }
-    while tasks.join_next().await.is_some() {}
+    tasks.join_all().await;
 }
 
 fn candidate_services(node: &Node, view: &FleetView) -> HashSet<ServiceId> {
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -16,6 +16,8 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+use crate::support::chat_body;
+
 /// The time within which an accepted configuration is in force everywhere.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
 
@@ -81,21 +83,7 @@
 }
 
 async fn chat_as(site: &Site, node: usize, key: &str) -> Answer {
-    let url = site.caller_url(node, "/v1/chat/completions");
-    let authorization = format!("Bearer {key}");
-    let headers = [
-        ("authorization", authorization.as_str()),
-        ("content-type", "application/json"),
-    ];
-    let body = json!({
-        "model": "oar-assist",
-        "max_tokens": 2,
-        "messages": [{ "role": "user", "content": "Who rows at dawn?" }],
-    });
-    let call = site
-        .client()
-        .call(Method::POST, &url, &headers, body.to_string());
-    call.await.unwrap()
+    site.chat_as(key, node, chat_body()).await.unwrap()
 }
 
 /// Returns a fleet file without the second team.
--- a/tests/testsuite/cut_off.rs
+++ b/tests/testsuite/cut_off.rs
@@ -5,10 +5,11 @@
 use cuminlb_standins::{LinkFault, LossyLink, Platform, PlatformOptions, StandinServer};
 use cuminlb_test_support::{Answer, ModelPlan, Site, SiteBuilder, wait_until};
 use cuminlb_types::prelude::*;
-use http::{Method, StatusCode};
-use serde_json::json;
+use http::StatusCode;
 use tokio::time::Instant;
 
+use crate::support::chat_body;
+
 /// The node that is cut off.
 const NODE: usize = 2;
 
@@ -82,22 +83,7 @@
     }
 
     async fn chat(&self, key: &str) -> Answer {
-        let url = self.site.caller_url(NODE, "/v1/chat/completions");
-        let authorization = format!("Bearer {key}");
-        let headers = [
-            ("authorization", authorization.as_str()),
-            ("content-type", "application/json"),
-        ];
-        let body = json!({
-            "model": "oar-assist",
-            "max_tokens": 2,
-            "messages": [{ "role": "user", "content": "Who rows at dawn?" }],
-        });
-        let call = self
-            .site
-            .client()
-            .call(Method::POST, &url, &headers, body.to_string());
-        call.await.unwrap()
+        self.site.chat_as(key, NODE, chat_body()).await.unwrap()
     }
 
     async fn stop(self) {
--- a/tests/testsuite/outage.rs
+++ b/tests/testsuite/outage.rs
@@ -42,11 +42,10 @@
     report.version
 }
 
-#[tokio::test]
-async fn a_refusing_platform_stops_no_request() {
+async fn assert_served_through(fault: Fault) {
     let site = start_site(3).await;
     let before = apply_again(&site).await;
-    site.set_platform_fault(Fault::Refusing).await.unwrap();
+    site.set_platform_fault(fault).await.unwrap();
     serve_through_outage(&site).await;
     site.set_platform_fault(Fault::None).await.unwrap();
     site.wait_serving().await.unwrap();
@@ -54,16 +53,14 @@
     site.shut_down().await;
 }
 
+#[tokio::test]
+async fn a_refusing_platform_stops_no_request() {
+    assert_served_through(Fault::Refusing).await;
+}
+
 #[tokio::test]
 async fn a_paused_platform_stops_no_request() {
-    let site = start_site(3).await;
-    let before = apply_again(&site).await;
-    site.set_platform_fault(Fault::Paused).await.unwrap();
-    serve_through_outage(&site).await;
-    site.set_platform_fault(Fault::None).await.unwrap();
-    site.wait_serving().await.unwrap();
-    assert_eq!(apply_again(&site).await, before.next());
-    site.shut_down().await;
+    assert_served_through(Fault::Paused).await;
 }
 
 #[tokio::test]
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -58,3 +58,9 @@
     assert_code(&output, 0);
     serde_json::from_slice(&output.stdout).unwrap()
 }
+
+/// Returns the body of a short chat request.
+pub fn chat_body() -> String {
+    let message = serde_json::json!({ "role": "user", "content": "Who rows at dawn?" });
+    serde_json::json!({ "model": "oar-assist", "max_tokens": 2, "messages": [message] }).to_string()
+}
