--- /dev/null
+++ b/crates/cuminlb-assembly/src/plan_assembly.rs
@@ -0,0 +1,289 @@
+//! [`plan_assembly`].
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminlb_catalog::{CloseMode, InstanceEntry, ModelShape, SeatState};
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::candidate::Candidate;
+use crate::{AssemblyStep, GroupTargets, GroupView, InstanceHealth, Situation};
+
+/// Returns what to do now.
+pub fn plan_assembly(situation: &Situation<'_>, now: Instant) -> Vec<AssemblyStep> {
+    let mut plan = Plan {
+        situation,
+        steps: Vec::new(),
+        bound: BTreeSet::new(),
+        standing: BTreeMap::new(),
+        loads_running: situation.loads_running,
+    };
+    for forming in situation.forming {
+        *plan.standing.entry(forming.model.clone()).or_default() += 1;
+        plan.bound.extend(forming.members.iter().cloned());
+    }
+    for group in situation.groups {
+        plan.review(group);
+    }
+    let mut free = plan.free_instances(now);
+    plan.form_groups(&mut free);
+    plan.stage_weights(&free);
+    plan.steps
+}
+
+/// Unused instances by the part of the fabric that they are in.
+type FreeInstances<'a> = BTreeMap<Option<FabricDomainId>, Vec<&'a InstanceEntry>>;
+
+struct Plan<'s, 'a> {
+    situation: &'s Situation<'a>,
+    steps: Vec<AssemblyStep>,
+    /// Instances that a group needs, or that may not leave theirs yet.
+    bound: BTreeSet<InstanceId>,
+    /// The groups of each model that serve or will.
+    standing: BTreeMap<ModelId, usize>,
+    loads_running: usize,
+}
+
+impl<'a> Plan<'_, 'a> {
+    /// Decides whether a group stands, opens, or is given up.
+    fn review(&mut self, group: &GroupView) {
+        let situation = self.situation;
+        let mut forming = situation.forming.iter();
+        if forming.any(|it| it.epoch == group.epoch && it.group == group.group) {
+            self.open_if_ready(group);
+            return;
+        }
+        let is_kept = |id: &InstanceId| {
+            let entry = situation.instances.get(id);
+            situation.is_fine(id) && entry.is_some_and(|entry| !entry.is_leaving)
+        };
+        if group.is_whole() && group.present().all(is_kept) {
+            self.keep(group);
+        } else {
+            self.give_up(group);
+        }
+    }
+
+    fn keep(&mut self, group: &GroupView) {
+        let Some((_, state)) = group.head() else {
+            return;
+        };
+        if *state == SeatState::Broken {
+            // All members are back, but the head has given up: they join anew.
+            return;
+        }
+        if *state == SeatState::Closing {
+            self.bind(group);
+            return;
+        }
+        let is_out = |id: &InstanceId| {
+            let entry = self.situation.instances.get(id);
+            entry.is_some_and(|entry| self.situation.zones_out.contains(&entry.zone))
+        };
+        if !group.present().any(is_out) {
+            *self.standing.entry(group.shape.id.clone()).or_default() += 1;
+        }
+        self.open_if_ready(group);
+        self.bind(group);
+    }
+
+    fn open_if_ready(&mut self, group: &GroupView) {
+        let Some((head, _)) = group.head() else {
+            return;
+        };
+        let is_fine = group.present().all(|id| self.situation.is_fine(id));
+        if is_fine && group.can_open() && !self.situation.ordered.contains(head) {
+            self.steps.push(AssemblyStep::Open {
+                head: head.clone(),
+                group: group.group.clone(),
+                epoch: group.epoch,
+            });
+        }
+    }
+
+    /// Gives up a group that lacks a member: its head stops serving before anyone joins elsewhere.
+    fn give_up(&mut self, group: &GroupView) {
+        let situation = self.situation;
+        let head = group.head();
+        let head_health = head.and_then(|(id, _)| situation.health.get(id));
+        match (head, head_health) {
+            (Some((id, state)), None) => match state {
+                SeatState::Open | SeatState::Closing => {
+                    if *state == SeatState::Open && !situation.ordered.contains(id) {
+                        let all_fine = group.is_whole() && group.present().all(|m| situation.is_fine(m));
+                        self.steps.push(AssemblyStep::Close {
+                            head: id.clone(),
+                            group: group.group.clone(),
+                            epoch: group.epoch,
+                            mode: if all_fine { CloseMode::Finish } else { CloseMode::CutOff },
+                        });
+                    }
+                    self.bind(group);
+                }
+                SeatState::Joining | SeatState::Ready | SeatState::Broken => {}
+            },
+            (Some(_), Some(InstanceHealth::Ended)) => {}
+            (Some(_), Some(_)) | (None, _) => {
+                for member in group.present() {
+                    let is_head = head.is_some_and(|(id, _)| id == member);
+                    if is_head || situation.ordered.contains(member) || !situation.is_fine(member) {
+                        continue;
+                    }
+                    self.steps.push(AssemblyStep::Leave {
+                        member: member.clone(),
+                        group: group.group.clone(),
+                        epoch: group.epoch,
+                    });
+                }
+                self.bind(group);
+            }
+        }
+    }
+
+    fn bind(&mut self, group: &GroupView) {
+        self.bound.extend(group.present().cloned());
+    }
+
+    fn free_instances(&self, now: Instant) -> FreeInstances<'a> {
+        let situation = self.situation;
+        let mut free = FreeInstances::new();
+        for entry in situation.instances.values() {
+            let is_free = situation.is_usable(entry)
+                && !self.bound.contains(&entry.id)
+                && !situation.holds.holds(&entry.id, now);
+            if is_free {
+                free.entry(entry.domain.clone()).or_default().push(entry);
+            }
+        }
+        free
+    }
+
+    /// Forms groups of the models that lack most, as far as instances allow.
+    fn form_groups(&mut self, free: &mut FreeInstances<'a>) {
+        let usable = |entry: &&InstanceEntry| {
+            !entry.is_leaving
+                && self.situation.is_fine(&entry.id)
+                && !self.situation.zones_out.contains(&entry.zone)
+        };
+        let usable = self.situation.instances.values().filter(usable).count();
+        let targets = GroupTargets::new(self.situation.engine, usable);
+        let mut given_up: BTreeSet<&ModelId> = BTreeSet::new();
+        loop {
+            let standing = |model: &ModelShape| self.standing.get(&model.id).copied().unwrap_or(0);
+            let lacking = self
+                .situation
+                .engine
+                .models
+                .iter()
+                .filter(|model| !given_up.contains(&model.id))
+                .filter(|model| standing(model) < targets.get(&model.id))
+                .min_by(|a, b| {
+                    let part = |model: &ModelShape| {
+                        standing(model) as f64 / targets.get(&model.id) as f64
+                    };
+                    part(a).total_cmp(&part(b)).then(b.size.cmp(&a.size))
+                });
+            let Some(model) = lacking else { break };
+            if !self.form_group(model, free) {
+                given_up.insert(&model.id);
+            }
+        }
+    }
+
+    fn form_group(&mut self, model: &ModelShape, free: &mut FreeInstances<'a>) -> bool {
+        let size = model.size.get() as usize;
+        let mut best: Option<(Option<FabricDomainId>, Vec<Candidate<'a>>, Millis, usize)> = None;
+        for (domain, instances) in free.iter() {
+            if instances.len() < size {
+                continue;
+            }
+            let mut candidates: Vec<_> = instances
+                .iter()
+                .map(|entry| Candidate::new(entry, model))
+                .collect();
+            // Those that hold other weights are left for the models that need these.
+            candidates.sort_by_key(|candidate| {
+                (candidate.join_ms, !candidate.entry.staged.is_empty())
+            });
+            candidates.truncate(size);
+            let join_ms = candidates.iter().map(|it| it.join_ms).max().unwrap_or_default();
+            let loads = candidates.iter().filter(|it| it.must_load).count();
+            if loads > 0 && self.loads_running >= self.situation.engine.loads_at_once as usize {
+                continue;
+            }
+            let key = (join_ms, std::cmp::Reverse(instances.len()));
+            let best_key = best.as_ref().map(|(domain, _, join_ms, _)| {
+                (*join_ms, std::cmp::Reverse(free[domain].len()))
+            });
+            if best_key.is_none_or(|best_key| key < best_key) {
+                best = Some((domain.clone(), candidates, join_ms, loads));
+            }
+        }
+        let Some((domain, members, _, loads)) = best else {
+            return false;
+        };
+        let members: Vec<InstanceId> = members.iter().map(|it| it.entry.id.clone()).collect();
+        if let Some(left) = free.get_mut(&domain) {
+            left.retain(|entry| !members.contains(&entry.id));
+        }
+        self.loads_running += loads;
+        *self.standing.entry(model.id.clone()).or_default() += 1;
+        self.steps.push(AssemblyStep::Form {
+            model: model.id.clone(),
+            members,
+            loads,
+        });
+        true
+    }
+
+    /// Loads weights onto unused instances, so that a later group forms sooner: in each part of
+    /// the fabric those of the model whose groups there have most members for each spare.
+    fn stage_weights(&mut self, free: &FreeInstances<'a>) {
+        let engine = self.situation.engine;
+        for (domain, instances) in free {
+            let mut spares: BTreeMap<&ModelId, usize> = BTreeMap::new();
+            for model in instances.iter().flat_map(|entry| &entry.staged) {
+                *spares.entry(model).or_default() += 1;
+            }
+            let staging = &self.situation.staging;
+            for model in instances.iter().filter_map(|entry| staging.get(&entry.id)) {
+                *spares.entry(model).or_default() += 1;
+            }
+            let is_bare =
+                |entry: &&&InstanceEntry| entry.staged.is_empty() && !staging.contains_key(&entry.id);
+            for entry in instances.iter().filter(is_bare) {
+                if self.loads_running >= engine.loads_at_once as usize {
+                    return;
+                }
+                let need = |model: &ModelShape| {
+                    let members = self.members_in(domain.as_ref(), &model.id);
+                    members as f64 / (1.0 + spares.get(&model.id).copied().unwrap_or(0) as f64)
+                };
+                let neediest = engine.models.iter().max_by(|a, b| {
+                    need(a).total_cmp(&need(b)).then(a.share.total_cmp(&b.share))
+                });
+                let Some(model) = neediest else { return };
+                *spares.entry(&model.id).or_default() += 1;
+                self.loads_running += 1;
+                self.steps.push(AssemblyStep::Stage {
+                    instance: entry.id.clone(),
+                    model: model.id.clone(),
+                });
+            }
+        }
+    }
+
+    /// Counts the members of a model's groups in one part of the fabric.
+    fn members_in(&self, domain: Option<&FabricDomainId>, model: &ModelId) -> usize {
+        let groups = self.situation.groups.iter();
+        let in_domain = |id: &&InstanceId| {
+            let entry = self.situation.instances.get(*id);
+            entry.is_some_and(|entry| entry.domain.as_ref() == domain)
+        };
+        groups
+            .filter(|group| group.shape.id == *model)
+            .flat_map(GroupView::present)
+            .filter(in_domain)
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -0,0 +1,48 @@
+//! [`Situation`].
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminlb_catalog::{EngineSpec, InstanceEntry};
+use cuminlb_types::prelude::*;
+
+use crate::{FormingGroup, GroupView, HeadHolds, InstanceHealth};
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation<'a> {
+    /// How the service's engines work.
+    pub engine: &'a EngineSpec,
+    /// The instances of the service.
+    pub instances: &'a BTreeMap<InstanceId, InstanceEntry>,
+    /// Their groups.
+    pub groups: &'a [GroupView],
+    /// Groups that the leader is forming.
+    pub forming: &'a [FormingGroup],
+    /// What is held of them where it is not [`InstanceHealth::Fine`].
+    pub health: &'a BTreeMap<InstanceId, InstanceHealth>,
+    /// Instances that have been given an order whose effect does not show yet.
+    pub ordered: &'a BTreeSet<InstanceId>,
+    /// Instances that load the weights of a model onto their host.
+    pub staging: &'a BTreeMap<InstanceId, ModelId>,
+    /// Instances whose last head may still stand open.
+    pub holds: &'a HeadHolds,
+    /// Zones to which nothing may be sent.
+    pub zones_out: &'a BTreeSet<ZoneId>,
+    /// The loads of weights that are under way.
+    pub loads_running: usize,
+}
+
+impl Situation<'_> {
+    /// Tells whether an instance has an entry and nothing speaks against it.
+    pub fn is_fine(&self, id: &InstanceId) -> bool {
+        self.instances.contains_key(id) && !self.health.contains_key(id)
+    }
+
+    /// Tells whether an instance may become a member of a new group, as far as it goes itself.
+    pub fn is_usable(&self, entry: &InstanceEntry) -> bool {
+        !entry.is_leaving
+            && self.is_fine(&entry.id)
+            && !self.zones_out.contains(&entry.zone)
+            && !self.ordered.contains(&entry.id)
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-catalog/src/catalog.rs
@@ -0,0 +1,79 @@
+//! [`Catalog`].
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cuminlb_types::prelude::*;
+use smol_str::SmolStr;
+
+use crate::{ApiKey, CallerBounds, Route, UpstreamService};
+
+/// The operators' desired state: one version of it, whole.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// The version; it only rises.
+    pub version: ConfigVersion,
+    /// The services behind the routes.
+    pub services: HashMap<ServiceId, Arc<UpstreamService>>,
+    /// What callers may send.
+    pub bounds: CallerBounds,
+    /// The routes of each host, those with the longest prefix first.
+    routes: HashMap<SmolStr, Vec<Arc<Route>>>,
+    /// The team that holds each key; `None` where callers show no keys.
+    teams: Option<HashMap<ApiKey, TeamId>>,
+}
+
+impl Catalog {
+    /// Puts a desired state together.
+    pub fn new(
+        version: ConfigVersion,
+        routes: Vec<Route>,
+        services: Vec<UpstreamService>,
+        bounds: CallerBounds,
+        teams: Option<HashMap<ApiKey, TeamId>>,
+    ) -> Self {
+        let mut by_host: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let host = route.host.clone();
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services
+            .into_iter()
+            .map(|service| (service.id.clone(), Arc::new(service)))
+            .collect();
+        Self {
+            version,
+            services,
+            bounds,
+            routes: by_host,
+            teams,
+        }
+    }
+
+    /// Returns the route of a host with the longest prefix of a path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Tells whether callers must show a key.
+    pub const fn wants_keys(&self) -> bool {
+        self.teams.is_some()
+    }
+
+    /// Returns the team that holds a key.
+    pub fn team(&self, key: &ApiKey) -> Option<&TeamId> {
+        self.teams.as_ref()?.get(key)
+    }
+
+    /// Returns the services whose instances form groups.
+    pub fn engine_services(&self) -> impl Iterator<Item = &Arc<UpstreamService>> {
+        let services = self.services.values();
+        services.filter(|service| service.engine.is_some())
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-catalog/src/lib.rs
@@ -0,0 +1,67 @@
+//! What operators and instances say of themselves, as plain types.
+//!
+//! A [`Catalog`] is the operators' desired state: routes, services, teams and bounds. An
+//! [`InstanceEntry`] is what one instance says of itself. [`RequestHead`] and [`AnswerHead`] hold
+//! what the headers of a request and of an answer say. The traits [`RowStore`], [`WireFormat`] and
+//! [`InstanceControl`] are the edge: whoever speaks a platform's protocol implements them, and
+//! nobody else knows its names.
+
+mod answer_head;
+mod api_key;
+mod caller_bounds;
+mod catalog;
+mod engine_spec;
+mod forwarding;
+mod group_order;
+mod instance_control;
+mod instance_entry;
+mod instance_report;
+mod malformed_request;
+mod malformed_row;
+mod model_shape;
+mod order_outcome;
+mod prompt_size;
+mod request_head;
+mod route;
+mod route_kind;
+mod row_change_set;
+mod row_store;
+mod seat;
+mod seat_state;
+mod shared_row;
+mod store_error;
+mod store_table;
+mod upstream_service;
+mod weighted_service;
+mod wire_format;
+mod write_outcome;
+
+pub use crate::answer_head::AnswerHead;
+pub use crate::api_key::ApiKey;
+pub use crate::caller_bounds::CallerBounds;
+pub use crate::catalog::Catalog;
+pub use crate::engine_spec::EngineSpec;
+pub use crate::forwarding::Forwarding;
+pub use crate::group_order::{CloseMode, GroupOrder};
+pub use crate::instance_control::InstanceControl;
+pub use crate::instance_entry::InstanceEntry;
+pub use crate::instance_report::InstanceReport;
+pub use crate::malformed_request::MalformedRequest;
+pub use crate::malformed_row::MalformedRow;
+pub use crate::model_shape::ModelShape;
+pub use crate::order_outcome::OrderOutcome;
+pub use crate::prompt_size::PromptSize;
+pub use crate::request_head::RequestHead;
+pub use crate::route::Route;
+pub use crate::route_kind::RouteKind;
+pub use crate::row_change_set::RowChangeSet;
+pub use crate::row_store::RowStore;
+pub use crate::seat::Seat;
+pub use crate::seat_state::SeatState;
+pub use crate::shared_row::SharedRow;
+pub use crate::store_error::StoreError;
+pub use crate::store_table::StoreTable;
+pub use crate::upstream_service::UpstreamService;
+pub use crate::weighted_service::WeightedService;
+pub use crate::wire_format::{DesiredRow, WireFormat};
+pub use crate::write_outcome::WriteOutcome;
--- a/crates/cuminlb-config/src/settings/mod.rs
+++ b/crates/cuminlb-config/src/settings/mod.rs
@@ -1,6 +1,8 @@
 //! The settings of one node.
 
 mod control_settings;
+mod fleet_bounds;
+mod gateway_settings;
 mod limit_settings;
 mod listen_settings;
 mod log_format;
@@ -10,6 +12,8 @@
 mod security_settings;
 
 pub use self::control_settings::ControlSettings;
+pub use self::fleet_bounds::FleetBounds;
+pub use self::gateway_settings::GatewaySettings;
 pub use self::limit_settings::LimitSettings;
 pub use self::listen_settings::ListenSettings;
 pub use self::log_format::LogFormat;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -0,0 +1,66 @@
+//! [`Gateway`].
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use cuminlb_config::GatewaySettings;
+use tokio_util::task::TaskTracker;
+
+use crate::Edges;
+use crate::knowledge::{Knowledge, PeerLinks};
+use crate::leading::Suspicions;
+use crate::serving::{LoadBook, RetryBudgets};
+use crate::upstream::ConnectionPool;
+
+/// What the tasks of a node share.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) edges: Edges,
+    pub(crate) knowledge: Knowledge,
+    pub(crate) peers: PeerLinks,
+    pub(crate) suspicions: Suspicions,
+    pub(crate) loads: LoadBook,
+    pub(crate) budgets: RetryBudgets,
+    pub(crate) pool: ConnectionPool,
+    /// Short tasks that nobody waits for before the end.
+    pub(crate) errands: TaskTracker,
+    is_draining: AtomicBool,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: GatewaySettings, edges: Edges) -> Arc<Self> {
+        let errands = TaskTracker::new();
+        Arc::new(Self {
+            knowledge: Knowledge::new(Arc::clone(&edges.wire)),
+            peers: PeerLinks::new(settings.id.clone(), settings.peer_token.clone()),
+            suspicions: Suspicions::default(),
+            loads: LoadBook::default(),
+            budgets: RetryBudgets::new(&settings.bounds),
+            pool: ConnectionPool::new(errands.clone()),
+            errands,
+            is_draining: AtomicBool::new(false),
+            settings,
+            edges,
+        })
+    }
+
+    /// Tells whether this node is about to stop.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether this node takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.knowledge.catalog().is_some()
+    }
+
+    /// Returns the number of nodes that share budgets with this one, itself included.
+    pub(crate) fn node_count(&self) -> usize {
+        self.knowledge.directory().nodes.len().max(1)
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/gateway_error.rs
@@ -0,0 +1,25 @@
+//! [`GatewayError`].
+
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+
+/// The reason why a node on the users' platform can't run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[error("can't listen on {address}: {reason}; correct the address in the settings")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system reported.
+        reason: SmolStr,
+    },
+    /// A task has panicked.
+    #[error("a task of the node panicked: {reason}")]
+    TaskPanicked {
+        /// What it said.
+        reason: SmolStr,
+    },
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -0,0 +1,37 @@
+//! [`Directory`].
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminlb_assembly::GroupView;
+use cuminlb_catalog::InstanceEntry;
+use cuminlb_types::prelude::*;
+
+use super::NodeRow;
+
+/// Instances, groups and nodes as this node knows them at one moment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Directory {
+    /// The instances of each service.
+    pub(crate) services: BTreeMap<ServiceId, BTreeMap<InstanceId, InstanceEntry>>,
+    /// The groups of each service whose engines form some.
+    pub(crate) groups: BTreeMap<ServiceId, Vec<GroupView>>,
+    /// The zones to which nothing may be sent.
+    pub(crate) zones_out: BTreeSet<ZoneId>,
+    /// The nodes.
+    pub(crate) nodes: BTreeMap<NodeId, NodeRow>,
+}
+
+impl Directory {
+    /// Returns the instances of a service.
+    pub(crate) fn instances(
+        &self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = &InstanceEntry> {
+        self.services.get(service).into_iter().flat_map(BTreeMap::values)
+    }
+
+    /// Returns an instance of a service.
+    pub(crate) fn instance(&self, service: &ServiceId, id: &InstanceId) -> Option<&InstanceEntry> {
+        self.services.get(service)?.get(id)
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -0,0 +1,106 @@
+//! [`follow_table`].
+
+use std::time::Duration;
+
+use cuminlb_catalog::{RowChangeSet, StoreError, StoreTable};
+use cuminlb_types::prelude::*;
+use log::{debug, info, warn};
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::RowSource;
+use crate::gateway::Gateway;
+
+/// The longest time that a call waits for a change: it bounds how late a silent connection shows.
+const FEED_WAIT_MS: Millis = Millis(900);
+
+/// The pause after a change of the instances, whose heartbeats would otherwise make a call each.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(150);
+
+/// The pause after a call that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(350);
+
+/// Follows one table of the store until `stop` is cancelled; while the store gives no answer, asks
+/// a peer.
+pub(crate) async fn follow_table(gateway: &Gateway, table: StoreTable, stop: CancellationToken) {
+    let follow = async {
+        let mut must_read_whole = true;
+        let mut is_lost = false;
+        loop {
+            match heard(gateway, table, must_read_whole).await {
+                Ok(changes) => {
+                    if is_lost {
+                        info!(table:% = table, version:% = changes.version; "store regained");
+                    }
+                    is_lost = false;
+                    must_read_whole = false;
+                    let is_quiet = changes.rows.is_empty();
+                    take_in(gateway, table, changes).await;
+                    if table == StoreTable::Instances && !is_quiet {
+                        tokio::time::sleep(INSTANCES_PAUSE).await;
+                    }
+                }
+                Err(StoreError::HistoryGone) => {
+                    info!(table:% = table; "the store's history is gone, the table is read whole");
+                    must_read_whole = true;
+                }
+                Err(error) => {
+                    gateway.knowledge.note_store_trouble(Instant::now());
+                    if !is_lost {
+                        warn!(table:% = table; "store lost: {error}");
+                    }
+                    is_lost = true;
+                    ask_peer(gateway, table).await;
+                    tokio::time::sleep(FAILED_PAUSE).await;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = follow => {}
+    }
+}
+
+async fn heard(
+    gateway: &Gateway,
+    table: StoreTable,
+    must_read_whole: bool,
+) -> Result<RowChangeSet, StoreError> {
+    let store = &gateway.edges.store;
+    if must_read_whole {
+        return store.read_table(table).await;
+    }
+    let after = gateway.knowledge.version(table);
+    store.changes(table, after, FEED_WAIT_MS).await
+}
+
+/// Takes rows in that the store gave, and passes changes of the desired state on to the peers,
+/// some of which the store may refuse.
+async fn take_in(gateway: &Gateway, table: StoreTable, changes: RowChangeSet) {
+    let version = changes.version;
+    let knowledge = &gateway.knowledge;
+    let fresh = knowledge.learn(table, changes, RowSource::Store, Instant::now());
+    debug!(table:% = table, version:% = version, rows = fresh.len(); "rows learnt");
+}
+
+/// Asks one of the peers for what it knows of a table.
+async fn ask_peer(gateway: &Gateway, table: StoreTable) {
+    let peers = gateway.peers.others(&gateway.knowledge.directory());
+    let Some((node, link)) = peers.choose(&mut rand::rng()).cloned() else {
+        return;
+    };
+    let after = gateway.knowledge.version(table);
+    match link.rows_since(table, after).await {
+        Ok(relayed) => {
+            let rows = relayed.changes.rows.len();
+            debug!(table:% = table, node:% = node, rows = rows, heard_ms:% = relayed.heard_ms; "peer asked");
+            let now = Instant::now();
+            gateway
+                .knowledge
+                .learn(table, relayed.changes, RowSource::Peer, now);
+        }
+        Err(error) => debug!(table:% = table, node:% = node; "peer gave no rows: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/instance_records.rs
@@ -0,0 +1,90 @@
+//! [`InstanceRecords`].
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminlb_catalog::InstanceEntry;
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+/// How long an entry that vanished just after trouble of the store is still used. The store
+/// removes entries of instances that it could not hear, and those that live write theirs anew.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
+
+/// The time after trouble of the store in which vanished entries may come back.
+const LAPSE_WINDOW: Duration = Duration::from_secs(6);
+
+/// The entries of instances, and when each was last written.
+#[derive(Debug, Default)]
+pub(crate) struct InstanceRecords {
+    entries: BTreeMap<InstanceId, InstanceEntry>,
+    heard_at: BTreeMap<InstanceId, Instant>,
+    /// Entries that vanished and may come back, with the end of their use.
+    lapsed: BTreeMap<InstanceId, Instant>,
+    trouble_at: Option<Instant>,
+}
+
+impl InstanceRecords {
+    /// Notes that the store can't be reached.
+    pub(crate) fn note_trouble(&mut self, now: Instant) {
+        self.trouble_at = Some(now);
+    }
+
+    /// Takes in what an instance says; returns the entry before, and whether more than its
+    /// heartbeat has changed.
+    pub(crate) fn put(&mut self, entry: InstanceEntry, now: Instant) -> bool {
+        self.lapsed.remove(&entry.id);
+        self.heard_at.insert(entry.id.clone(), now);
+        let is_same = self.entries.get(&entry.id).is_some_and(|known| {
+            InstanceEntry {
+                orders: known.orders,
+                cold_ms: known.cold_ms,
+                ..entry.clone()
+            } == *known
+        });
+        self.entries.insert(entry.id.clone(), entry);
+        !is_same
+    }
+
+    /// Takes in that an entry is no longer there; returns whether it is no longer used.
+    pub(crate) fn remove(&mut self, id: &InstanceId, now: Instant) -> bool {
+        let in_trouble = |at: Instant| now.duration_since(at) < LAPSE_WINDOW;
+        let entry = self.entries.get(id);
+        let may_return = self.trouble_at.is_some_and(in_trouble);
+        if may_return && entry.is_some_and(|entry| !entry.is_leaving) {
+            self.lapsed.entry(id.clone()).or_insert(now + LAPSE_GRACE);
+            return false;
+        }
+        self.forget(id)
+    }
+
+    /// Drops entries that vanished and have not come back; returns whether there were any.
+    pub(crate) fn drop_lapsed(&mut self, now: Instant) -> bool {
+        let over: Vec<InstanceId> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &over {
+            self.lapsed.remove(id);
+            self.forget(id);
+        }
+        !over.is_empty()
+    }
+
+    /// Returns the entries.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &InstanceEntry> {
+        self.entries.values()
+    }
+
+    /// Returns when an instance's entry was last written.
+    pub(crate) fn heard_at(&self, id: &InstanceId) -> Option<Instant> {
+        self.heard_at.get(id).copied()
+    }
+
+    fn forget(&mut self, id: &InstanceId) -> bool {
+        self.heard_at.remove(id);
+        self.entries.remove(id).is_some()
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/peer_links.rs
@@ -0,0 +1,57 @@
+//! [`PeerLinks`].
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cuminlb_peer::{PeerToken, RelayLink};
+use cuminlb_types::prelude::*;
+use smol_str::SmolStr;
+
+use super::Directory;
+
+/// The time after which a call to a peer counts as lost.
+const PEER_TIMEOUT_MS: Millis = Millis(400);
+
+/// The conversations with the other nodes, opened when they are first needed.
+#[derive(Debug)]
+pub(crate) struct PeerLinks {
+    own: NodeId,
+    token: PeerToken,
+    links: Mutex<BTreeMap<NodeId, Arc<RelayLink>>>,
+}
+
+impl PeerLinks {
+    pub(crate) fn new(own: NodeId, token: SmolStr) -> Self {
+        Self {
+            own,
+            token: PeerToken::new(token),
+            links: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn token(&self) -> PeerToken {
+        self.token.clone()
+    }
+
+    /// Returns the conversation with a node, if it is listed.
+    pub(crate) fn link(&self, directory: &Directory, node: &NodeId) -> Option<Arc<RelayLink>> {
+        let row = directory.nodes.get(node)?;
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.get(node).filter(|link| link.address() == row.peer);
+        if let Some(link) = link {
+            return Some(Arc::clone(link));
+        }
+        let link = RelayLink::new(row.peer, self.token.clone(), PEER_TIMEOUT_MS);
+        let link = Arc::new(link);
+        links.insert(node.clone(), Arc::clone(&link));
+        Some(link)
+    }
+
+    /// Returns the conversations with all other nodes that are listed.
+    pub(crate) fn others(&self, directory: &Directory) -> Vec<(NodeId, Arc<RelayLink>)> {
+        let others = directory.nodes.keys().filter(|node| **node != self.own);
+        others
+            .filter_map(|node| Some((node.clone(), self.link(directory, node)?)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -0,0 +1,48 @@
+//! [`RelayService`].
+
+use std::sync::Arc;
+
+use cuminlb_catalog::{RowChangeSet, StoreTable};
+use cuminlb_peer::{RelayHandler, RelayedRows, SuspicionNotice};
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+use super::RowSource;
+use crate::gateway::Gateway;
+
+/// Answers the calls of the other nodes.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayService {
+    gateway: Arc<Gateway>,
+}
+
+impl RelayService {
+    pub(crate) const fn new(gateway: Arc<Gateway>) -> Self {
+        Self { gateway }
+    }
+}
+
+impl RelayHandler for RelayService {
+    fn rows_since(&self, table: StoreTable, after: RowVersion) -> RelayedRows {
+        let knowledge = &self.gateway.knowledge;
+        let heard_ms = knowledge.store_silence(table, Instant::now());
+        RelayedRows {
+            changes: knowledge.since(table, after),
+            heard_ms: heard_ms.unwrap_or(Millis(u64::MAX)),
+        }
+    }
+
+    fn learn(&self, table: StoreTable, mut changes: RowChangeSet) {
+        // Pushed rows are not all rows up to their version, so they move no cursor.
+        changes.version = RowVersion(0);
+        changes.is_whole = false;
+        let now = Instant::now();
+        self.gateway
+            .knowledge
+            .learn(table, changes, RowSource::Peer, now);
+    }
+
+    fn suspect(&self, notice: SuspicionNotice) {
+        self.gateway.suspicions.raise(notice);
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/row_source.rs
@@ -0,0 +1,21 @@
+//! [`RowSource`].
+
+use std::fmt;
+
+/// Where rows were learnt from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RowSource {
+    /// The platform's store.
+    Store,
+    /// Another node.
+    Peer,
+}
+
+impl fmt::Display for RowSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        })
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/knowledge/table_mirror.rs
@@ -0,0 +1,92 @@
+//! [`TableMirror`].
+
+use std::collections::BTreeMap;
+
+use cuminlb_catalog::{RowChangeSet, SharedRow};
+use cuminlb_types::prelude::*;
+
+/// The removed rows that are remembered at most, so that peers hear of their removal.
+const MAX_REMOVED: usize = 4_096;
+
+/// The rows of one table with their versions, as far as this node has heard.
+///
+/// A row only ever moves to a higher version, whoever it comes from.
+#[derive(Debug, Default)]
+pub(crate) struct TableMirror {
+    rows: BTreeMap<RowKey, SharedRow>,
+    version: RowVersion,
+    removed: usize,
+}
+
+impl TableMirror {
+    /// Returns the version up to which nothing is missing.
+    pub(crate) const fn version(&self) -> RowVersion {
+        self.version
+    }
+
+    /// Returns the rows that are there.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = &SharedRow> {
+        self.rows.values().filter(|row| row.value.is_some())
+    }
+
+    /// Returns a row that is there.
+    pub(crate) fn row(&self, key: &RowKey) -> Option<&SharedRow> {
+        self.rows.get(key).filter(|row| row.value.is_some())
+    }
+
+    /// Takes changes in and returns the rows that are new to this node.
+    pub(crate) fn apply(&mut self, changes: RowChangeSet) -> Vec<SharedRow> {
+        let mut fresh = Vec::new();
+        if changes.is_whole {
+            let is_listed = |key: &RowKey| changes.rows.iter().any(|row| row.key == *key);
+            let removed = self.rows().filter(|row| row.version < changes.version);
+            let removed = removed.filter(|row| !is_listed(&row.key)).map(|row| SharedRow {
+                key: row.key.clone(),
+                version: changes.version,
+                value: None,
+            });
+            fresh.extend(removed.collect::<Vec<_>>());
+        }
+        fresh.extend(changes.rows.into_iter().filter(|row| {
+            let known = self.rows.get(&row.key);
+            known.is_none_or(|known| known.version < row.version)
+        }));
+        for row in &fresh {
+            self.rows.insert(row.key.clone(), row.clone());
+        }
+        if changes.version > self.version {
+            self.version = changes.version;
+        }
+        self.forget_removed();
+        fresh
+    }
+
+    /// Returns the rows that changed after a version.
+    pub(crate) fn since(&self, after: RowVersion) -> RowChangeSet {
+        let rows = self.rows.values().filter(|row| row.version > after);
+        RowChangeSet {
+            is_whole: false,
+            rows: rows.cloned().collect(),
+            version: self.version,
+        }
+    }
+
+    fn forget_removed(&mut self) {
+        self.removed = self.rows.len() - self.rows().count();
+        if self.removed <= MAX_REMOVED {
+            return;
+        }
+        let mut versions: Vec<RowVersion> = self
+            .rows
+            .values()
+            .filter(|row| row.value.is_none())
+            .map(|row| row.version)
+            .collect();
+        versions.sort_unstable();
+        let Some(&oldest_kept) = versions.get(versions.len() / 2) else {
+            return;
+        };
+        self.rows
+            .retain(|_, row| row.value.is_some() || row.version >= oldest_kept);
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/leading/leader_memory.rs
@@ -0,0 +1,93 @@
+//! [`LeaderMemory`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cuminlb_assembly::{FormingGroup, HeadHolds, InstanceHealth};
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+/// What a leader remembers of its orders until their effect shows, and of silent instances.
+#[derive(Debug)]
+pub(super) struct LeaderMemory {
+    /// Groups that are being formed, and when each is given up.
+    pub(super) forming: Vec<(FormingGroup, Instant)>,
+    /// Instances with an order whose effect does not show yet, and until when that is waited for.
+    ordered: BTreeMap<InstanceId, Instant>,
+    /// Instances that load weights onto their host, and until when that is waited for.
+    staging: BTreeMap<InstanceId, (ModelId, Instant)>,
+    /// Instances that answer nothing.
+    pub(super) health: BTreeMap<InstanceId, InstanceHealth>,
+    /// When each instance was last asked how it is.
+    pub(super) probed_at: BTreeMap<InstanceId, Instant>,
+    /// Instances whose last head may still stand open.
+    pub(super) holds: HeadHolds,
+}
+
+impl LeaderMemory {
+    /// Starts without memories; heads without members give up within `give_up`.
+    pub(super) const fn new(give_up: Duration) -> Self {
+        Self {
+            forming: Vec::new(),
+            ordered: BTreeMap::new(),
+            staging: BTreeMap::new(),
+            health: BTreeMap::new(),
+            probed_at: BTreeMap::new(),
+            holds: HeadHolds::new(give_up),
+        }
+    }
+
+    /// Notes that an instance has an order whose effect will show within a time.
+    pub(super) fn note_order(&mut self, id: &InstanceId, until: Instant) {
+        self.ordered.insert(id.clone(), until);
+    }
+
+    /// Notes that the order of an instance was answered or has shown its effect.
+    pub(super) fn clear_order(&mut self, id: &InstanceId) {
+        self.ordered.remove(id);
+    }
+
+    /// Notes that an instance loads weights.
+    pub(super) fn note_staging(&mut self, id: &InstanceId, model: &ModelId, until: Instant) {
+        self.staging.insert(id.clone(), (model.clone(), until));
+    }
+
+    /// Notes that an instance does not load weights.
+    pub(super) fn clear_staging(&mut self, id: &InstanceId) {
+        self.staging.remove(id);
+    }
+
+    /// Drops what is over.
+    pub(super) fn forget_past(
+        &mut self,
+        now: Instant,
+        has_staged: impl Fn(&InstanceId, &ModelId) -> bool,
+    ) {
+        self.ordered.retain(|_, until| now < *until);
+        self.staging
+            .retain(|id, (model, until)| now < *until && !has_staged(id, model));
+        self.holds.forget_past(now);
+    }
+
+    /// Returns the instances with an order whose effect does not show yet.
+    pub(super) fn ordered(&self) -> BTreeSet<InstanceId> {
+        self.ordered.keys().cloned().collect()
+    }
+
+    /// Returns the instances that load weights onto their host.
+    pub(super) fn staging(&self) -> BTreeMap<InstanceId, ModelId> {
+        let staging = self.staging.iter();
+        staging.map(|(id, (model, _))| (id.clone(), model.clone())).collect()
+    }
+
+    /// Returns the groups that are being formed.
+    pub(super) fn forming_groups(&self) -> Vec<FormingGroup> {
+        self.forming.iter().map(|(group, _)| group.clone()).collect()
+    }
+
+    /// Returns the loads of weights that are under way.
+    pub(super) fn loads_running(&self) -> usize {
+        let forming: usize = self.forming.iter().map(|(group, _)| group.loads).sum();
+        forming + self.staging.len()
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/lib.rs
@@ -0,0 +1,19 @@
+//! A node on the users' platform.
+//!
+//! [`run_gateway`] joins all tasks of a node. `knowledge` holds what the node knows and follows
+//! the platform's store and the peers; `leading` forms and mends groups while this node leads;
+//! `serving` answers callers; `upstream` holds the connections to instances. The platform's own
+//! names stand in none of them: they come in through the traits of `cuminlb-catalog`.
+
+mod edges;
+mod gateway;
+mod gateway_error;
+mod knowledge;
+mod leading;
+mod run_gateway;
+mod serving;
+mod upstream;
+
+pub use crate::edges::Edges;
+pub use crate::gateway_error::GatewayError;
+pub use crate::run_gateway::run_gateway;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/answer_request.rs
@@ -0,0 +1,62 @@
+//! [`answer_request`].
+
+use std::sync::Arc;
+
+use cuminlb_catalog::RouteKind;
+use cuminlb_routing::Refusal;
+use cuminlb_types::prelude::*;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use log::info;
+use tokio::time::Instant;
+
+use super::admit::admit;
+use super::answer_body::AnswerBody;
+use super::refusal_answer::refusal_answer;
+use super::run_plain::run_plain;
+use super::run_stream::run_stream;
+use crate::gateway::Gateway;
+
+/// Answers one request of a caller.
+pub(super) async fn answer_request(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut answer = match admit(gateway, request).await {
+        Err((refusal, id)) => refuse(gateway, &refusal, id.as_ref(), None),
+        Ok(ask) => {
+            let id = ask.head.id.clone();
+            let came_at = ask.came_at;
+            gateway.budgets.note_request(&ask.service, gateway.node_count());
+            let answered = match ask.route.kind {
+                RouteKind::Idempotent | RouteKind::AtMostOnce => run_plain(gateway, ask).await,
+                RouteKind::Stream { .. } => run_stream(gateway, ask).await,
+            };
+            answered.unwrap_or_else(|refusal| refuse(gateway, &refusal, Some(&id), Some(came_at)))
+        }
+    };
+    if gateway.is_draining() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
+fn refuse(
+    gateway: &Gateway,
+    refusal: &Refusal,
+    request: Option<&RequestId>,
+    came_at: Option<Instant>,
+) -> Response<AnswerBody> {
+    let age_ms = came_at.map_or(Millis(0), |came_at| came_at.elapsed().into());
+    let catalog = gateway.knowledge.catalog().map(|catalog| catalog.version);
+    info!(
+        request:? = request.map(RequestId::as_str), code = refusal.kind.code(),
+        run_state:% = refusal.run_state, age_ms = age_ms.get(),
+        retry_after_ms:? = refusal.retry_after_ms.map(Millis::get),
+        catalog:? = catalog.map(ConfigVersion::get);
+        "request refused: {}", refusal.kind
+    );
+    refusal_answer(gateway.edges.wire.as_ref(), refusal, request)
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -0,0 +1,108 @@
+//! [`InstanceLoad`].
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+/// How long an instance that has fallen silent gets no new requests, unless something comes.
+const SUSPICION: Duration = Duration::from_millis(2_500);
+
+/// How long an instance that has refused a request gets only what no other can take.
+const REFUSAL_PENALTY: Duration = Duration::from_millis(300);
+
+/// How much one outcome moves the part of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+/// What this node sees of one instance by its own requests.
+#[derive(Debug)]
+pub(super) struct InstanceLoad {
+    pub(super) in_flight: AtomicU32,
+    seen: Mutex<Seen>,
+}
+
+#[derive(Debug)]
+struct Seen {
+    progress_at: Instant,
+    /// The epoch in which the instance fell silent, and until when that counts.
+    suspected: Option<(Epoch, Instant)>,
+    refused_until: Option<Instant>,
+    failing: f64,
+}
+
+impl InstanceLoad {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            in_flight: AtomicU32::new(0),
+            seen: Mutex::new(Seen {
+                progress_at: now,
+                suspected: None,
+                refused_until: None,
+                failing: 0.0,
+            }),
+        }
+    }
+
+    /// Returns the requests of this node that are under way there.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Notes that something has come from the instance.
+    pub(super) fn note_progress(&self, now: Instant) {
+        let mut seen = self.seen();
+        seen.progress_at = now;
+        seen.suspected = None;
+    }
+
+    /// Returns how long nothing has come from the instance.
+    pub(super) fn silence(&self, now: Instant) -> Duration {
+        now.duration_since(self.seen().progress_at)
+    }
+
+    /// Notes that the instance has fallen silent; returns whether that is new.
+    pub(super) fn suspect(&self, epoch: Epoch, now: Instant) -> bool {
+        let mut seen = self.seen();
+        let is_known = seen
+            .suspected
+            .is_some_and(|(known, until)| known == epoch && now < until);
+        if !is_known {
+            seen.suspected = Some((epoch, now + SUSPICION));
+        }
+        !is_known
+    }
+
+    /// Tells whether the instance is taken to be silent in an epoch.
+    pub(super) fn is_suspected(&self, epoch: Epoch, now: Instant) -> bool {
+        let suspected = self.seen().suspected;
+        suspected.is_some_and(|(known, until)| known == epoch && now < until)
+    }
+
+    /// Notes that the instance has refused a request.
+    pub(super) fn note_refusal(&self, now: Instant) {
+        self.seen().refused_until = Some(now + REFUSAL_PENALTY);
+    }
+
+    /// Tells whether the instance has refused a request just now.
+    pub(super) fn has_refused(&self, now: Instant) -> bool {
+        self.seen().refused_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes whether a request has failed by the instance's fault.
+    pub(super) fn note_outcome(&self, has_failed: bool) {
+        let mut seen = self.seen();
+        let outcome = if has_failed { 1.0 } else { 0.0 };
+        seen.failing += FAILURE_WEIGHT * (outcome - seen.failing);
+    }
+
+    /// Returns the part of the newest requests that failed by the instance's fault.
+    pub(super) fn failing(&self) -> Ratio {
+        Ratio(self.seen().failing)
+    }
+
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/serve_ready.rs
@@ -0,0 +1,57 @@
+//! [`serve_ready`].
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::{Response, StatusCode};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::{debug, warn};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::answer_body::whole_body;
+use crate::gateway::Gateway;
+
+/// Tells the balancer whether this node takes callers, until `stop` is cancelled.
+pub(crate) async fn serve_ready(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("the balancer's connection can't be accepted: {error}");
+                continue;
+            }
+        };
+        let gateway = Arc::clone(&gateway);
+        connections.spawn(async move {
+            let service = service_fn(move |_| {
+                let is_ready = gateway.is_ready();
+                async move {
+                    let mut answer = Response::new(whole_body(""));
+                    if !is_ready {
+                        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                    }
+                    Ok::<_, Infallible>(answer)
+                }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                debug!("the balancer's connection ended: {error}");
+            }
+        });
+    }
+    connections.shutdown().await;
+}
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -9,9 +9,6 @@
 use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
-use tarpc::serde_transport;
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
@@ -19,6 +16,7 @@
     ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
     SlotRenewal, SlotRequest, TableNotice,
 };
+use crate::transport::tarpc_transport;
 use crate::{CallCounts, PeerApiClient, PeerError, PeerToken};
 
 /// The client's end of the conversation with one peer.
@@ -204,12 +202,8 @@
         let mut stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| not_connected(error.to_smolstr()))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|error| not_connected(error.to_smolstr()))?;
         self.token.greet(&mut stream).await?;
-        let framed = LengthDelimitedCodec::builder().new_framed(stream);
-        let transport = serde_transport::new(framed, Bincode::default());
+        let transport = tarpc_transport(stream);
         Ok(PeerApiClient::new(tarpc::client::Config::default(), transport).spawn())
     }
 }
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -4,10 +4,7 @@
 use futures_util::StreamExt;
 use log::{debug, warn};
 use tarpc::context::Context;
-use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -16,6 +13,7 @@
     ConfigDocument, EventsQuery, PeerStatement, RenewalAnswer, SlotAnswer, SlotRelease,
     SlotRenewal, SlotRequest, TableNotice,
 };
+use crate::transport::tarpc_transport;
 use crate::{PeerApi, PeerHandler, PeerToken};
 
 /// The number of calls of one peer that may run at once.
@@ -60,10 +58,8 @@
         debug!("a connection to the peer port was closed: {error}");
         return;
     }
-    let _ = stream.set_nodelay(true);
-    let framed = LengthDelimitedCodec::builder().new_framed(stream);
-    let transport = serde_transport::new(framed, Bincode::default());
-    let calls = BaseChannel::with_defaults(transport).execute(Server { handler }.serve());
+    let calls = BaseChannel::with_defaults(tarpc_transport(stream));
+    let calls = calls.execute(Server { handler }.serve());
     let run = calls.for_each_concurrent(MAX_CALLS_PER_PEER, |call| call);
     tokio::select! {
         () = stop.cancelled() => {}
--- a/crates/cuminlb-platform/src/http/http_caller.rs
+++ b/crates/cuminlb-platform/src/http/http_caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cuminlb_types::prelude::*;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,14 +18,15 @@
 
 /// Sends calls to one service of the platform, each within a time limit.
 #[derive(Clone, Debug)]
-pub(super) struct HttpCaller {
+pub struct HttpCaller {
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     timeout_ms: Millis,
 }
 
 impl HttpCaller {
-    pub(super) fn new(address: SocketAddr, timeout_ms: Millis) -> Self {
+    /// Prepares calls to a service, each of which may take `timeout_ms`.
+    pub fn new(address: SocketAddr, timeout_ms: Millis) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout_ms.duration()));
@@ -40,24 +41,49 @@
     }
 
     /// Sends a call and returns the status and the whole body of the answer.
-    pub(super) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError`] when no whole answer came in time.
+    pub async fn call(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let request = Request::builder()
+        self.call_with(method, path, HeaderMap::new(), body, self.timeout_ms)
+            .await
+    }
+
+    /// Sends a call with headers and a time limit of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError`] when no whole answer came within `timeout_ms`.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        timeout_ms: Millis,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
-            .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| malformed(error.to_smolstr()))?;
+        *request.headers_mut() = headers;
+        let json = HeaderValue::from_static("application/json");
+        request
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, json);
         let exchange = async {
             let response = self.client.request(request).await.map_err(|error| {
                 if error.is_connect() {
                     self.unreachable(error.to_smolstr())
                 } else {
-                    self.no_answer()
+                    no_answer(timeout_ms)
                 }
             })?;
             let status = response.status();
@@ -65,13 +91,13 @@
             let body = body
                 .collect()
                 .await
-                .map_err(|_| self.no_answer())?
+                .map_err(|_| no_answer(timeout_ms))?
                 .to_bytes();
             Ok((status, body))
         };
-        match tokio::time::timeout(self.timeout_ms.duration(), exchange).await {
+        match tokio::time::timeout(timeout_ms.duration(), exchange).await {
             Ok(answer) => answer,
-            Err(_elapsed) => Err(self.no_answer()),
+            Err(_elapsed) => Err(no_answer(timeout_ms)),
         }
     }
 
@@ -103,11 +129,10 @@
         }
     }
 
-    const fn no_answer(&self) -> PlatformError {
-        PlatformError::NoAnswer {
-            timeout_ms: self.timeout_ms,
-        }
-    }
+}
+
+const fn no_answer(timeout_ms: Millis) -> PlatformError {
+    PlatformError::NoAnswer { timeout_ms }
 }
 
 const fn malformed(reason: SmolStr) -> PlatformError {
--- a/crates/cuminlb-platform/src/http/mod.rs
+++ b/crates/cuminlb-platform/src/http/mod.rs
@@ -5,7 +5,7 @@
 mod http_object_store;
 mod http_table;
 
-use self::http_caller::HttpCaller;
+pub use self::http_caller::HttpCaller;
 pub use self::http_instance_list::HttpInstanceList;
 pub use self::http_object_store::HttpObjectStore;
 pub use self::http_table::HttpTable;
--- a/crates/cuminlb-platform/src/lib.rs
+++ b/crates/cuminlb-platform/src/lib.rs
@@ -11,7 +11,7 @@
 mod platform_error;
 mod table;
 
-pub use crate::http::{HttpInstanceList, HttpObjectStore, HttpTable};
+pub use crate::http::{HttpCaller, HttpInstanceList, HttpObjectStore, HttpTable};
 pub use crate::instances::{
     InstanceList, InstanceListing, InstanceRecord, InstanceRole, InstanceState, ListRevision,
 };
--- /dev/null
+++ b/crates/cuminlb-types/src/id/model_id.rs
@@ -0,0 +1,8 @@
+//! [`ModelId`].
+
+use crate::macros::text_id;
+
+text_id! {
+    /// Identifies one model that replica groups serve.
+    ModelId, "model"
+}
--- a/src/bin/cuminlb/cli.rs
+++ b/src/bin/cuminlb/cli.rs
@@ -10,8 +10,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+use crate::gateway;
+
 /// The exit status for a wrong command line or wrong settings.
-const EXIT_USAGE: u8 = 2;
+pub(crate) const EXIT_USAGE: u8 = 2;
 
 /// The line of help that shows the shape of the command line.
 const SYNOPSIS: &str = "cuminlb [OPTIONS] SETTINGS";
@@ -24,6 +26,8 @@
     version: bool,
     #[options(no_short, help = "check the settings and exit")]
     check: bool,
+    #[options(no_short, help = "run on the users' platform")]
+    gateway: bool,
     #[options(free, help = "the settings file (TOML)")]
     settings: Option<PathBuf>,
 }
@@ -42,6 +46,9 @@
         eprintln!("name a settings file; see `cuminlb --help`");
         return ExitCode::from(EXIT_USAGE);
     };
+    if options.gateway {
+        return gateway::main(&path, options.check);
+    }
     match check_settings(&path) {
         Err(error) => {
             eprintln!("{error}");
@@ -97,7 +104,7 @@
 }
 
 /// Waits for the signal to shut down: SIGTERM or SIGINT.
-async fn wait_for_signal() {
+pub(crate) async fn wait_for_signal() {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
         return;
     };
--- /dev/null
+++ b/src/bin/cuminlb/gateway.rs
@@ -0,0 +1,68 @@
+//! Runs a node on the users' platform.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use cuminlb::ops::{check_gateway_settings, init_decision_log};
+use cuminlb_config::GatewaySettings;
+use cuminlb_gateway::{Edges, run_gateway};
+use cuminlb_native::{NativeInstances, NativeStore, NativeWire};
+use tokio_util::sync::CancellationToken;
+
+use crate::cli::{EXIT_USAGE, wait_for_signal};
+
+/// Reads the settings and runs the node, or only checks them.
+pub(crate) fn main(path: &Path, only_check: bool) -> ExitCode {
+    match check_gateway_settings(path) {
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        Ok(_) if only_check => {
+            eprintln!("{}: ok", path.display());
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => run(settings),
+    }
+}
+
+fn run(settings: GatewaySettings) -> ExitCode {
+    if let Err(error) = init_decision_log(&settings.log) {
+        eprintln!("logging can't start: {error}");
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let edges = Edges {
+        store: Arc::new(NativeStore::new(settings.store, settings.store_timeout_ms)),
+        instances: Arc::new(NativeInstances),
+        wire: Arc::new(NativeWire),
+    };
+    let stop = CancellationToken::new();
+    let outcome = runtime.block_on(async {
+        let signals = async {
+            wait_for_signal().await;
+            stop.cancel();
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            outcome = run_gateway(settings, edges, stop.clone()) => outcome,
+            () = signals => Ok(()),
+        }
+    });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/bin/cuminlb/main.rs
+++ b/src/bin/cuminlb/main.rs
@@ -1,6 +1,7 @@
 //! `cuminlb`: one node of the system.
 
 mod cli;
+mod gateway;
 
 use std::process::ExitCode;
 
--- a/src/cuminlb/ops/check_files.rs
+++ b/src/cuminlb/ops/check_files.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use cuminlb_config::{FleetSpec, NodeSettings};
+use cuminlb_config::{FleetSpec, GatewaySettings, NodeSettings};
 use smol_str::{SmolStr, ToSmolStr};
 
 use super::ReadError;
@@ -17,6 +17,16 @@
     Ok(NodeSettings::parse(&file, &text)?)
 }
 
+/// Reads and checks the settings of a node that runs on the users' platform.
+///
+/// # Errors
+///
+/// Returns [`ReadError`] with every mistake of the file.
+pub fn check_gateway_settings(path: &Path) -> Result<GatewaySettings, ReadError> {
+    let (file, text) = read(path)?;
+    Ok(GatewaySettings::parse(&file, &text)?)
+}
+
 /// Reads and checks a fleet file; returns its text as well.
 ///
 /// # Errors
