Mend groups within a second: warmed spares, survivors first, no needless moves

Cause: every slow pass moved its streams, whose prompts were read again, which slowed all groups; repairs loaded weights though survivors were about to be free. Ruled out: overdue heartbeats as a sign, since the list does not change with them.

--- a/crates/cuminlb-assembly/src/assembly_step.rs
+++ b/crates/cuminlb-assembly/src/assembly_step.rs
@@ -44,6 +44,14 @@
         /// Its epoch.
         epoch: Epoch,
     },
+    /// Let an unused instance that holds a model's weights join a group of its own that never
+    /// serves, so that its next join is quick.
+    Warm {
+        /// The instance.
+        instance: InstanceId,
+        /// The model.
+        model: ModelId,
+    },
     /// Load the weights of a model onto an unused instance.
     Stage {
         /// The instance.
--- a/crates/cuminlb-assembly/src/plan_assembly.rs
+++ b/crates/cuminlb-assembly/src/plan_assembly.rs
@@ -9,6 +9,12 @@
 use crate::candidate::Candidate;
 use crate::{AssemblyStep, GroupTargets, GroupView, InstanceHealth, Situation};
 
+/// The loads that are started before a place for them is free.
+const LOADS_AHEAD: usize = 2;
+
+/// How much each spare of a model lessens the need for another one.
+const SPARE_WEIGHT: f64 = 2.0;
+
 /// Returns what to do now.
 pub fn plan_assembly(situation: &Situation<'_>, now: Instant) -> Vec<AssemblyStep> {
     let mut plan = Plan {
@@ -17,6 +23,9 @@
         bound: BTreeSet::new(),
         standing: BTreeMap::new(),
         loads_running: situation.loads_running,
+        waits_for_loads: false,
+        giving_up: BTreeSet::new(),
+        formed: BTreeMap::new(),
     };
     for forming in situation.forming {
         *plan.standing.entry(forming.model.clone()).or_default() += 1;
@@ -27,13 +36,27 @@
     }
     let mut free = plan.free_instances(now);
     plan.form_groups(&mut free);
-    plan.stage_weights(&free);
+    if !plan.waits_for_loads {
+        plan.stage_weights(&free);
+    }
+    plan.warm_spares(&free);
     plan.steps
 }
 
 /// Unused instances by the part of the fabric that they are in.
 type FreeInstances<'a> = BTreeMap<Option<FabricDomainId>, Vec<&'a InstanceEntry>>;
 
+/// How good a part of the fabric is for a new group; the least is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DomainRank {
+    /// The time until the group serves.
+    join_ms: Millis,
+    /// The groups of the same model there, which one fault of that part would take away together.
+    same_model: usize,
+    /// The unused instances there.
+    unused: std::cmp::Reverse<usize>,
+}
+
 struct Plan<'s, 'a> {
     situation: &'s Situation<'a>,
     steps: Vec<AssemblyStep>,
@@ -42,6 +65,12 @@
     /// The groups of each model that serve or will.
     standing: BTreeMap<ModelId, usize>,
     loads_running: usize,
+    /// Whether a group could be formed if fewer loads were under way.
+    waits_for_loads: bool,
+    /// Models of which a group is being given up, whose members are soon free.
+    giving_up: BTreeSet<ModelId>,
+    /// The groups that this plan forms, by part of the fabric and model.
+    formed: BTreeMap<(Option<FabricDomainId>, ModelId), usize>,
 }
 
 impl<'a> Plan<'_, 'a> {
@@ -118,6 +147,7 @@
                             mode: if all_fine { CloseMode::Finish } else { CloseMode::CutOff },
                         });
                     }
+                    self.giving_up.insert(group.shape.id.clone());
                     self.bind(group);
                 }
                 SeatState::Joining | SeatState::Ready | SeatState::Broken => {}
@@ -184,17 +214,28 @@
                     part(a).total_cmp(&part(b)).then(b.size.cmp(&a.size))
                 });
             let Some(model) = lacking else { break };
-            if !self.form_group(model, free) {
+            let larger = self.situation.engine.models.iter();
+            let larger: Vec<&ModelShape> = larger
+                .filter(|other| other.size > model.size)
+                .filter(|other| standing(other) < targets.get(&other.id))
+                .collect();
+            if !self.form_group(model, &larger, free) {
                 given_up.insert(&model.id);
             }
         }
     }
 
-    fn form_group(&mut self, model: &ModelShape, free: &mut FreeInstances<'a>) -> bool {
+    /// Forms a group where it is best; `larger` are models with larger groups that lack some.
+    fn form_group(
+        &mut self,
+        model: &ModelShape,
+        larger: &[&ModelShape],
+        free: &mut FreeInstances<'a>,
+    ) -> bool {
         let size = model.size.get() as usize;
-        let mut best: Option<(Option<FabricDomainId>, Vec<Candidate<'a>>, Millis, usize)> = None;
+        let mut best: Option<(DomainRank, Option<FabricDomainId>, Vec<Candidate<'a>>, usize)> = None;
         for (domain, instances) in free.iter() {
-            if instances.len() < size {
+            if instances.len() < size || self.is_kept_free(domain.as_ref(), larger) {
                 continue;
             }
             let mut candidates: Vec<_> = instances
@@ -208,18 +249,23 @@
             candidates.truncate(size);
             let join_ms = candidates.iter().map(|it| it.join_ms).max().unwrap_or_default();
             let loads = candidates.iter().filter(|it| it.must_load).count();
-            if loads > 0 && self.loads_running >= self.situation.engine.loads_at_once as usize {
+            if loads > 0 && self.giving_up.contains(&model.id) {
                 continue;
             }
-            let key = (join_ms, std::cmp::Reverse(instances.len()));
-            let best_key = best.as_ref().map(|(domain, _, join_ms, _)| {
-                (*join_ms, std::cmp::Reverse(free[domain].len()))
-            });
-            if best_key.is_none_or(|best_key| key < best_key) {
-                best = Some((domain.clone(), candidates, join_ms, loads));
+            if loads > 0 && self.loads_running >= self.most_loads() {
+                self.waits_for_loads = true;
+                continue;
+            }
+            let rank = DomainRank {
+                join_ms,
+                same_model: self.formed_in(domain.as_ref(), model),
+                unused: std::cmp::Reverse(instances.len()),
+            };
+            if best.as_ref().is_none_or(|(best_rank, ..)| rank < *best_rank) {
+                best = Some((rank, domain.clone(), candidates, loads));
             }
         }
-        let Some((domain, members, _, loads)) = best else {
+        let Some((_, domain, members, loads)) = best else {
             return false;
         };
         let members: Vec<InstanceId> = members.iter().map(|it| it.entry.id.clone()).collect();
@@ -227,6 +273,8 @@
             left.retain(|entry| !members.contains(&entry.id));
         }
         self.loads_running += loads;
+        let formed = (domain, model.id.clone());
+        *self.formed.entry(formed).or_default() += 1;
         *self.standing.entry(model.id.clone()).or_default() += 1;
         self.steps.push(AssemblyStep::Form {
             model: model.id.clone(),
@@ -252,12 +300,12 @@
             let is_bare =
                 |entry: &&&InstanceEntry| entry.staged.is_empty() && !staging.contains_key(&entry.id);
             for entry in instances.iter().filter(is_bare) {
-                if self.loads_running >= engine.loads_at_once as usize {
+                if self.situation.is_busy && self.loads_running >= self.most_loads() {
                     return;
                 }
                 let need = |model: &ModelShape| {
                     let members = self.members_in(domain.as_ref(), &model.id);
-                    members as f64 / (1.0 + spares.get(&model.id).copied().unwrap_or(0) as f64)
+                    members as f64 / (1.0 + SPARE_WEIGHT * spares.get(&model.id).copied().unwrap_or(0) as f64)
                 };
                 let neediest = engine.models.iter().max_by(|a, b| {
                     need(a).total_cmp(&need(b)).then(a.share.total_cmp(&b.share))
@@ -273,6 +321,45 @@
         }
     }
 
+    /// Lets spares that hold weights join by themselves, so that they can help out at once.
+    fn warm_spares(&mut self, free: &FreeInstances<'a>) {
+        for entry in free.values().flatten().filter(|entry| entry.seat.is_none()) {
+            if let Some(model) = entry.staged.last() {
+                self.steps.push(AssemblyStep::Warm {
+                    instance: entry.id.clone(),
+                    model: model.clone(),
+                });
+            }
+        }
+    }
+
+    /// Tells whether a part of the fabric is kept for a larger group: while instances still show
+    /// up one after the other, smaller groups would take the place of the larger ones.
+    fn is_kept_free(&self, domain: Option<&FabricDomainId>, larger: &[&ModelShape]) -> bool {
+        let lacks = |model: &&&ModelShape| self.formed_in(domain, model) == 0;
+        !self.situation.is_busy && larger.iter().any(|model| lacks(&model))
+    }
+
+    /// Counts a model's groups in one part of the fabric, those to be formed included.
+    fn formed_in(&self, domain: Option<&FabricDomainId>, model: &ModelShape) -> usize {
+        let key = (domain.cloned(), model.id.clone());
+        let planned = self.formed.get(&key).copied().unwrap_or(0);
+        let in_domain = |id: &InstanceId| {
+            let entry = self.situation.instances.get(id);
+            entry.is_some_and(|entry| entry.domain.as_ref() == domain)
+        };
+        let forming = self.situation.forming.iter();
+        let forming = forming.filter(|it| it.model == model.id && it.members.iter().any(in_domain));
+        let standing = self.members_in(domain, &model.id) / model.size.get() as usize;
+        planned + forming.count().max(standing)
+    }
+
+    /// Returns the number of loads that may be under way before another one starts: some more than
+    /// run at full speed, so that none of these places is empty between two.
+    fn most_loads(&self) -> usize {
+        self.situation.engine.loads_at_once as usize + LOADS_AHEAD
+    }
+
     /// Counts the members of a model's groups in one part of the fabric.
     fn members_in(&self, domain: Option<&FabricDomainId>, model: &ModelId) -> usize {
         let groups = self.situation.groups.iter();
--- a/crates/cuminlb-assembly/src/situation.rs
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -28,6 +28,8 @@
     pub holds: &'a HeadHolds,
     /// Zones to which nothing may be sent.
     pub zones_out: &'a BTreeSet<ZoneId>,
+    /// Whether callers have come; until then loads are fast and slow nobody down.
+    pub is_busy: bool,
     /// The loads of weights that are under way.
     pub loads_running: usize,
 }
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -26,6 +26,7 @@
     /// Short tasks that nobody waits for before the end.
     pub(crate) errands: TaskTracker,
     is_draining: AtomicBool,
+    has_callers: AtomicBool,
 }
 
 impl Gateway {
@@ -40,6 +41,7 @@
             pool: ConnectionPool::new(errands.clone()),
             errands,
             is_draining: AtomicBool::new(false),
+            has_callers: AtomicBool::new(false),
             settings,
             edges,
         })
@@ -54,6 +56,15 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Tells whether a caller's request has come to this node.
+    pub(crate) fn has_callers(&self) -> bool {
+        self.has_callers.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn note_caller(&self) {
+        self.has_callers.store(true, Ordering::Relaxed);
+    }
+
     /// Tells whether this node takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.knowledge.catalog().is_some()
--- a/crates/cuminlb-gateway/src/knowledge/follow_table.rs
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -13,10 +13,10 @@
 use crate::gateway::Gateway;
 
 /// The longest time that a call waits for a change: it bounds how late a silent connection shows.
-const FEED_WAIT_MS: Millis = Millis(900);
+const FEED_WAIT_MS: Millis = Millis(1_800);
 
-/// The pause after a change of the instances, whose heartbeats would otherwise make a call each.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(150);
+/// The pause after a change of the instances, as changes come in bursts.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(20);
 
 /// The pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(350);
--- a/crates/cuminlb-gateway/src/knowledge/instance_records.rs
+++ b/crates/cuminlb-gateway/src/knowledge/instance_records.rs
@@ -14,11 +14,10 @@
 /// The time after trouble of the store in which vanished entries may come back.
 const LAPSE_WINDOW: Duration = Duration::from_secs(6);
 
-/// The entries of instances, and when each was last written.
+/// The entries of instances.
 #[derive(Debug, Default)]
 pub(crate) struct InstanceRecords {
     entries: BTreeMap<InstanceId, InstanceEntry>,
-    heard_at: BTreeMap<InstanceId, Instant>,
     /// Entries that vanished and may come back, with the end of their use.
     lapsed: BTreeMap<InstanceId, Instant>,
     trouble_at: Option<Instant>,
@@ -30,11 +29,9 @@
         self.trouble_at = Some(now);
     }
 
-    /// Takes in what an instance says; returns the entry before, and whether more than its
-    /// heartbeat has changed.
-    pub(crate) fn put(&mut self, entry: InstanceEntry, now: Instant) -> bool {
+    /// Takes in what an instance says; returns whether more than its heartbeat has changed.
+    pub(crate) fn put(&mut self, entry: InstanceEntry) -> bool {
         self.lapsed.remove(&entry.id);
-        self.heard_at.insert(entry.id.clone(), now);
         let is_same = self.entries.get(&entry.id).is_some_and(|known| {
             InstanceEntry {
                 orders: known.orders,
@@ -78,13 +75,7 @@
         self.entries.values()
     }
 
-    /// Returns when an instance's entry was last written.
-    pub(crate) fn heard_at(&self, id: &InstanceId) -> Option<Instant> {
-        self.heard_at.get(id).copied()
-    }
-
     fn forget(&mut self, id: &InstanceId) -> bool {
-        self.heard_at.remove(id);
         self.entries.remove(id).is_some()
     }
 }
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -82,11 +82,6 @@
         state.mirrors.get(&table)?.row(key).cloned()
     }
 
-    /// Returns when an instance's entry was last written.
-    pub(crate) fn instance_heard_at(&self, id: &InstanceId) -> Option<Instant> {
-        self.state().instances.heard_at(id)
-    }
-
     /// Returns how long ago the store was heard on a table.
     pub(crate) fn store_silence(&self, table: StoreTable, now: Instant) -> Option<Millis> {
         let heard_at = self.state().heard_at.get(&table).copied()?;
@@ -181,7 +176,10 @@
             match self.wire.read_instance(row) {
                 Ok(entry) => {
                     let is_leaving = entry.is_leaving;
-                    let is_changed = state.instances.put(entry, now);
+                    let is_changed = state.instances.put(entry);
+                    if is_changed {
+                        log::debug!(instance:% = id, row_version:% = row.version; "instance changed");
+                    }
                     if is_changed && is_leaving {
                         info!(instance:% = id, row_version:% = row.version; "instance leaving");
                     }
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -34,11 +34,11 @@
 /// How often an instance is asked before it counts as silent.
 const PROBE_TRIES: u32 = 2;
 
-/// How often a silent instance is asked again.
-const PROBE_PERIOD: Duration = Duration::from_millis(700);
+/// The time from asking an instance how it is to asking it again.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
-/// The heartbeats that may be missing before an instance is asked.
-const MISSED_HEARTBEATS: f64 = 1.9;
+/// The time from asking a silent instance to asking it again.
+const SILENT_PROBE_PERIOD: Duration = Duration::from_millis(800);
 
 /// How long the effect of an answered order may take to show.
 const EFFECT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -119,7 +119,7 @@
         for service in catalog.engine_services() {
             if let Some(engine) = &service.engine {
                 self.check_suspicions(&directory, service, now);
-                self.check_heartbeats(&directory, service, now);
+                self.check_silent(&directory, service, now);
                 self.mend(&directory, service, engine, now);
             }
         }
@@ -136,10 +136,7 @@
         let none = BTreeMap::new();
         let instances = directory.services.get(&service.id).unwrap_or(&none);
         let groups = directory.groups.get(&service.id).map_or(&[][..], Vec::as_slice);
-        let has_staged = |id: &InstanceId, model: &ModelId| {
-            instances.get(id).is_none_or(|entry| entry.has_staged(model))
-        };
-        self.memory.forget_past(now, has_staged);
+        self.memory.forget_past(now, instances);
         self.memory.health.retain(|id, _| instances.contains_key(id));
         self.review_forming(instances, groups, now);
         let steps = plan_assembly(
@@ -153,6 +150,7 @@
                 staging: &self.memory.staging(),
                 holds: &self.memory.holds,
                 zones_out: &directory.zones_out,
+                is_busy: self.gateway.has_callers(),
                 loads_running: self.memory.loads_running(),
             },
             now,
@@ -209,7 +207,7 @@
                 epoch,
                 mode,
             } => {
-                self.memory.note_order(&head, effect);
+                self.note_effect(&head, instances, effect);
                 self.order(&head, GroupOrder::Close { group, epoch, mode }, instances);
             }
             AssemblyStep::Leave {
@@ -217,11 +215,11 @@
                 group,
                 epoch,
             } => {
-                self.memory.note_order(&member, effect);
+                self.note_effect(&member, instances, effect);
                 self.order(&member, GroupOrder::Leave { group, epoch }, instances);
             }
             AssemblyStep::Open { head, group, epoch } => {
-                self.memory.note_order(&head, effect);
+                self.note_effect(&head, instances, effect);
                 self.order(&head, GroupOrder::Open { group, epoch }, instances);
             }
             AssemblyStep::Stage { instance, model } => {
@@ -230,6 +228,10 @@
                 self.memory.note_staging(&instance, &model, until);
                 self.order(&instance, GroupOrder::Stage { model }, instances);
             }
+            AssemblyStep::Warm { instance, model } => {
+                self.note_effect(&instance, instances, effect);
+                self.warm(&instance, model, instances);
+            }
             AssemblyStep::Form {
                 model,
                 members,
@@ -238,6 +240,17 @@
         }
     }
 
+    /// Remembers that an order will show its effect in an instance's seat.
+    fn note_effect(
+        &mut self,
+        id: &InstanceId,
+        instances: &BTreeMap<InstanceId, InstanceEntry>,
+        until: Instant,
+    ) {
+        let seat = instances.get(id).and_then(|entry| entry.seat.clone());
+        self.memory.note_order(id, seat, until);
+    }
+
     fn form(
         &mut self,
         model: ModelId,
@@ -279,6 +292,27 @@
         self.memory.forming.push((forming, now + join + FORM_SLACK));
     }
 
+    /// Makes an unused instance the only member of a group that never serves.
+    fn warm(
+        &mut self,
+        instance: &InstanceId,
+        model: ModelId,
+        instances: &BTreeMap<InstanceId, InstanceEntry>,
+    ) {
+        self.epoch = self.epoch.next();
+        let epoch = self.epoch;
+        let Some(group) = group_name(&model, epoch) else {
+            return;
+        };
+        let order = GroupOrder::Join {
+            group,
+            epoch,
+            model,
+            members: vec![instance.clone()],
+        };
+        self.order(instance, order, instances);
+    }
+
     fn order(
         &mut self,
         instance: &InstanceId,
@@ -322,8 +356,7 @@
                 self.memory.forming.retain(|(forming, _)| forming.epoch != *epoch);
             }
             GroupOrder::Open { .. } | GroupOrder::Close { .. } if !outcome.is_accepted() => {
-                self.memory.clear_order(&instance);
-                self.memory.note_order(&instance, now + PLAN_PERIOD);
+                self.memory.wait_until(&instance, now + PLAN_PERIOD);
             }
             _ => {}
         }
@@ -357,16 +390,10 @@
         }
     }
 
-    /// Asks instances whose heartbeats are overdue, and silent ones once more.
-    fn check_heartbeats(&mut self, directory: &Directory, service: &UpstreamService, now: Instant) {
-        let knowledge = Arc::clone(&self.gateway);
-        let heartbeat = self.gateway.settings.bounds.heartbeat_ms.duration();
+    /// Asks silent instances once more.
+    fn check_silent(&mut self, directory: &Directory, service: &UpstreamService, now: Instant) {
         for entry in directory.instances(&service.id) {
-            let heard_at = knowledge.knowledge.instance_heard_at(&entry.id);
-            let is_overdue = heard_at.is_some_and(|heard_at| {
-                now.duration_since(heard_at) > heartbeat.mul_f64(MISSED_HEARTBEATS)
-            });
-            if is_overdue || self.memory.health.contains_key(&entry.id) {
+            if self.memory.health.contains_key(&entry.id) {
                 self.probe(entry, now);
             }
         }
@@ -374,7 +401,12 @@
 
     fn probe(&mut self, entry: &InstanceEntry, now: Instant) {
         let probed_at = self.memory.probed_at.get(&entry.id);
-        if probed_at.is_some_and(|&at| now.duration_since(at) < PROBE_PERIOD) {
+        let period = if self.memory.health.contains_key(&entry.id) {
+            SILENT_PROBE_PERIOD
+        } else {
+            PROBE_PERIOD
+        };
+        if probed_at.is_some_and(|&at| now.duration_since(at) < period) {
             return;
         }
         self.memory.probed_at.insert(entry.id.clone(), now);
--- a/crates/cuminlb-gateway/src/leading/leader_memory.rs
+++ b/crates/cuminlb-gateway/src/leading/leader_memory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cuminlb_assembly::{FormingGroup, HeadHolds, InstanceHealth};
+use cuminlb_catalog::{InstanceEntry, Seat};
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
@@ -12,8 +13,9 @@
 pub(super) struct LeaderMemory {
     /// Groups that are being formed, and when each is given up.
     pub(super) forming: Vec<(FormingGroup, Instant)>,
-    /// Instances with an order whose effect does not show yet, and until when that is waited for.
-    ordered: BTreeMap<InstanceId, Instant>,
+    /// Instances with an order whose effect does not show yet: the seat that they had, and until
+    /// when the effect is waited for.
+    ordered: BTreeMap<InstanceId, (Option<Seat>, Instant)>,
     /// Instances that load weights onto their host, and until when that is waited for.
     staging: BTreeMap<InstanceId, (ModelId, Instant)>,
     /// Instances that answer nothing.
@@ -37,14 +39,16 @@
         }
     }
 
-    /// Notes that an instance has an order whose effect will show within a time.
-    pub(super) fn note_order(&mut self, id: &InstanceId, until: Instant) {
-        self.ordered.insert(id.clone(), until);
+    /// Notes that an instance has an order whose effect will show in its seat within a time.
+    pub(super) fn note_order(&mut self, id: &InstanceId, seat: Option<Seat>, until: Instant) {
+        self.ordered.insert(id.clone(), (seat, until));
     }
 
-    /// Notes that the order of an instance was answered or has shown its effect.
-    pub(super) fn clear_order(&mut self, id: &InstanceId) {
-        self.ordered.remove(id);
+    /// Waits for the effect of an instance's order until another time.
+    pub(super) fn wait_until(&mut self, id: &InstanceId, until: Instant) {
+        if let Some((_, waited_until)) = self.ordered.get_mut(id) {
+            *waited_until = until;
+        }
     }
 
     /// Notes that an instance loads weights.
@@ -61,11 +65,15 @@
     pub(super) fn forget_past(
         &mut self,
         now: Instant,
-        has_staged: impl Fn(&InstanceId, &ModelId) -> bool,
+        instances: &BTreeMap<InstanceId, InstanceEntry>,
     ) {
-        self.ordered.retain(|_, until| now < *until);
-        self.staging
-            .retain(|id, (model, until)| now < *until && !has_staged(id, model));
+        self.ordered.retain(|id, (seat, until)| {
+            now < *until && instances.get(id).is_some_and(|entry| entry.seat == *seat)
+        });
+        self.staging.retain(|id, (model, until)| {
+            let entry = instances.get(id);
+            now < *until && entry.is_some_and(|entry| !entry.has_staged(model))
+        });
         self.holds.forget_past(now);
     }
 
--- a/crates/cuminlb-gateway/src/serving/answer_request.rs
+++ b/crates/cuminlb-gateway/src/serving/answer_request.rs
@@ -23,6 +23,7 @@
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
+    gateway.note_caller();
     let mut answer = match admit(gateway, request).await {
         Err((refusal, id)) => refuse(gateway, &refusal, id.as_ref(), None),
         Ok(ask) => {
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -8,7 +8,10 @@
 use tokio::time::Instant;
 
 /// How long an instance that has fallen silent gets no new requests, unless something comes.
-const SUSPICION: Duration = Duration::from_millis(2_500);
+const SUSPICION: Duration = Duration::from_millis(1_500);
+
+/// How often the leader is told of an instance that stays silent.
+const TELLING_PERIOD: Duration = Duration::from_millis(300);
 
 /// How long an instance that has refused a request gets only what no other can take.
 const REFUSAL_PENALTY: Duration = Duration::from_millis(300);
@@ -28,6 +31,8 @@
     progress_at: Instant,
     /// The epoch in which the instance fell silent, and until when that counts.
     suspected: Option<(Epoch, Instant)>,
+    /// When others were last told of it.
+    told_at: Option<Instant>,
     refused_until: Option<Instant>,
     failing: f64,
 }
@@ -39,6 +44,7 @@
             seen: Mutex::new(Seen {
                 progress_at: now,
                 suspected: None,
+                told_at: None,
                 refused_until: None,
                 failing: 0.0,
             }),
@@ -62,16 +68,18 @@
         now.duration_since(self.seen().progress_at)
     }
 
-    /// Notes that the instance has fallen silent; returns whether that is new.
+    /// Notes that the instance has fallen silent; returns whether others should be told, as they
+    /// have not been told just before.
     pub(super) fn suspect(&self, epoch: Epoch, now: Instant) -> bool {
         let mut seen = self.seen();
-        let is_known = seen
-            .suspected
-            .is_some_and(|(known, until)| known == epoch && now < until);
-        if !is_known {
-            seen.suspected = Some((epoch, now + SUSPICION));
+        seen.suspected = Some((epoch, now + SUSPICION));
+        let is_told = seen
+            .told_at
+            .is_some_and(|at| now.duration_since(at) < TELLING_PERIOD);
+        if !is_told {
+            seen.told_at = Some(now);
         }
-        !is_known
+        !is_told
     }
 
     /// Tells whether the instance is taken to be silent in an epoch.
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -21,6 +21,7 @@
 mod run_stream;
 mod serve_front;
 mod serve_ready;
+mod silence_watch;
 mod stream_relay;
 mod stream_source;
 mod stream_tries;
--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -1,5 +1,6 @@
 //! [`open_stream`].
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_types::prelude::*;
@@ -12,7 +13,8 @@
 use super::answer_body::{AnswerBody, whole_body};
 use super::ask::Ask;
 use super::plain_exchange::{forwarded, not_sent};
-use super::stream_source::{StreamSource, is_silent, silence_limit};
+use super::silence_watch::{Silence, SilenceWatch};
+use super::stream_source::{StreamSource, silence_limit};
 use super::target::Target;
 use super::try_result::TryFailure;
 use crate::gateway::Gateway;
@@ -37,7 +39,7 @@
 
 /// Sends a request for a stream and waits until the answer begins.
 pub(super) async fn open_stream(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     ask: &Ask,
     target: Target,
     resume_after: Option<EventId>,
@@ -47,6 +49,7 @@
     let sent_at = Instant::now();
     let request = forwarded(gateway, ask, &target, resume_after);
     let limit = silence_limit(ask, false);
+    let mut watch = SilenceWatch::default();
     let answer = {
         let answer = connection.send(request);
         tokio::pin!(answer);
@@ -55,11 +58,11 @@
                 biased;
                 answered = timeout(LOOK_PERIOD, answer.as_mut()) => match answered {
                     Ok(answered) => break answered.map_err(not_sent)?,
-                    Err(_elapsed) => {
-                        if is_silent(&in_flight, &target, sent_at, limit) {
-                            return Err(TryFailure::Silent);
-                        }
-                    }
+                    Err(_elapsed) => match watch.look(&in_flight, sent_at, limit) {
+                        Silence::Usual => {}
+                        Silence::Suspicious => gateway.suspect(ask, &target, sent_at),
+                        Silence::TooLong => return Err(TryFailure::Silent),
+                    },
                 },
                 () = sleep_until(ask.ends_at) => {
                     return Err(TryFailure::unknown("the time was over"));
@@ -96,6 +99,7 @@
             heard_at: sent_at,
             has_begun: false,
             has_ended: false,
+            watch: SilenceWatch::default(),
         };
         return Ok(Opened::Stream(Box::new(source), Box::new(parts)));
     }
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -102,9 +102,10 @@
                     self.note_end("whole");
                     return None;
                 }
+                StreamNews::Quiet => {
+                    self.gateway.suspect(&self.ask, &source.target, source.heard_at);
+                }
                 StreamNews::Silent => {
-                    let silent_ms = Millis::from(source.heard_at.elapsed());
-                    self.gateway.suspect(&self.ask, &source.target, silent_ms);
                     if !self.move_on("silent").await {
                         // Nobody else can go on with it: it stays where it is.
                         if let Some(source) = &mut self.source {
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -12,6 +12,7 @@
 
 use super::ask::Ask;
 use super::in_flight::InFlight;
+use super::silence_watch::{Silence, SilenceWatch};
 use super::target::Target;
 use crate::gateway::Gateway;
 use crate::upstream::Connection;
@@ -19,13 +20,10 @@
 /// How often a stream that is silent looks at how its instance does otherwise.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
-/// How many times longer than usual one stream alone may be silent at an instance that is not.
-const ALONE_FACTOR: u32 = 3;
-
-/// The part of the pause that is still on time after which a silent instance is given up.
+/// The part of the pause that is still on time after which an instance is suspected.
 const PAUSE_PART: f64 = 0.75;
 
-/// The part of the time to the first event after which a silent instance is given up.
+/// The part of the time to the first event after which an instance is suspected.
 const FIRST_EVENT_PART: f64 = 0.9;
 
 /// The pause that is still on time where the route names none.
@@ -45,6 +43,8 @@
     /// Whether an event has come.
     pub(super) has_begun: bool,
     pub(super) has_ended: bool,
+    /// Watches how long nothing comes.
+    pub(super) watch: SilenceWatch,
 }
 
 /// What comes next from a [`StreamSource`].
@@ -56,7 +56,9 @@
     End,
     /// The stream has broken off.
     Broken(SmolStr),
-    /// Nothing comes, and the instance seems to stand still.
+    /// Nothing comes, and the instance may stand still.
+    Quiet,
+    /// Nothing has come for so long that another instance should go on.
     Silent,
     /// The time of the request is over.
     TimeUp,
@@ -95,11 +97,11 @@
                     }
                     Ok(Some(Err(error))) => return StreamNews::Broken(error.to_smolstr()),
                     Ok(None) => self.has_ended = true,
-                    Err(_elapsed) => {
-                        if is_silent(&self.in_flight, &self.target, self.heard_at, limit) {
-                            return StreamNews::Silent;
-                        }
-                    }
+                    Err(_elapsed) => match self.watch.look(&self.in_flight, self.heard_at, limit) {
+                        Silence::Usual => {}
+                        Silence::Suspicious => return StreamNews::Quiet,
+                        Silence::TooLong => return StreamNews::Silent,
+                    },
                 },
                 () = sleep_until(ask.ends_at) => return StreamNews::TimeUp,
             }
@@ -125,21 +127,3 @@
     };
     pause.unwrap_or(DEFAULT_PAUSE).mul_f64(PAUSE_PART)
 }
-
-/// Tells whether an instance seems to stand still, from which nothing has come for one request
-/// since `heard_at`.
-pub(super) fn is_silent(
-    in_flight: &InFlight,
-    target: &Target,
-    heard_at: Instant,
-    limit: Duration,
-) -> bool {
-    let now = Instant::now();
-    let silence = now.duration_since(heard_at);
-    let epoch = target.group.as_ref().map_or(Epoch(0), |(_, epoch)| *epoch);
-    let load = in_flight.load();
-    if load.is_suspected(epoch, now) {
-        return silence >= limit / 2;
-    }
-    silence >= limit && (load.silence(now) >= limit || silence >= limit * ALONE_FACTOR)
-}
--- a/crates/cuminlb-gateway/src/serving/stream_tries.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_tries.rs
@@ -88,9 +88,6 @@
             waited_ms = Millis::from(now.duration_since(sent_at)).get(), outcome:% = outcome;
             "stream asked for"
         );
-        if matches!(opened, Err(TryFailure::Silent)) {
-            gateway.suspect(ask, &target, Millis::from(now.duration_since(sent_at)));
-        }
         opened
     }
 }
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -13,16 +13,18 @@
 use crate::leading::leader_in;
 
 impl Gateway {
-    /// Sends nothing more to an instance that has fallen silent, and tells the leader.
-    pub(super) fn suspect(self: &Arc<Self>, ask: &Ask, target: &Target, silent_ms: Millis) {
+    /// Sends nothing more to an instance from which nothing has come for a request since
+    /// `heard_at`, and tells the leader.
+    pub(super) fn suspect(self: &Arc<Self>, ask: &Ask, target: &Target, heard_at: Instant) {
         let Some((group, epoch)) = target.group.clone() else {
             return;
         };
+        let now = Instant::now();
         let load = self.loads.load(&target.instance);
-        if !load.suspect(epoch, Instant::now()) {
+        if !load.suspect(epoch, now) {
             return;
         }
-        self.pool.forget(target.address);
+        let silent_ms = Millis::from(now.duration_since(heard_at));
         info!(
             request:% = ask.head.id, instance:% = target.instance, group:% = group,
             epoch:% = epoch, silent_ms = silent_ms.get();
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -91,12 +91,9 @@
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
-        while let Some(IdleConnection { connection, until }) = kept.pop() {
-            if until > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        kept.retain(|it| it.until > now && !it.connection.sender.is_closed());
+        let newest_ready = kept.iter().rposition(|it| it.connection.sender.is_ready())?;
+        Some(kept.swap_remove(newest_ready).connection)
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, SmolStr> {
