Form groups with silent heads again under their own names

Cause: members of a group whose head had died were bound for seven seconds, and then loaded weights. Change: the group keeps its name and gets a higher epoch and a new head from its survivors and a warmed spare; loads wait until instances that start together have shown up.

--- a/crates/cuminlb-assembly/src/assembly_step.rs
+++ b/crates/cuminlb-assembly/src/assembly_step.rs
@@ -26,10 +26,12 @@
         /// Its epoch.
         epoch: Epoch,
     },
-    /// Form a new group.
+    /// Form a group.
     Form {
         /// The model.
         model: ModelId,
+        /// The group that is formed again; a new one where there is none.
+        group: Option<GroupId>,
         /// The members; the first becomes the head.
         members: Vec<InstanceId>,
         /// How many of them must load the weights first.
--- a/crates/cuminlb-assembly/src/plan_assembly.rs
+++ b/crates/cuminlb-assembly/src/plan_assembly.rs
@@ -16,7 +16,7 @@
 const SPARE_WEIGHT: f64 = 2.0;
 
 /// Returns what to do now.
-pub fn plan_assembly(situation: &Situation<'_>, now: Instant) -> Vec<AssemblyStep> {
+pub fn plan_assembly<'a>(situation: &Situation<'a>, now: Instant) -> Vec<AssemblyStep> {
     let mut plan = Plan {
         situation,
         steps: Vec::new(),
@@ -24,6 +24,7 @@
         standing: BTreeMap::new(),
         loads_running: situation.loads_running,
         waits_for_loads: false,
+        orphans: Vec::new(),
         giving_up: BTreeSet::new(),
         formed: BTreeMap::new(),
     };
@@ -35,7 +36,8 @@
         plan.review(group);
     }
     let mut free = plan.free_instances(now);
-    plan.form_groups(&mut free);
+    plan.reform_orphans(&mut free);
+    plan.form_groups(&mut free, now);
     if !plan.waits_for_loads {
         plan.stage_weights(&free);
     }
@@ -67,6 +69,8 @@
     loads_running: usize,
     /// Whether a group could be formed if fewer loads were under way.
     waits_for_loads: bool,
+    /// Groups whose heads answer nothing.
+    orphans: Vec<&'a GroupView>,
     /// Models of which a group is being given up, whose members are soon free.
     giving_up: BTreeSet<ModelId>,
     /// The groups that this plan forms, by part of the fabric and model.
@@ -75,7 +79,7 @@
 
 impl<'a> Plan<'_, 'a> {
     /// Decides whether a group stands, opens, or is given up.
-    fn review(&mut self, group: &GroupView) {
+    fn review(&mut self, group: &'a GroupView) {
         let situation = self.situation;
         let mut forming = situation.forming.iter();
         if forming.any(|it| it.epoch == group.epoch && it.group == group.group) {
@@ -131,7 +135,7 @@
     }
 
     /// Gives up a group that lacks a member: its head stops serving before anyone joins elsewhere.
-    fn give_up(&mut self, group: &GroupView) {
+    fn give_up(&mut self, group: &'a GroupView) {
         let situation = self.situation;
         let head = group.head();
         let head_health = head.and_then(|(id, _)| situation.health.get(id));
@@ -154,22 +158,60 @@
             },
             (Some(_), Some(InstanceHealth::Ended)) => {}
             (Some(_), Some(_)) | (None, _) => {
-                for member in group.present() {
-                    let is_head = head.is_some_and(|(id, _)| id == member);
-                    if is_head || situation.ordered.contains(member) || !situation.is_fine(member) {
-                        continue;
-                    }
-                    self.steps.push(AssemblyStep::Leave {
-                        member: member.clone(),
-                        group: group.group.clone(),
-                        epoch: group.epoch,
-                    });
-                }
+                self.orphans.push(group);
                 self.bind(group);
             }
         }
     }
 
+    /// Forms groups whose heads answer nothing again, under their own names and with a higher
+    /// epoch: a head that still lives somewhere loses its members by that and serves nothing.
+    /// Members of a group that can't be formed again leave it, to be free when their head must
+    /// have given up.
+    fn reform_orphans(&mut self, free: &mut FreeInstances<'a>) {
+        for group in std::mem::take(&mut self.orphans) {
+            let situation = self.situation;
+            let survivors: Vec<&'a InstanceEntry> = group
+                .present()
+                .filter_map(|id| situation.instances.get(id))
+                .filter(|entry| situation.is_usable(entry))
+                .collect();
+            let Some(first) = survivors.first() else {
+                continue;
+            };
+            let spares = free.entry(first.domain.clone()).or_default();
+            let missing = group.members.len() - survivors.len();
+            let mut helpers: Vec<Candidate<'a>> = spares
+                .iter()
+                .map(|entry| Candidate::new(entry, &group.shape))
+                .filter(|candidate| !candidate.must_load)
+                .collect();
+            helpers.sort_by_key(|candidate| candidate.join_ms);
+            helpers.truncate(missing);
+            if helpers.len() == missing {
+                let helpers: Vec<InstanceId> =
+                    helpers.iter().map(|it| it.entry.id.clone()).collect();
+                spares.retain(|entry| !helpers.contains(&entry.id));
+                let survivors = survivors.iter().map(|entry| entry.id.clone());
+                *self.standing.entry(group.shape.id.clone()).or_default() += 1;
+                self.steps.push(AssemblyStep::Form {
+                    model: group.shape.id.clone(),
+                    group: Some(group.group.clone()),
+                    members: survivors.chain(helpers).collect(),
+                    loads: 0,
+                });
+                continue;
+            }
+            for member in survivors {
+                self.steps.push(AssemblyStep::Leave {
+                    member: member.id.clone(),
+                    group: group.group.clone(),
+                    epoch: group.epoch,
+                });
+            }
+        }
+    }
+
     fn bind(&mut self, group: &GroupView) {
         self.bound.extend(group.present().cloned());
     }
@@ -189,7 +231,7 @@
     }
 
     /// Forms groups of the models that lack most, as far as instances allow.
-    fn form_groups(&mut self, free: &mut FreeInstances<'a>) {
+    fn form_groups(&mut self, free: &mut FreeInstances<'a>, now: Instant) {
         let usable = |entry: &&InstanceEntry| {
             !entry.is_leaving
                 && self.situation.is_fine(&entry.id)
@@ -219,7 +261,7 @@
                 .filter(|other| other.size > model.size)
                 .filter(|other| standing(other) < targets.get(&other.id))
                 .collect();
-            if !self.form_group(model, &larger, free) {
+            if !self.form_group(model, &larger, free, now) {
                 given_up.insert(&model.id);
             }
         }
@@ -231,6 +273,7 @@
         model: &ModelShape,
         larger: &[&ModelShape],
         free: &mut FreeInstances<'a>,
+        now: Instant,
     ) -> bool {
         let size = model.size.get() as usize;
         let mut best: Option<(DomainRank, Option<FabricDomainId>, Vec<Candidate<'a>>, usize)> = None;
@@ -249,7 +292,8 @@
             candidates.truncate(size);
             let join_ms = candidates.iter().map(|it| it.join_ms).max().unwrap_or_default();
             let loads = candidates.iter().filter(|it| it.must_load).count();
-            if loads > 0 && self.giving_up.contains(&model.id) {
+            let is_settled = || instances.iter().all(|it| !self.situation.is_new(&it.id, now));
+            if loads > 0 && (self.giving_up.contains(&model.id) || !is_settled()) {
                 continue;
             }
             if loads > 0 && self.loads_running >= self.most_loads() {
@@ -278,6 +322,7 @@
         *self.standing.entry(model.id.clone()).or_default() += 1;
         self.steps.push(AssemblyStep::Form {
             model: model.id.clone(),
+            group: None,
             members,
             loads,
         });
--- a/crates/cuminlb-assembly/src/situation.rs
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -1,12 +1,17 @@
 //! [`Situation`].
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cuminlb_catalog::{EngineSpec, InstanceEntry};
 use cuminlb_types::prelude::*;
+use tokio::time::Instant;
 
 use crate::{FormingGroup, GroupView, HeadHolds, InstanceHealth};
 
+/// The time in which instances that start together show up.
+const SETTLING: Duration = Duration::from_millis(1_600);
+
 /// What a plan is made from.
 #[derive(Clone, Copy, Debug)]
 pub struct Situation<'a> {
@@ -28,6 +33,8 @@
     pub holds: &'a HeadHolds,
     /// Zones to which nothing may be sent.
     pub zones_out: &'a BTreeSet<ZoneId>,
+    /// When each instance was first seen.
+    pub first_seen: &'a BTreeMap<InstanceId, Instant>,
     /// Whether callers have come; until then loads are fast and slow nobody down.
     pub is_busy: bool,
     /// The loads of weights that are under way.
@@ -40,6 +47,12 @@
         self.instances.contains_key(id) && !self.health.contains_key(id)
     }
 
+    /// Tells whether an instance has shown up just now, so that others may follow it.
+    pub fn is_new(&self, id: &InstanceId, now: Instant) -> bool {
+        let first_seen = self.first_seen.get(id);
+        self.is_busy && first_seen.is_some_and(|&at| now.duration_since(at) < SETTLING)
+    }
+
     /// Tells whether an instance may become a member of a new group, as far as it goes itself.
     pub fn is_usable(&self, entry: &InstanceEntry) -> bool {
         !entry.is_leaving
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -136,6 +136,7 @@
         let none = BTreeMap::new();
         let instances = directory.services.get(&service.id).unwrap_or(&none);
         let groups = directory.groups.get(&service.id).map_or(&[][..], Vec::as_slice);
+        self.memory.note_seen(now, instances);
         self.memory.forget_past(now, instances);
         self.memory.health.retain(|id, _| instances.contains_key(id));
         self.review_forming(instances, groups, now);
@@ -149,6 +150,7 @@
                 ordered: &self.memory.ordered(),
                 staging: &self.memory.staging(),
                 holds: &self.memory.holds,
+                first_seen: &self.memory.first_seen,
                 zones_out: &directory.zones_out,
                 is_busy: self.gateway.has_callers(),
                 loads_running: self.memory.loads_running(),
@@ -234,9 +236,10 @@
             }
             AssemblyStep::Form {
                 model,
+                group,
                 members,
                 loads,
-            } => self.form(model, members, loads, engine, instances, now),
+            } => self.form(model, group, members, loads, engine, instances, now),
         }
     }
 
@@ -254,6 +257,7 @@
     fn form(
         &mut self,
         model: ModelId,
+        group: Option<GroupId>,
         members: Vec<InstanceId>,
         loads: usize,
         engine: &EngineSpec,
@@ -262,7 +266,8 @@
     ) {
         self.epoch = self.epoch.next();
         let epoch = self.epoch;
-        let (Some(group), Some(shape)) = (group_name(&model, epoch), engine.model(&model)) else {
+        let group = group.or_else(|| group_name(&model, epoch));
+        let (Some(group), Some(shape)) = (group, engine.model(&model)) else {
             warn!(model:% = model; "the model's name is too long for its groups");
             return;
         };
--- a/crates/cuminlb-gateway/src/leading/leader_memory.rs
+++ b/crates/cuminlb-gateway/src/leading/leader_memory.rs
@@ -22,6 +22,8 @@
     pub(super) health: BTreeMap<InstanceId, InstanceHealth>,
     /// When each instance was last asked how it is.
     pub(super) probed_at: BTreeMap<InstanceId, Instant>,
+    /// When each instance was first seen.
+    pub(super) first_seen: BTreeMap<InstanceId, Instant>,
     /// Instances whose last head may still stand open.
     pub(super) holds: HeadHolds,
 }
@@ -35,6 +37,7 @@
             staging: BTreeMap::new(),
             health: BTreeMap::new(),
             probed_at: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
             holds: HeadHolds::new(give_up),
         }
     }
@@ -61,6 +64,19 @@
         self.staging.remove(id);
     }
 
+    /// Notes the instances that are there.
+    pub(super) fn note_seen(
+        &mut self,
+        now: Instant,
+        instances: &BTreeMap<InstanceId, InstanceEntry>,
+    ) {
+        self.first_seen.retain(|id, _| instances.contains_key(id));
+        self.probed_at.retain(|id, _| instances.contains_key(id));
+        for id in instances.keys() {
+            self.first_seen.entry(id.clone()).or_insert(now);
+        }
+    }
+
     /// Drops what is over.
     pub(super) fn forget_past(
         &mut self,
