Share among the nodes what cold instances bear

Change: each node sends its equal part of the bound at most, and takes callers only once it knows the other nodes. The push of rows between nodes goes: a refused node asks, which is enough.

--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use cuminlb_catalog::StoreTable;
 use cuminlb_config::GatewaySettings;
+use cuminlb_types::prelude::*;
 use tokio_util::task::TaskTracker;
 
 use crate::Edges;
@@ -67,7 +69,12 @@
 
     /// Tells whether this node takes callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.knowledge.catalog().is_some()
+        !self.is_draining() && self.knowledge.catalog().is_some() && self.knows_nodes()
+    }
+
+    /// Tells whether this node knows with how many others it shares what instances bear.
+    fn knows_nodes(&self) -> bool {
+        self.knowledge.version(StoreTable::Nodes) > RowVersion(0)
     }
 
     /// Returns the number of nodes that share budgets with this one, itself included.
--- a/crates/cuminlb-gateway/src/knowledge/directory.rs
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -5,6 +5,7 @@
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::InstanceEntry;
 use cuminlb_types::prelude::*;
+use tokio::time::Instant;
 
 use super::NodeRow;
 
@@ -17,6 +18,8 @@
     pub(crate) groups: BTreeMap<ServiceId, Vec<GroupView>>,
     /// The zones to which nothing may be sent.
     pub(crate) zones_out: BTreeSet<ZoneId>,
+    /// The instances that are cold, and until when.
+    pub(crate) cold_until: BTreeMap<InstanceId, Instant>,
     /// The nodes.
     pub(crate) nodes: BTreeMap<NodeId, NodeRow>,
 }
@@ -30,6 +33,11 @@
         self.services.get(service).into_iter().flat_map(BTreeMap::values)
     }
 
+    /// Tells whether an instance bears only few requests because it has just started.
+    pub(crate) fn is_cold(&self, id: &InstanceId, now: Instant) -> bool {
+        self.cold_until.get(id).is_some_and(|&until| now < until)
+    }
+
     /// Returns an instance of a service.
     pub(crate) fn instance(&self, service: &ServiceId, id: &InstanceId) -> Option<&InstanceEntry> {
         self.services.get(service)?.get(id)
--- a/crates/cuminlb-gateway/src/knowledge/follow_table.rs
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -36,7 +36,7 @@
                     is_lost = false;
                     must_read_whole = false;
                     let is_quiet = changes.rows.is_empty();
-                    take_in(gateway, table, changes).await;
+                    take_in(gateway, table, changes);
                     if table == StoreTable::Instances && !is_quiet {
                         tokio::time::sleep(INSTANCES_PAUSE).await;
                     }
@@ -76,9 +76,8 @@
     store.changes(table, after, FEED_WAIT_MS).await
 }
 
-/// Takes rows in that the store gave, and passes changes of the desired state on to the peers,
-/// some of which the store may refuse.
-async fn take_in(gateway: &Gateway, table: StoreTable, changes: RowChangeSet) {
+/// Takes rows in that the store gave.
+fn take_in(gateway: &Gateway, table: StoreTable, changes: RowChangeSet) {
     let version = changes.version;
     let knowledge = &gateway.knowledge;
     let fresh = knowledge.learn(table, changes, RowSource::Store, Instant::now());
--- a/crates/cuminlb-gateway/src/knowledge/instance_records.rs
+++ b/crates/cuminlb-gateway/src/knowledge/instance_records.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct InstanceRecords {
     entries: BTreeMap<InstanceId, InstanceEntry>,
+    /// Until when instances are cold.
+    cold_until: BTreeMap<InstanceId, Instant>,
     /// Entries that vanished and may come back, with the end of their use.
     lapsed: BTreeMap<InstanceId, Instant>,
     trouble_at: Option<Instant>,
@@ -30,15 +32,18 @@
     }
 
     /// Takes in what an instance says; returns whether more than its heartbeat has changed.
-    pub(crate) fn put(&mut self, entry: InstanceEntry) -> bool {
+    pub(crate) fn put(&mut self, entry: InstanceEntry, now: Instant) -> bool {
         self.lapsed.remove(&entry.id);
         let is_same = self.entries.get(&entry.id).is_some_and(|known| {
             InstanceEntry {
                 orders: known.orders,
-                cold_ms: known.cold_ms,
                 ..entry.clone()
             } == *known
         });
+        if !is_same {
+            self.cold_until
+                .insert(entry.id.clone(), now + entry.cold_ms.duration());
+        }
         self.entries.insert(entry.id.clone(), entry);
         !is_same
     }
@@ -75,7 +80,14 @@
         self.entries.values()
     }
 
+    /// Returns the instances that are cold, and until when.
+    pub(crate) fn cold_until(&self, now: Instant) -> BTreeMap<InstanceId, Instant> {
+        let cold = self.cold_until.iter().filter(|(_, until)| **until > now);
+        cold.map(|(id, until)| (id.clone(), *until)).collect()
+    }
+
     fn forget(&mut self, id: &InstanceId) -> bool {
+        self.cold_until.remove(id);
         self.entries.remove(id).is_some()
     }
 }
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -112,7 +112,7 @@
             StoreTable::Nodes => !fresh.is_empty(),
         };
         if changed {
-            self.publish(&state);
+            self.publish(&state, now);
         }
         fresh
     }
@@ -121,7 +121,7 @@
     pub(crate) fn drop_lapsed(&self, now: Instant) {
         let mut state = self.state();
         if state.instances.drop_lapsed(now) {
-            self.publish(&state);
+            self.publish(&state, now);
         }
     }
 
@@ -176,7 +176,7 @@
             match self.wire.read_instance(row) {
                 Ok(entry) => {
                     let is_leaving = entry.is_leaving;
-                    let is_changed = state.instances.put(entry);
+                    let is_changed = state.instances.put(entry, now);
                     if is_changed {
                         log::debug!(instance:% = id, row_version:% = row.version; "instance changed");
                     }
@@ -194,9 +194,10 @@
         changed
     }
 
-    fn publish(&self, state: &State) {
+    fn publish(&self, state: &State, now: Instant) {
         let mut directory = Directory {
             zones_out: state.zones_out.clone(),
+            cold_until: state.instances.cold_until(now),
             ..Directory::default()
         };
         for entry in state.instances.entries() {
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use cuminlb_catalog::{RowChangeSet, StoreTable};
+use cuminlb_catalog::StoreTable;
 use cuminlb_peer::{RelayHandler, RelayedRows, SuspicionNotice};
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use super::RowSource;
 use crate::gateway::Gateway;
 
 /// Answers the calls of the other nodes.
@@ -32,16 +31,6 @@
         }
     }
 
-    fn learn(&self, table: StoreTable, mut changes: RowChangeSet) {
-        // Pushed rows are not all rows up to their version, so they move no cursor.
-        changes.version = RowVersion(0);
-        changes.is_whole = false;
-        let now = Instant::now();
-        self.gateway
-            .knowledge
-            .learn(table, changes, RowSource::Peer, now);
-    }
-
     fn suspect(&self, notice: SuspicionNotice) {
         self.gateway.suspicions.raise(notice);
     }
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -29,7 +29,7 @@
 const ORDER_TIMEOUT_MS: Millis = Millis(800);
 
 /// The time after which an instance that is asked how it is counts as silent.
-const PROBE_TIMEOUT_MS: Millis = Millis(160);
+const PROBE_TIMEOUT_MS: Millis = Millis(110);
 
 /// How often an instance is asked before it counts as silent.
 const PROBE_TRIES: u32 = 2;
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -1,7 +1,7 @@
 //! [`choose_target`].
 
 use cuminlb_assembly::GroupView;
-use cuminlb_catalog::InstanceEntry;
+use cuminlb_catalog::{InstanceEntry, UpstreamService};
 use cuminlb_routing::{GroupChoice, GroupChooser};
 use cuminlb_types::prelude::*;
 use rand::seq::SliceRandom;
@@ -15,6 +15,10 @@
 /// The part of failures from which on an instance gets only what no other can take.
 const FAILING_PART: f64 = 0.5;
 
+/// The part of what a cold instance bears that is used: it may exceed one, as the instance bears
+/// more than stated for a second.
+const COLD_PART: f64 = 1.2;
+
 /// Chooses the instance that a request goes to next; `tried` are those that it has been sent to.
 pub(super) fn choose_target(gateway: &Gateway, ask: &Ask, tried: &[InstanceId]) -> Option<Target> {
     let directory = gateway.knowledge.directory();
@@ -24,15 +28,16 @@
     if let (Some(engine), Some(model)) = (&service.engine, &ask.head.model) {
         let groups = directory.groups.get(&ask.service)?;
         let groups = groups.iter().filter(|group| group.shape.id == *model);
-        return choose_group(gateway, &directory, ask, groups, engine.slots, tried, now);
+        return choose_group(gateway, &directory, ask, service, groups, engine.slots, tried, now);
     }
-    choose_instance(gateway, &directory, ask, tried, now)
+    choose_instance(gateway, &directory, ask, service, tried, now)
 }
 
 fn choose_group<'a>(
     gateway: &Gateway,
     directory: &Directory,
     ask: &Ask,
+    service: &UpstreamService,
     groups: impl Iterator<Item = &'a GroupView>,
     slots: SlotCount,
     tried: &[InstanceId],
@@ -55,6 +60,7 @@
         if member_leaves
             || !may_take(gateway, directory, ask, entry)
             || load.is_suspected(group.epoch, now)
+            || !bears_more(gateway, directory, service, head, now)
             || tried.contains(head)
         {
             continue;
@@ -91,6 +97,7 @@
     gateway: &Gateway,
     directory: &Directory,
     ask: &Ask,
+    service: &UpstreamService,
     tried: &[InstanceId],
     now: Instant,
 ) -> Option<Target> {
@@ -98,6 +105,7 @@
         .instances(&ask.service)
         .filter(|entry| may_take(gateway, directory, ask, entry))
         .filter(|entry| !tried.contains(&entry.id))
+        .filter(|entry| bears_more(gateway, directory, service, &entry.id, now))
         .collect();
     entries.shuffle(&mut rand::rng());
     let chosen = entries.into_iter().min_by_key(|entry| {
@@ -114,6 +122,24 @@
     })
 }
 
+/// Tells whether an instance, if it is cold, bears another request of this node: the nodes share
+/// what it bears in equal parts, so that they need not ask each other.
+fn bears_more(
+    gateway: &Gateway,
+    directory: &Directory,
+    service: &UpstreamService,
+    id: &InstanceId,
+    now: Instant,
+) -> bool {
+    let rate_per_s = service.cold_rate.get();
+    if rate_per_s <= 0.0 || !directory.is_cold(id, now) {
+        return true;
+    }
+    let share = rate_per_s * COLD_PART / gateway.node_count() as f64;
+    let most = share.floor().max(1.0) as usize;
+    gateway.loads.load(id).sent_lately(now) < most
+}
+
 /// Tells whether an instance may be sent anything for this route at all.
 fn may_take(gateway: &Gateway, directory: &Directory, ask: &Ask, entry: &InstanceEntry) -> bool {
     let regions = &ask.route.regions;
--- a/crates/cuminlb-gateway/src/serving/in_flight.rs
+++ b/crates/cuminlb-gateway/src/serving/in_flight.rs
@@ -16,6 +16,7 @@
 impl InFlight {
     pub(super) fn new(load: Arc<InstanceLoad>) -> Self {
         load.in_flight.fetch_add(1, Ordering::Relaxed);
+        load.note_sent(Instant::now());
         Self { load }
     }
 
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -1,5 +1,6 @@
 //! [`InstanceLoad`].
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -16,6 +17,9 @@
 /// How long an instance that has refused a request gets only what no other can take.
 const REFUSAL_PENALTY: Duration = Duration::from_millis(300);
 
+/// The time over which sent requests are counted: a second, and what may differ on the way.
+const RATE_WINDOW: Duration = Duration::from_millis(1_100);
+
 /// How much one outcome moves the part of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -35,6 +39,8 @@
     told_at: Option<Instant>,
     refused_until: Option<Instant>,
     failing: f64,
+    /// The requests that were sent within the newest [`RATE_WINDOW`].
+    sent_at: VecDeque<Instant>,
 }
 
 impl InstanceLoad {
@@ -47,6 +53,7 @@
                 told_at: None,
                 refused_until: None,
                 failing: 0.0,
+                sent_at: VecDeque::new(),
             }),
         }
     }
@@ -56,6 +63,20 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Notes that a request is sent there.
+    pub(super) fn note_sent(&self, now: Instant) {
+        let mut seen = self.seen();
+        seen.forget_sent(now);
+        seen.sent_at.push_back(now);
+    }
+
+    /// Returns the requests of this node that were sent there within about a second.
+    pub(super) fn sent_lately(&self, now: Instant) -> usize {
+        let mut seen = self.seen();
+        seen.forget_sent(now);
+        seen.sent_at.len()
+    }
+
     /// Notes that something has come from the instance.
     pub(super) fn note_progress(&self, now: Instant) {
         let mut seen = self.seen();
@@ -114,3 +135,12 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Seen {
+    fn forget_sent(&mut self, now: Instant) {
+        let is_old = |at: &Instant| now.duration_since(*at) >= RATE_WINDOW;
+        while self.sent_at.front().is_some_and(is_old) {
+            self.sent_at.pop_front();
+        }
+    }
+}
--- a/crates/cuminlb-peer/src/relay_api.rs
+++ b/crates/cuminlb-peer/src/relay_api.rs
@@ -1,6 +1,6 @@
 //! [`RelayApi`].
 
-use cuminlb_catalog::{RowChangeSet, StoreTable};
+use cuminlb_catalog::StoreTable;
 use cuminlb_types::prelude::*;
 
 use crate::message::{RelayedRows, SuspicionNotice};
@@ -11,9 +11,6 @@
     /// Returns the rows of a table that changed after a version, as the node called knows them.
     async fn rows_since(table: StoreTable, after: RowVersion) -> RelayedRows;
 
-    /// Takes in rows that the caller has just learnt.
-    async fn learn(table: StoreTable, changes: RowChangeSet);
-
     /// Tells the leader that an instance has fallen silent.
     async fn suspect(notice: SuspicionNotice);
 }
--- a/crates/cuminlb-peer/src/relay_handler.rs
+++ b/crates/cuminlb-peer/src/relay_handler.rs
@@ -1,6 +1,6 @@
 //! [`RelayHandler`].
 
-use cuminlb_catalog::{RowChangeSet, StoreTable};
+use cuminlb_catalog::StoreTable;
 use cuminlb_types::prelude::*;
 
 use crate::message::{RelayedRows, SuspicionNotice};
@@ -10,9 +10,6 @@
     /// Returns the rows of a table that changed after a version.
     fn rows_since(&self, table: StoreTable, after: RowVersion) -> RelayedRows;
 
-    /// Takes in rows that a peer has just learnt.
-    fn learn(&self, table: StoreTable, changes: RowChangeSet);
-
     /// Takes in that a peer finds an instance silent.
     fn suspect(&self, notice: SuspicionNotice);
 }
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use cuminlb_catalog::{RowChangeSet, StoreTable};
+use cuminlb_catalog::StoreTable;
 use cuminlb_types::prelude::*;
 use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
@@ -57,16 +57,6 @@
             .await
     }
 
-    /// Passes rows on to the peer.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`PeerError`] when no answer came; the peer may have taken the rows all the same.
-    pub async fn learn(&self, table: StoreTable, changes: RowChangeSet) -> Result<(), PeerError> {
-        self.call(async |client, context| client.learn(context, table, changes).await)
-            .await
-    }
-
     /// Tells the peer that an instance has fallen silent.
     ///
     /// # Errors
--- a/crates/cuminlb-peer/src/relay_server.rs
+++ b/crates/cuminlb-peer/src/relay_server.rs
@@ -1,6 +1,6 @@
 //! [`serve_relay`].
 
-use cuminlb_catalog::{RowChangeSet, StoreTable};
+use cuminlb_catalog::StoreTable;
 use cuminlb_types::prelude::*;
 use futures_util::StreamExt;
 use log::{debug, warn};
@@ -76,10 +76,6 @@
         self.handler.rows_since(table, after)
     }
 
-    async fn learn(self, _: Context, table: StoreTable, changes: RowChangeSet) {
-        self.handler.learn(table, changes);
-    }
-
     async fn suspect(self, _: Context, notice: SuspicionNotice) {
         self.handler.suspect(notice);
     }
