--- a/crates/cuminlb-config/src/settings/fleet_bounds.rs
+++ b/crates/cuminlb-config/src/settings/fleet_bounds.rs
@@ -5,7 +5,7 @@
 use crate::check::{Bounds, TableReader};
 
 /// Bounds that all nodes keep together, and times of the platform.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetBounds {
     /// The repeats that are allowed for each request.
     pub retry_ratio: Ratio,
--- a/crates/cuminlb-config/src/settings/gateway_settings.rs
+++ b/crates/cuminlb-config/src/settings/gateway_settings.rs
@@ -10,7 +10,7 @@
 use crate::check::{Bounds, ConfigError, Problems, TableReader};
 
 /// The settings of a node that runs on the users' platform.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// The id of this node.
     pub id: NodeId,
--- a/crates/cuminlb-config/src/settings/log_settings.rs
+++ b/crates/cuminlb-config/src/settings/log_settings.rs
@@ -8,7 +8,7 @@
 use crate::check::TableReader;
 
 /// How a node logs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LogSettings {
     /// The level: `error`, `warn`, `info`, `debug` or `trace`.
     pub level: SmolStr,
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use cuminlb_catalog::StoreTable;
 use cuminlb_config::GatewaySettings;
 use cuminlb_types::prelude::*;
+use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use crate::Edges;
@@ -17,7 +18,10 @@
 /// What the tasks of a node share.
 #[derive(Debug)]
 pub(crate) struct Gateway {
+    /// The settings that the process started with: who it is and where it listens.
     pub(crate) settings: GatewaySettings,
+    /// The settings as they are now.
+    live: watch::Receiver<Arc<GatewaySettings>>,
     pub(crate) edges: Edges,
     pub(crate) knowledge: Knowledge,
     pub(crate) peers: PeerLinks,
@@ -32,23 +36,42 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(settings: GatewaySettings, edges: Edges) -> Arc<Self> {
+    pub(crate) fn new(live: watch::Receiver<Arc<GatewaySettings>>, edges: Edges) -> Arc<Self> {
+        let settings = GatewaySettings::clone(&live.borrow());
         let errands = TaskTracker::new();
         Arc::new(Self {
             knowledge: Knowledge::new(Arc::clone(&edges.wire)),
             peers: PeerLinks::new(settings.id.clone(), settings.peer_token.clone()),
             suspicions: Suspicions::default(),
             loads: LoadBook::default(),
-            budgets: RetryBudgets::new(&settings.bounds),
+            budgets: RetryBudgets::default(),
             pool: ConnectionPool::new(errands.clone()),
             errands,
             is_draining: AtomicBool::new(false),
             has_callers: AtomicBool::new(false),
             settings,
+            live,
             edges,
         })
     }
 
+    /// Returns the settings as they are now.
+    pub(crate) fn live_settings(&self) -> Arc<GatewaySettings> {
+        Arc::clone(&self.live.borrow())
+    }
+
+    /// Notes a request for a service, which earns a part of a repeat.
+    pub(crate) fn note_request(&self, service: &ServiceId) {
+        let bounds = self.live_settings().bounds;
+        self.budgets.note_request(service, &bounds, self.node_count());
+    }
+
+    /// Takes a repeat out of the budget of a service, or returns `false` when none is left.
+    pub(crate) fn take_repeat(&self, service: &ServiceId) -> bool {
+        let bounds = self.live_settings().bounds;
+        self.budgets.take(service, &bounds, self.node_count())
+    }
+
     /// Tells whether this node is about to stop.
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -66,7 +66,7 @@
 
 impl Leader {
     pub(super) fn new(gateway: Arc<Gateway>) -> Self {
-        let give_up = gateway.settings.bounds.stall_ms.duration() + GIVE_UP_SLACK;
+        let give_up = gateway.live_settings().bounds.stall_ms.duration() + GIVE_UP_SLACK;
         Self {
             gateway,
             memory: LeaderMemory::new(give_up),
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -10,6 +10,7 @@
 use log::{info, warn};
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep};
 use tokio_util::sync::CancellationToken;
@@ -32,19 +33,20 @@
 
 /// Runs a node until `stop` is cancelled, and then lets the requests in flight end.
 ///
+/// New `settings` take effect at once, but for the node's name and addresses.
+///
 /// # Errors
 ///
 /// Returns [`GatewayError`] when an address can't be listened on or a task has panicked.
 pub async fn run_gateway(
-    settings: GatewaySettings,
+    settings: watch::Receiver<Arc<GatewaySettings>>,
     edges: Edges,
     stop: CancellationToken,
 ) -> Result<(), GatewayError> {
-    let caller_listener = bind(settings.caller).await?;
-    let ready_listener = bind(settings.ready).await?;
-    let peer_listener = bind(settings.peer).await?;
-    let grace = settings.bounds.grace_ms.duration();
     let gateway = Gateway::new(settings, edges);
+    let caller_listener = bind(gateway.settings.caller).await?;
+    let ready_listener = bind(gateway.settings.ready).await?;
+    let peer_listener = bind(gateway.settings.peer).await?;
     info!(
         node:% = gateway.settings.id, zone:% = gateway.settings.zone,
         caller:% = gateway.settings.caller, store:% = gateway.settings.store;
@@ -72,6 +74,7 @@
     tasks.spawn(keep_house(Arc::clone(&gateway), rest_stop.clone()));
     let mut leading = JoinSet::new();
     leading.spawn(lead(Arc::clone(&gateway), leading_stop.clone()));
+    let grace = gateway.settings.bounds.grace_ms.duration();
     let cut = grace.mul_f64(FINISH_PART).saturating_sub(LEAVING_PAUSE);
     let mut front = JoinSet::new();
     front.spawn(serve_front(
--- a/crates/cuminlb-gateway/src/serving/answer_request.rs
+++ b/crates/cuminlb-gateway/src/serving/answer_request.rs
@@ -29,7 +29,7 @@
         Ok(ask) => {
             let id = ask.head.id.clone();
             let came_at = ask.came_at;
-            gateway.budgets.note_request(&ask.service, gateway.node_count());
+            gateway.note_request(&ask.service);
             let answered = match ask.route.kind {
                 RouteKind::Idempotent | RouteKind::AtMostOnce => run_plain(gateway, ask).await,
                 RouteKind::Stream { .. } => run_stream(gateway, ask).await,
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -143,7 +143,8 @@
 /// Tells whether an instance may be sent anything for this route at all.
 fn may_take(gateway: &Gateway, directory: &Directory, ask: &Ask, entry: &InstanceEntry) -> bool {
     let regions = &ask.route.regions;
-    let region = gateway.settings.zones.get(&entry.zone);
+    let settings = gateway.live_settings();
+    let region = settings.zones.get(&entry.zone);
     let is_home = regions.is_empty() || region.is_some_and(|region| regions.contains(region));
     !entry.is_leaving && is_home && !directory.zones_out.contains(&entry.zone)
 }
--- a/crates/cuminlb-gateway/src/serving/retry_budgets.rs
+++ b/crates/cuminlb-gateway/src/serving/retry_budgets.rs
@@ -14,43 +14,34 @@
 ///
 /// All nodes share the allowance: each saves up its part of the extra repeats, and earns the
 /// ratio by its own requests, so that their sum stays within the bound without any messages.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct RetryBudgets {
-    ratio: Ratio,
-    extra: f64,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
 }
 
 impl RetryBudgets {
-    pub(crate) fn new(bounds: &FleetBounds) -> Self {
-        Self {
-            ratio: Ratio(bounds.retry_ratio.get() * USED_PART),
-            extra: bounds.retry_extra * USED_PART,
-            budgets: Mutex::default(),
-        }
-    }
-
     /// Notes a request, which earns a part of a repeat.
-    pub(super) fn note_request(&self, service: &ServiceId, nodes: usize) {
-        self.with(service, nodes, |budget| budget.note_first_try());
+    pub(crate) fn note_request(&self, service: &ServiceId, bounds: &FleetBounds, nodes: usize) {
+        self.with(service, bounds, nodes, |budget| budget.note_first_try());
     }
 
     /// Takes a repeat out of the budget, or returns `false` when none is left.
-    pub(super) fn take(&self, service: &ServiceId, nodes: usize) -> bool {
-        self.with(service, nodes, |budget| budget.take_retry())
+    pub(crate) fn take(&self, service: &ServiceId, bounds: &FleetBounds, nodes: usize) -> bool {
+        self.with(service, bounds, nodes, |budget| budget.take_retry())
     }
 
     fn with<T>(
         &self,
         service: &ServiceId,
+        bounds: &FleetBounds,
         nodes: usize,
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(self.ratio));
-        budget.save_up_to(self.extra / nodes as f64);
+            .or_insert_with(|| RetryBudget::new(Ratio(bounds.retry_ratio.get() * USED_PART)));
+        budget.save_up_to(bounds.retry_extra * USED_PART / nodes as f64);
         act(budget)
     }
 }
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -46,7 +46,7 @@
         let Some(target) = choose_target(gateway, &ask, &tried) else {
             break;
         };
-        if has_arrived && !gateway.budgets.take(&ask.service, gateway.node_count()) {
+        if has_arrived && !gateway.take_repeat(&ask.service) {
             break;
         }
         let is_last = runs + 1 >= ask.route.max_tries;
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -33,7 +33,7 @@
     let mut tries = StreamTries::new(ask.route.max_tries, ask.route.kind.may_repeat());
     let mut reason: SmolStr = "no group serves".into();
     while let Some(target) = wait_for_target(gateway, &ask, &tries).await {
-        if tries.has_arrived() && !gateway.budgets.take(&ask.service, gateway.node_count()) {
+        if tries.has_arrived() && !gateway.take_repeat(&ask.service) {
             reason = "the budget of repeats is used up".into();
             break;
         }
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -150,7 +150,7 @@
             let Some(target) = choose_target(&gateway, &self.ask, self.tries.instances()) else {
                 return false;
             };
-            if !gateway.budgets.take(&self.ask.service, gateway.node_count()) {
+            if !gateway.take_repeat(&self.ask.service) {
                 info!(request:% = self.ask.head.id; "no budget for going on with a stream");
                 return false;
             }
--- a/src/bin/cuminlb/gateway.rs
+++ b/src/bin/cuminlb/gateway.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cli::{EXIT_USAGE, wait_for_signal};
+use crate::settings_file::SettingsFile;
 
 /// Reads the settings and runs the node, or only checks them.
 pub(crate) fn main(path: &Path, only_check: bool) -> ExitCode {
@@ -23,11 +24,11 @@
             eprintln!("{}: ok", path.display());
             ExitCode::SUCCESS
         }
-        Ok(settings) => run(settings),
+        Ok(settings) => run(path, settings),
     }
 }
 
-fn run(settings: GatewaySettings) -> ExitCode {
+fn run(path: &Path, settings: GatewaySettings) -> ExitCode {
     if let Err(error) = init_decision_log(&settings.log) {
         eprintln!("logging can't start: {error}");
     }
@@ -46,6 +47,7 @@
         instances: Arc::new(NativeInstances),
         wire: Arc::new(NativeWire),
     };
+    let file = SettingsFile::new(path.to_owned(), settings);
     let stop = CancellationToken::new();
     let outcome = runtime.block_on(async {
         let signals = async {
@@ -53,9 +55,14 @@
             stop.cancel();
             std::future::pending::<()>().await;
         };
+        let reloads = async {
+            file.follow().await;
+            std::future::pending::<()>().await;
+        };
         tokio::select! {
-            outcome = run_gateway(settings, edges, stop.clone()) => outcome,
+            outcome = run_gateway(file.subscribe(), edges, stop.clone()) => outcome,
             () = signals => Ok(()),
+            () = reloads => Ok(()),
         }
     });
     match outcome {
--- a/src/bin/cuminlb/main.rs
+++ b/src/bin/cuminlb/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod gateway;
+mod settings_file;
 
 use std::process::ExitCode;
 
