Keep members whose entries vanished while they answer

Change: such an instance gets no requests, but counts as a member until a probe finds it silent or in another place.

--- a/crates/cuminlb-assembly/src/plan_assembly.rs
+++ b/crates/cuminlb-assembly/src/plan_assembly.rs
@@ -90,7 +90,9 @@
             let entry = situation.instances.get(id);
             situation.is_fine(id) && entry.is_some_and(|entry| !entry.is_leaving)
         };
-        if group.is_whole() && group.present().all(is_kept) {
+        let head = group.head().map(|(id, _)| id);
+        let is_head_listed = head.is_some_and(|head| !situation.unlisted.contains(head));
+        if group.is_whole() && is_head_listed && group.present().all(is_kept) {
             self.keep(group);
         } else {
             self.give_up(group);
--- a/crates/cuminlb-assembly/src/situation.rs
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -31,6 +31,8 @@
     pub staging: &'a BTreeMap<InstanceId, ModelId>,
     /// Instances whose last head may still stand open.
     pub holds: &'a HeadHolds,
+    /// Instances whose entries have vanished though they may live.
+    pub unlisted: &'a BTreeSet<InstanceId>,
     /// Zones to which nothing may be sent.
     pub zones_out: &'a BTreeSet<ZoneId>,
     /// When each instance was first seen.
@@ -56,6 +58,7 @@
     /// Tells whether an instance may become a member of a new group, as far as it goes itself.
     pub fn is_usable(&self, entry: &InstanceEntry) -> bool {
         !entry.is_leaving
+            && !self.unlisted.contains(&entry.id)
             && self.is_fine(&entry.id)
             && !self.zones_out.contains(&entry.zone)
             && !self.ordered.contains(&entry.id)
--- a/crates/cuminlb-gateway/src/knowledge/directory.rs
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -18,6 +18,9 @@
     pub(crate) groups: BTreeMap<ServiceId, Vec<GroupView>>,
     /// The zones to which nothing may be sent.
     pub(crate) zones_out: BTreeSet<ZoneId>,
+    /// The instances whose entries have vanished: nothing may be sent to them, but they may still
+    /// be members of groups.
+    pub(crate) unlisted: BTreeSet<InstanceId>,
     /// The instances that are cold, and until when.
     pub(crate) cold_until: BTreeMap<InstanceId, Instant>,
     /// The nodes.
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -170,7 +170,8 @@
             };
             if row.value.is_none() {
                 info!(instance:% = id, row_version:% = row.version; "instance gone");
-                changed |= state.instances.remove(&id, now);
+                state.instances.remove(&id, now);
+                changed = true;
                 continue;
             }
             match self.wire.read_instance(row) {
@@ -187,7 +188,8 @@
                 }
                 Err(error) => {
                     warn!(row_version:% = row.version; "{error}");
-                    changed |= state.instances.remove(&id, now);
+                    state.instances.remove(&id, now);
+                    changed = true;
                 }
             }
         }
@@ -197,6 +199,7 @@
     fn publish(&self, state: &State, now: Instant) {
         let mut directory = Directory {
             zones_out: state.zones_out.clone(),
+            unlisted: state.instances.unlisted(),
             cold_until: state.instances.cold_until(now),
             ..Directory::default()
         };
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -7,7 +7,9 @@
 use cuminlb_assembly::{
     AssemblyStep, FormingGroup, InstanceHealth, Situation, group_name, plan_assembly,
 };
-use cuminlb_catalog::{EngineSpec, GroupOrder, InstanceEntry, OrderOutcome, UpstreamService};
+use cuminlb_catalog::{
+    EngineSpec, GroupOrder, InstanceEntry, OrderOutcome, Seat, UpstreamService,
+};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::task::JoinSet;
@@ -151,6 +153,7 @@
                 staging: &self.memory.staging(),
                 holds: &self.memory.holds,
                 first_seen: &self.memory.first_seen,
+                unlisted: &directory.unlisted,
                 zones_out: &directory.zones_out,
                 is_busy: self.gateway.has_callers(),
                 loads_running: self.memory.loads_running(),
@@ -395,10 +398,11 @@
         }
     }
 
-    /// Asks silent instances once more.
+    /// Asks silent instances once more, and members of groups whose entries have vanished.
     fn check_silent(&mut self, directory: &Directory, service: &UpstreamService, now: Instant) {
         for entry in directory.instances(&service.id) {
-            if self.memory.health.contains_key(&entry.id) {
+            let is_silent = self.memory.health.contains_key(&entry.id);
+            if is_silent || entry.seat.is_some() && directory.unlisted.contains(&entry.id) {
                 self.probe(entry, now);
             }
         }
@@ -406,7 +410,8 @@
 
     fn probe(&mut self, entry: &InstanceEntry, now: Instant) {
         let probed_at = self.memory.probed_at.get(&entry.id);
-        let period = if self.memory.health.contains_key(&entry.id) {
+        let unlisted = &self.gateway.knowledge.directory().unlisted;
+        let period = if self.memory.health.contains_key(&entry.id) || unlisted.contains(&entry.id) {
             SILENT_PROBE_PERIOD
         } else {
             PROBE_PERIOD
@@ -432,7 +437,19 @@
 
     fn note_probe(&mut self, probe: ProbeReport) {
         let ProbeReport { instance, report } = probe;
+        let directory = self.gateway.knowledge.directory();
+        let mut services = directory.services.values();
+        let entry = services.find_map(|instances| instances.get(&instance));
+        let place = |seat: &Option<Seat>| seat.as_ref().map(|seat| (seat.group.clone(), seat.epoch));
         match report {
+            // An instance that can't tell the list of its end has lost its place if it has another.
+            Some(report)
+                if directory.unlisted.contains(&instance)
+                    && entry.is_none_or(|entry| place(&entry.seat) != place(&report.seat)) =>
+            {
+                info!(instance:% = instance, seat:? = report.seat; "unlisted instance has another place");
+                self.memory.health.insert(instance, InstanceHealth::Ended);
+            }
             Some(report) => {
                 let was = self.memory.health.remove(&instance);
                 info!(
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -146,5 +146,6 @@
     let settings = gateway.live_settings();
     let region = settings.zones.get(&entry.zone);
     let is_home = regions.is_empty() || region.is_some_and(|region| regions.contains(region));
-    !entry.is_leaving && is_home && !directory.zones_out.contains(&entry.zone)
+    let is_listed = !directory.unlisted.contains(&entry.id);
+    is_listed && !entry.is_leaving && is_home && !directory.zones_out.contains(&entry.zone)
 }
