Test real nodes against stand-ins of the users' platform

Change: platform/standins has a store with history and long polls, engines that form groups by orders and note orders that none should give, and plain workers; thirteen tests run nodes as processes against them: whole path, refusals, repeats, silent member and head, vanished entry, leader killed, refused node, forgotten history, shutdown, reload, zone out, all nodes lost.

--- a/crates/cuminlb-standins/src/http_server.rs
+++ b/crates/cuminlb-standins/src/http_server.rs
@@ -21,10 +21,10 @@
 use crate::{Fault, FaultState, StandinError};
 
 /// The body of a stand-in's answer.
-pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
 /// What one stand-in answers.
-pub(crate) trait Answers: Send + Sync + 'static {
+pub trait Answers: Send + Sync + 'static {
     /// Answers one request whose body has been read.
     fn answer(
         self: Arc<Self>,
@@ -42,7 +42,12 @@
 }
 
 impl StandinServer {
-    pub(crate) async fn start<A: Answers>(
+    /// Starts a stand-in on an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StandinError`] when the address can't be listened on.
+    pub async fn start<A: Answers>(
         address: SocketAddr,
         fault: FaultState,
         answers: Arc<A>,
@@ -166,14 +171,14 @@
 }
 
 /// Returns an answer without a body.
-pub(crate) fn status(status: StatusCode) -> Response<AnswerBody> {
+pub fn status(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(Empty::new().map_err(|never| match never {}).boxed_unsync());
     *response.status_mut() = status;
     response
 }
 
 /// Returns an answer with a body.
-pub(crate) fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<AnswerBody> {
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<AnswerBody> {
     let mut response = Response::new(
         Full::new(body.into())
             .map_err(|never| match never {})
@@ -184,7 +189,7 @@
 }
 
 /// Returns an answer with a JSON body.
-pub(crate) fn json<T: serde::Serialize>(value: &T) -> Response<AnswerBody> {
+pub fn json<T: serde::Serialize>(value: &T) -> Response<AnswerBody> {
     match serde_json::to_vec(value) {
         Ok(body) => text(StatusCode::OK, body),
         Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
--- a/crates/cuminlb-standins/src/lib.rs
+++ b/crates/cuminlb-standins/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use crate::engine::{Engine, EngineOptions};
 pub use crate::fault::{Fault, FaultState};
-pub use crate::http_server::StandinServer;
+pub use crate::http_server::{AnswerBody, Answers, StandinServer, json, status, text};
 pub use crate::link::{LinkFault, LossyLink};
 pub use crate::plain::{PlainOptions, PlainService, Reservation};
 pub use crate::platform::{Platform, PlatformOptions};
--- a/crates/cuminlb-test-support/src/process.rs
+++ b/crates/cuminlb-test-support/src/process.rs
@@ -58,7 +58,7 @@
 }
 
 impl Process {
-    /// Starts a program whose standard error goes to a file.
+    /// Starts a program whose output goes to a file.
     ///
     /// # Errors
     ///
@@ -82,10 +82,11 @@
             .append(true)
             .open(&log)
             .map_err(io)?;
+        let stdout = stderr.try_clone().map_err(io)?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(stdout)
             .stderr(stderr)
             .kill_on_drop(true)
             .spawn()
@@ -98,7 +99,7 @@
         self.child.id()
     }
 
-    /// Returns what the process has written to its standard error.
+    /// Returns what the process has written.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,8 @@
 mod latency;
 mod memory_table;
 mod metrics;
+mod native_path;
+mod native_site;
 mod outage;
 mod pages;
 mod plan_faults;
--- /dev/null
+++ b/tests/testsuite/native_site.rs
@@ -0,0 +1,296 @@
+//! A small platform of stand-ins with real nodes before it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use cuminlb_native_standins::{Engine, Fleet, PlainWorker, Store};
+use cuminlb_standins::{Fault, StandinServer};
+use cuminlb_test_support::{Answer, Process, Programs, SiteError, TestClient, wait_until};
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// The host of all routes, and the prefixes of the three kinds of them.
+pub const HOST: &str = "desk.example";
+pub const STREAM_PATH: &str = "/draft/";
+pub const LOOKUP_PATH: &str = "/lookup/";
+pub const RESERVE_PATH: &str = "/reserve/";
+
+/// The model, its service and the plain service.
+pub const MODEL: &str = "m0";
+pub const ENGINES: &str = "engines";
+pub const DESK: &str = "desk";
+
+/// The key of a team, and the team.
+pub const KEY: &str = "key-of-rowers";
+pub const TEAM: &str = "rowers";
+
+/// Tells the sites of one test program apart.
+static SITES: AtomicUsize = AtomicUsize::new(0);
+
+const CALLER_PORT: u16 = 8_100;
+const READY_PORT: u16 = 8_101;
+const PEER_PORT: u16 = 8_102;
+const METRICS_PORT: u16 = 8_103;
+
+/// A node as a process, and the server of the store that it speaks to.
+pub struct NativeNode {
+    pub process: Process,
+    pub store: StandinServer,
+    pub address: Ipv4Addr,
+    settings: std::path::PathBuf,
+}
+
+impl NativeNode {
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}:{CALLER_PORT}{path}", self.address)
+    }
+
+    pub fn metrics_url(&self) -> String {
+        format!("http://{}:{METRICS_PORT}/metrics", self.address)
+    }
+
+    fn ready_url(&self) -> String {
+        format!("http://{}:{READY_PORT}/ready", self.address)
+    }
+}
+
+/// The stand-ins and the nodes.
+pub struct NativeSite {
+    pub fleet: Fleet,
+    pub nodes: Vec<NativeNode>,
+    pub client: TestClient,
+    pub desk_failures: Arc<AtomicUsize>,
+    pub desk: Vec<StandinServer>,
+    _engines: Vec<StandinServer>,
+    programs: Programs,
+    folder: TempDir,
+    number: usize,
+}
+
+impl NativeSite {
+    /// Starts stand-ins and nodes: `engines` of one part of the fabric, and two plain workers.
+    pub async fn start(nodes: usize, engines: usize, work: Duration) -> Self {
+        let fleet = Fleet::default();
+        let mut engine_servers = Vec::new();
+        for number in 0..engines {
+            let id = format!("e{number}");
+            let engine = Engine::start(&fleet, &id, ENGINES, "za", "d0").await;
+            engine_servers.push(engine.unwrap());
+        }
+        let desk_failures = Arc::new(AtomicUsize::new(0));
+        let mut desk = Vec::new();
+        for number in 0..2 {
+            let id = format!("p{number}");
+            let failures = Arc::clone(&desk_failures);
+            let worker = PlainWorker::start(&fleet, &id, DESK, "za", work, failures).await;
+            desk.push(worker.unwrap());
+        }
+        let mut site = Self {
+            fleet,
+            nodes: Vec::new(),
+            client: TestClient::default(),
+            desk_failures,
+            desk,
+            _engines: engine_servers,
+            programs: Programs::find().unwrap(),
+            folder: TempDir::new().unwrap(),
+            number: SITES.fetch_add(1, Ordering::Relaxed),
+        };
+        site.put_catalog(1, &[]);
+        for _ in 0..nodes {
+            site.add_node().await;
+        }
+        site
+    }
+
+    /// Writes a version of the catalog with routes beside the usual ones.
+    pub fn put_catalog(&self, version: u64, more_routes: &[Value]) {
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": HOST, "prefix": prefix, "kind": kind, "timeoutMs": 8000,
+                "targetLatencyMs": 500, "priority": 1, "service": service, "maxAttempts": 2,
+            })
+        };
+        let mut stream = route("draft", STREAM_PATH, "streaming", ENGINES);
+        stream["resumable"] = json!(true);
+        stream["gapAimMs"] = json!(300);
+        let mut routes = vec![
+            stream,
+            route("lookup", LOOKUP_PATH, "idempotent", DESK),
+            route("reserve", RESERVE_PATH, "non_idempotent", DESK),
+        ];
+        routes.extend_from_slice(more_routes);
+        let catalog = json!({
+            "version": version,
+            "routes": routes,
+            "services": [
+                {
+                    "name": ENGINES, "maxConnections": 100, "warmupS": 0, "coldPerS": 0,
+                    "engine": {
+                        "slots": 8, "kvTokenCapacity": 1000, "stride": 5, "step_ms": 6.0,
+                        "per_seq_ms": 0.2, "read_per_s": 46000.0, "loadsPerS": 9.0,
+                        "loads_at_once": 6,
+                        "models": [{
+                            "name": MODEL, "size": 2, "share": 1.0, "pace": 1.0, "loadS": 0.2,
+                            "warmS": 0.1,
+                        }],
+                    },
+                },
+                {"name": DESK, "maxConnections": 50, "warmupS": 0, "coldPerS": 0},
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+            "tenants": [{"name": TEAM, "apiKeys": [KEY]}],
+        });
+        self.fleet.rows.put("op", "config", &catalog);
+    }
+
+    /// Starts one more node with a store server of its own.
+    pub async fn add_node(&mut self) {
+        let number = u8::try_from(self.nodes.len() + 1).unwrap();
+        let process = std::process::id().to_le_bytes();
+        let site = u8::try_from(self.number).unwrap();
+        let address = Ipv4Addr::new(127, 128 | process[0] >> 1, site, number);
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
+        let settings = self.folder.path().join(format!("n{number}.toml"));
+        let text = format!(
+            r#"
+id = "n{number}"
+region = "ra"
+zone = "za"
+zones = ["za=ra"]
+[listen]
+caller = "{address}:{CALLER_PORT}"
+ready = "{address}:{READY_PORT}"
+peer = "{address}:{PEER_PORT}"
+metrics = "{address}:{METRICS_PORT}"
+[store]
+address = "{store}"
+[security]
+peer_token = "a-token-of-a-test-site"
+[bounds]
+stall = "2s"
+grace = "6s"
+"#,
+            store = store.address(),
+        );
+        std::fs::write(&settings, text).unwrap();
+        let process = self.start_process(&settings, number);
+        self.nodes.push(NativeNode {
+            process,
+            store,
+            address,
+            settings,
+        });
+    }
+
+    /// Starts a node again that has ended.
+    pub fn restart_node(&mut self, index: usize) {
+        let settings = self.nodes[index].settings.clone();
+        let number = u8::try_from(index + 1).unwrap();
+        self.nodes[index].process = self.start_process(&settings, number);
+    }
+
+    fn start_process(&self, settings: &std::path::Path, number: u8) -> Process {
+        let log = self.folder.path().join(format!("n{number}.log"));
+        let program = self.programs.binary("cuminlb");
+        Process::start(&program, ["--gateway", settings.to_str().unwrap()], log).unwrap()
+    }
+
+    /// Waits until all nodes take callers and streams are answered.
+    pub async fn wait_serving(&self) {
+        for node in &self.nodes {
+            wait_until("a node is ready", async || self.is_ready(node).await)
+                .await
+                .unwrap();
+        }
+        wait_until("a group serves", async || {
+            let answer = self.stream(0, "warm-up", "1").await;
+            answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await
+        .unwrap();
+    }
+
+    pub async fn is_ready(&self, node: &NativeNode) -> bool {
+        let answer = self.client.call(Method::GET, &node.ready_url(), &[], "").await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// Asks a node for a stream of some events.
+    pub async fn stream(&self, node: usize, id: &str, events: &str) -> Result<Answer, SiteError> {
+        let headers = [("x-model", MODEL), ("x-token-count", "100,20")];
+        self.ask(node, Method::POST, STREAM_PATH, id, &headers, events).await
+    }
+
+    /// Sends a request of the team's to a node.
+    pub async fn ask(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+        more: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, SiteError> {
+        let key = format!("Token {KEY}");
+        let mut headers = vec![
+            ("host", HOST),
+            ("x-attempt-id", id),
+            ("x-deadline-ms", "8000"),
+            ("authorization", key.as_str()),
+        ];
+        headers.extend_from_slice(more);
+        let url = self.nodes[node].url(path);
+        self.client.call(method, &url, &headers, body.to_owned()).await
+    }
+
+    /// Lets the store refuse or serve one node.
+    pub fn refuse_store(&self, node: usize, is_refused: bool) {
+        let fault = if is_refused { Fault::Refusing } else { Fault::None };
+        self.nodes[node].store.set_fault(fault);
+    }
+
+    /// Returns the id of the engine that serves as the head of a group.
+    pub fn open_head(&self) -> Option<String> {
+        let ids = (0..64).map(|number| format!("e{number}"));
+        let mut engines = ids.map_while(|id| self.fleet.engine(&id));
+        let is_open = |engine: &Arc<Engine>| {
+            engine.is_alive() && engine.place().is_some_and(|place| place.2 == "open")
+        };
+        engines.find(is_open).map(|engine| engine.id().to_owned())
+    }
+
+    /// Returns another member of the group that an engine is the head of.
+    pub fn member_beside(&self, head: &str) -> String {
+        let place = self.fleet.engine(head).unwrap().place().unwrap();
+        let ids = (0..64).map(|number| format!("e{number}"));
+        let mut engines = ids.map_while(|id| self.fleet.engine(&id));
+        let is_beside = |engine: &Arc<Engine>| {
+            let at = engine.place();
+            engine.id() != head && at.is_some_and(|at| (at.0, at.1) == (place.0.clone(), place.1))
+        };
+        engines.find(is_beside).unwrap().id().to_owned()
+    }
+
+    /// Fails if an engine was given an order that none should have been given.
+    pub fn assert_no_violation(&self) {
+        let ids = (0..64).map(|number| format!("e{number}"));
+        for engine in ids.map_while(|id| self.fleet.engine(&id)) {
+            assert_eq!(engine.violations(), Vec::<String>::new());
+        }
+    }
+}
+
+/// Returns the numbers of the events of an answer.
+pub fn event_ids(answer: &Answer) -> Vec<u64> {
+    let text = answer.text();
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
