Keep the decisions of a leader apart from its calls, and lead through outages

Cause: the leader stood still while the store did not answer its renewal, and stopped when the lease lapsed although nobody could take it; its memory could not be tested without calls. Change: Assembler (in cuminlb-assembly) holds the memory of orders; keep_lease is a task of its own and goes on while most nodes answer and none is served by the store.

--- a/crates/cuminlb-gateway/src/leading/leader_memory.rs
+++ b/crates/cuminlb-assembly/src/assembly_memory.rs
@@ -1,84 +1,81 @@
-//! [`LeaderMemory`].
+//! [`AssemblyMemory`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cuminlb_assembly::{FormingGroup, HeadHolds, InstanceHealth};
 use cuminlb_catalog::{InstanceEntry, Seat};
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
+use crate::{FormingGroup, HeadHolds, InstanceHealth};
+
 /// What a leader remembers of its orders until their effect shows, and of silent instances.
 #[derive(Debug)]
-pub(super) struct LeaderMemory {
+pub(crate) struct AssemblyMemory {
     /// Groups that are being formed, and when each is given up.
-    pub(super) forming: Vec<(FormingGroup, Instant)>,
+    pub(crate) forming: Vec<(FormingGroup, Instant)>,
     /// Instances with an order whose effect does not show yet: the seat that they had, and until
     /// when the effect is waited for.
     ordered: BTreeMap<InstanceId, (Option<Seat>, Instant)>,
     /// Instances that load weights onto their host, and until when that is waited for.
     staging: BTreeMap<InstanceId, (ModelId, Instant)>,
     /// Instances that answer nothing.
-    pub(super) health: BTreeMap<InstanceId, InstanceHealth>,
-    /// When each instance was last asked how it is.
-    pub(super) probed_at: BTreeMap<InstanceId, Instant>,
+    pub(crate) health: BTreeMap<InstanceId, InstanceHealth>,
     /// When each instance was first seen.
-    pub(super) first_seen: BTreeMap<InstanceId, Instant>,
+    pub(crate) first_seen: BTreeMap<InstanceId, Instant>,
     /// Instances whose last head may still stand open.
-    pub(super) holds: HeadHolds,
+    pub(crate) holds: HeadHolds,
 }
 
-impl LeaderMemory {
+impl AssemblyMemory {
     /// Starts without memories; heads without members give up within `give_up`.
-    pub(super) const fn new(give_up: Duration) -> Self {
+    pub(crate) const fn new(give_up: Duration) -> Self {
         Self {
             forming: Vec::new(),
             ordered: BTreeMap::new(),
             staging: BTreeMap::new(),
             health: BTreeMap::new(),
-            probed_at: BTreeMap::new(),
             first_seen: BTreeMap::new(),
             holds: HeadHolds::new(give_up),
         }
     }
 
     /// Notes that an instance has an order whose effect will show in its seat within a time.
-    pub(super) fn note_order(&mut self, id: &InstanceId, seat: Option<Seat>, until: Instant) {
+    pub(crate) fn note_order(&mut self, id: &InstanceId, seat: Option<Seat>, until: Instant) {
         self.ordered.insert(id.clone(), (seat, until));
     }
 
     /// Waits for the effect of an instance's order until another time.
-    pub(super) fn wait_until(&mut self, id: &InstanceId, until: Instant) {
+    pub(crate) fn wait_until(&mut self, id: &InstanceId, until: Instant) {
         if let Some((_, waited_until)) = self.ordered.get_mut(id) {
             *waited_until = until;
         }
     }
 
     /// Notes that an instance loads weights.
-    pub(super) fn note_staging(&mut self, id: &InstanceId, model: &ModelId, until: Instant) {
+    pub(crate) fn note_staging(&mut self, id: &InstanceId, model: &ModelId, until: Instant) {
         self.staging.insert(id.clone(), (model.clone(), until));
     }
 
     /// Notes that an instance does not load weights.
-    pub(super) fn clear_staging(&mut self, id: &InstanceId) {
+    pub(crate) fn clear_staging(&mut self, id: &InstanceId) {
         self.staging.remove(id);
     }
 
     /// Notes the instances that are there.
-    pub(super) fn note_seen(
+    pub(crate) fn note_seen(
         &mut self,
         now: Instant,
         instances: &BTreeMap<InstanceId, InstanceEntry>,
     ) {
         self.first_seen.retain(|id, _| instances.contains_key(id));
-        self.probed_at.retain(|id, _| instances.contains_key(id));
         for id in instances.keys() {
             self.first_seen.entry(id.clone()).or_insert(now);
         }
     }
 
     /// Drops what is over.
-    pub(super) fn forget_past(
+    pub(crate) fn forget_past(
         &mut self,
         now: Instant,
         instances: &BTreeMap<InstanceId, InstanceEntry>,
@@ -94,23 +91,23 @@
     }
 
     /// Returns the instances with an order whose effect does not show yet.
-    pub(super) fn ordered(&self) -> BTreeSet<InstanceId> {
+    pub(crate) fn ordered(&self) -> BTreeSet<InstanceId> {
         self.ordered.keys().cloned().collect()
     }
 
     /// Returns the instances that load weights onto their host.
-    pub(super) fn staging(&self) -> BTreeMap<InstanceId, ModelId> {
+    pub(crate) fn staging(&self) -> BTreeMap<InstanceId, ModelId> {
         let staging = self.staging.iter();
         staging.map(|(id, (model, _))| (id.clone(), model.clone())).collect()
     }
 
     /// Returns the groups that are being formed.
-    pub(super) fn forming_groups(&self) -> Vec<FormingGroup> {
+    pub(crate) fn forming_groups(&self) -> Vec<FormingGroup> {
         self.forming.iter().map(|(group, _)| group.clone()).collect()
     }
 
     /// Returns the loads of weights that are under way.
-    pub(super) fn loads_running(&self) -> usize {
+    pub(crate) fn loads_running(&self) -> usize {
         let forming: usize = self.forming.iter().map(|(group, _)| group.loads).sum();
         forming + self.staging.len()
     }
--- a/crates/cuminlb-gateway/src/knowledge/directory.rs
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -41,6 +41,12 @@
         self.cold_until.get(id).is_some_and(|&until| now < until)
     }
 
+    /// Returns an instance of whatever service.
+    pub(crate) fn any_instance(&self, id: &InstanceId) -> Option<&InstanceEntry> {
+        let mut services = self.services.values();
+        services.find_map(|instances| instances.get(id))
+    }
+
     /// Returns an instance of a service.
     pub(crate) fn instance(&self, service: &ServiceId, id: &InstanceId) -> Option<&InstanceEntry> {
         self.services.get(service)?.get(id)
--- a/crates/cuminlb-gateway/src/knowledge/follow_table.rs
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -46,7 +46,7 @@
                     must_read_whole = true;
                 }
                 Err(error) => {
-                    gateway.knowledge.note_store_trouble(Instant::now());
+                    gateway.knowledge.note_store_trouble(table, Instant::now());
                     if !is_lost {
                         warn!(table:% = table; "store lost: {error}");
                     }
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -28,6 +28,8 @@
 struct State {
     mirrors: BTreeMap<StoreTable, TableMirror>,
     heard_at: BTreeMap<StoreTable, Instant>,
+    /// The tables on which the newest call to the store has failed.
+    lost: BTreeSet<StoreTable>,
     instances: InstanceRecords,
     zones_out: BTreeSet<ZoneId>,
 }
@@ -88,9 +90,16 @@
         Some(now.duration_since(heard_at).into())
     }
 
-    /// Notes that the store can't be reached.
-    pub(crate) fn note_store_trouble(&self, now: Instant) {
-        self.state().instances.note_trouble(now);
+    /// Notes that a call about a table to the store has failed.
+    pub(crate) fn note_store_trouble(&self, table: StoreTable, now: Instant) {
+        let mut state = self.state();
+        state.lost.insert(table);
+        state.instances.note_trouble(now);
+    }
+
+    /// Tells whether the store serves this node on none of the tables.
+    pub(crate) fn is_store_lost(&self) -> bool {
+        self.state().lost.len() == StoreTable::ALL.len()
     }
 
     /// Takes changes of a table in; returns the rows that are new to this node.
@@ -104,6 +113,7 @@
         let mut state = self.state();
         if source == RowSource::Store {
             state.heard_at.insert(table, now);
+            state.lost.remove(&table);
         }
         let fresh = state.mirrors.entry(table).or_default().apply(changes);
         let changed = match table {
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -28,6 +28,7 @@
         RelayedRows {
             changes: knowledge.since(table, after),
             heard_ms: heard_ms.unwrap_or(Millis(u64::MAX)),
+            is_store_lost: knowledge.is_store_lost(),
         }
     }
 
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -17,7 +17,7 @@
 
 use crate::gateway::Gateway;
 use crate::knowledge::{RelayService, follow_table, register_node};
-use crate::leading::lead;
+use crate::leading::{SharedLease, keep_lease, lead};
 use crate::serving::{serve_front, serve_ready};
 use crate::{Edges, GatewayError};
 
@@ -73,7 +73,9 @@
     ));
     tasks.spawn(keep_house(Arc::clone(&gateway), rest_stop.clone()));
     let mut leading = JoinSet::new();
-    leading.spawn(lead(Arc::clone(&gateway), leading_stop.clone()));
+    let lease = SharedLease::new(None);
+    leading.spawn(lead(Arc::clone(&gateway), lease.subscribe(), leading_stop.clone()));
+    leading.spawn(keep_lease(Arc::clone(&gateway), lease, leading_stop.clone()));
     let grace = gateway.settings.bounds.grace_ms.duration();
     let cut = grace.mul_f64(FINISH_PART).saturating_sub(LEAVING_PAUSE);
     let mut front = JoinSet::new();
@@ -130,9 +132,6 @@
         gateway.knowledge.drop_lapsed(now);
         gateway.pool.close_old(now);
         let directory = gateway.knowledge.directory();
-        gateway.loads.forget_except(|id| {
-            let mut services = directory.services.values();
-            services.any(|instances| instances.contains_key(id))
-        });
+        gateway.loads.forget_except(|id| directory.any_instance(id).is_some());
     }
 }
--- a/crates/cuminlb-peer/src/message/relayed_rows.rs
+++ b/crates/cuminlb-peer/src/message/relayed_rows.rs
@@ -12,4 +12,6 @@
     pub changes: RowChangeSet,
     /// How long ago the node heard the store itself.
     pub heard_ms: Millis,
+    /// Whether the node's newest call to the store has failed.
+    pub is_store_lost: bool,
 }
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -155,7 +155,8 @@
         let number = u8::try_from(self.nodes.len() + 1).unwrap();
         let process = std::process::id().to_le_bytes();
         let site = u8::try_from(self.number).unwrap();
-        let address = Ipv4Addr::new(127, 128 | process[0] >> 1, site, number);
+        assert!(site < 16 && number < 16, "a loopback address is left for each node");
+        let address = Ipv4Addr::new(127, 128 | process[1] >> 1, process[0], site * 16 + number);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
         let settings = self.folder.path().join(format!("n{number}.toml"));
