--- a/crates/cuminlb-assembly/src/assembler.rs
+++ b/crates/cuminlb-assembly/src/assembler.rs
@@ -36,9 +36,9 @@
 impl Assembler {
     /// Starts without memories. All epochs are above `base`, and heads without members give up
     /// within `give_up`.
-    pub const fn new(base: Epoch, give_up: Duration) -> Self {
+    pub fn new(base: Epoch, give_up: Duration, now: Instant) -> Self {
         Self {
-            memory: AssemblyMemory::new(give_up),
+            memory: AssemblyMemory::new(base, give_up, now),
             epoch: base,
         }
     }
@@ -59,6 +59,8 @@
                 staging: &self.memory.staging(),
                 holds: &self.memory.holds,
                 first_seen: &self.memory.first_seen,
+                late_orders: &self.memory.late_orders,
+                last_models: &self.memory.last_models(),
                 unlisted: view.unlisted,
                 zones_out: view.zones_out,
                 is_busy: view.is_busy,
@@ -81,6 +83,9 @@
         outcome: OrderOutcome,
         now: Instant,
     ) -> bool {
+        if let (GroupOrder::Join { epoch, .. }, true) = (order, outcome != OrderOutcome::Unknown) {
+            self.memory.late_orders.note_join_answered(instance, *epoch);
+        }
         match order {
             GroupOrder::Leave { .. } if outcome.is_accepted() => {
                 self.memory.holds.hold(instance.clone(), now);
@@ -94,6 +99,15 @@
                 let forming = &mut self.memory.forming;
                 forming.retain(|(forming, _)| forming.epoch != *epoch);
             }
+            GroupOrder::Open { group, epoch } if outcome != OrderOutcome::Unknown => {
+                let (group, until) = (group.clone(), now + EFFECT_TIMEOUT);
+                self.memory
+                    .late_orders
+                    .note_open_answered(group, *epoch, until);
+                if !outcome.is_accepted() {
+                    self.memory.wait_until(instance, now + REPEAT_PAUSE);
+                }
+            }
             GroupOrder::Open { .. } | GroupOrder::Close { .. } if !outcome.is_accepted() => {
                 self.memory.wait_until(instance, now + REPEAT_PAUSE);
             }
@@ -109,7 +123,8 @@
         report: &InstanceReport,
         view: &AssemblyView<'_>,
     ) {
-        let place = |seat: &Option<Seat>| seat.as_ref().map(|seat| (seat.group.clone(), seat.epoch));
+        let place =
+            |seat: &Option<Seat>| seat.as_ref().map(|seat| (seat.group.clone(), seat.epoch));
         let entry = view.instances.get(instance);
         // The entry of an unlisted instance changes no more, so it may be out of date.
         let has_moved = view.unlisted.contains(instance)
@@ -130,7 +145,12 @@
     /// Takes in that an instance answers nothing.
     pub fn note_silence(&mut self, instance: &InstanceId) {
         let silent = InstanceHealth::Silent;
-        if self.memory.health.insert(instance.clone(), silent).is_none() {
+        if self
+            .memory
+            .health
+            .insert(instance.clone(), silent)
+            .is_none()
+        {
             info!(instance:% = instance; "instance silent");
         }
     }
@@ -187,9 +207,12 @@
                 group,
                 epoch,
             } => (member, GroupOrder::Leave { group, epoch }),
-            AssemblyStep::Open { head, group, epoch } => (head, GroupOrder::Open { group, epoch }),
+            AssemblyStep::Open { head, group, epoch } => {
+                self.memory.late_orders.note_open(group.clone(), epoch, now);
+                (head, GroupOrder::Open { group, epoch })
+            }
             AssemblyStep::Warm { instance, model } => {
-                let Some(order) = self.warm(&instance, model) else {
+                let Some(order) = self.warm(&instance, model, now) else {
                     return;
                 };
                 (instance, order)
@@ -217,7 +240,10 @@
         orders.push(InstanceOrder { instance, order });
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of one step and its surroundings")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the parts of one step and its surroundings"
+    )]
     fn form(
         &mut self,
         model: ModelId,
@@ -245,6 +271,10 @@
             group:% = group, epoch:% = epoch, members = list.join(","), loads = loads;
             "group forms"
         );
+        for member in &members {
+            let late_orders = &mut self.memory.late_orders;
+            late_orders.note_join(member.clone(), epoch, now);
+        }
         orders.extend(members.iter().map(|member| InstanceOrder {
             instance: member.clone(),
             order: GroupOrder::Join {
@@ -265,8 +295,10 @@
     }
 
     /// Makes an unused instance the only member of a group that never serves.
-    fn warm(&mut self, instance: &InstanceId, model: ModelId) -> Option<GroupOrder> {
+    fn warm(&mut self, instance: &InstanceId, model: ModelId, now: Instant) -> Option<GroupOrder> {
         self.epoch = self.epoch.next();
+        let late_orders = &mut self.memory.late_orders;
+        late_orders.note_join(instance.clone(), self.epoch, now);
         Some(GroupOrder::Join {
             group: group_name(&model, self.epoch)?,
             epoch: self.epoch,
--- a/crates/cuminlb-assembly/src/assembly_memory.rs
+++ b/crates/cuminlb-assembly/src/assembly_memory.rs
@@ -7,7 +7,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use crate::{FormingGroup, HeadHolds, InstanceHealth};
+use crate::{FormingGroup, HeadHolds, InstanceHealth, LateOrders, group_model};
 
 /// What a leader remembers of its orders until their effect shows, and of silent instances.
 #[derive(Debug)]
@@ -21,6 +21,10 @@
     staging: BTreeMap<InstanceId, (ModelId, Instant)>,
     /// Instances that answer nothing.
     pub(crate) health: BTreeMap<InstanceId, InstanceHealth>,
+    /// Orders that may still take effect.
+    pub(crate) late_orders: LateOrders,
+    /// The model of each instance's last group, and the life in which that was.
+    last_models: BTreeMap<InstanceId, (Incarnation, ModelId)>,
     /// When each instance was first seen.
     pub(crate) first_seen: BTreeMap<InstanceId, Instant>,
     /// Instances whose last head may still stand open.
@@ -28,14 +32,17 @@
 }
 
 impl AssemblyMemory {
-    /// Starts without memories; heads without members give up within `give_up`.
-    pub(crate) const fn new(give_up: Duration) -> Self {
+    /// Starts without memories, with epochs above `base`; heads without members give up within
+    /// `give_up`.
+    pub(crate) fn new(base: Epoch, give_up: Duration, now: Instant) -> Self {
         Self {
             forming: Vec::new(),
             ordered: BTreeMap::new(),
             staging: BTreeMap::new(),
             health: BTreeMap::new(),
             first_seen: BTreeMap::new(),
+            late_orders: LateOrders::new(base, now),
+            last_models: BTreeMap::new(),
             holds: HeadHolds::new(give_up),
         }
     }
@@ -69,11 +76,30 @@
         instances: &BTreeMap<InstanceId, InstanceEntry>,
     ) {
         self.first_seen.retain(|id, _| instances.contains_key(id));
-        for id in instances.keys() {
+        let is_same_life = |id: &InstanceId, life: Incarnation| {
+            instances.get(id).is_some_and(|entry| entry.life == life)
+        };
+        self.last_models
+            .retain(|id, (life, _)| is_same_life(id, *life));
+        for (id, entry) in instances {
             self.first_seen.entry(id.clone()).or_insert(now);
+            let model = entry
+                .seat
+                .as_ref()
+                .and_then(|seat| group_model(&seat.group));
+            if let Some(model) = model {
+                self.last_models.insert(id.clone(), (entry.life, model));
+            }
         }
     }
 
+    /// Returns the model of each instance's last group.
+    pub(crate) fn last_models(&self) -> BTreeMap<InstanceId, ModelId> {
+        let last = self.last_models.iter();
+        last.map(|(id, (_, model))| (id.clone(), model.clone()))
+            .collect()
+    }
+
     /// Drops what is over.
     pub(crate) fn forget_past(
         &mut self,
@@ -88,6 +114,7 @@
             now < *until && entry.is_some_and(|entry| !entry.has_staged(model))
         });
         self.holds.forget_past(now);
+        self.late_orders.forget_past(now);
     }
 
     /// Returns the instances with an order whose effect does not show yet.
@@ -98,12 +125,17 @@
     /// Returns the instances that load weights onto their host.
     pub(crate) fn staging(&self) -> BTreeMap<InstanceId, ModelId> {
         let staging = self.staging.iter();
-        staging.map(|(id, (model, _))| (id.clone(), model.clone())).collect()
+        staging
+            .map(|(id, (model, _))| (id.clone(), model.clone()))
+            .collect()
     }
 
     /// Returns the groups that are being formed.
     pub(crate) fn forming_groups(&self) -> Vec<FormingGroup> {
-        self.forming.iter().map(|(group, _)| group.clone()).collect()
+        self.forming
+            .iter()
+            .map(|(group, _)| group.clone())
+            .collect()
     }
 
     /// Returns the loads of weights that are under way.
--- a/crates/cuminlb-assembly/src/candidate.rs
+++ b/crates/cuminlb-assembly/src/candidate.rs
@@ -3,8 +3,6 @@
 use cuminlb_catalog::{InstanceEntry, ModelShape};
 use cuminlb_types::prelude::*;
 
-use crate::group_model;
-
 /// The time that joining takes for an instance whose last group served the same model.
 const REJOIN_MS: Millis = Millis(200);
 
@@ -17,10 +15,13 @@
 }
 
 impl<'a> Candidate<'a> {
-    pub(crate) fn new(entry: &'a InstanceEntry, shape: &ModelShape) -> Self {
-        let last_model = entry.seat.as_ref().and_then(|seat| group_model(&seat.group));
+    pub(crate) fn new(
+        entry: &'a InstanceEntry,
+        shape: &ModelShape,
+        last_model: Option<&ModelId>,
+    ) -> Self {
         let must_load = !entry.has_staged(&shape.id);
-        let join_ms = if last_model.as_ref() == Some(&shape.id) {
+        let join_ms = if last_model == Some(&shape.id) {
             REJOIN_MS
         } else if must_load {
             shape.load_ms
--- a/crates/cuminlb-assembly/src/group_targets.rs
+++ b/crates/cuminlb-assembly/src/group_targets.rs
@@ -19,7 +19,8 @@
     pub fn new(engine: &EngineSpec, instances: usize) -> Self {
         let total_share: f64 = engine.models.iter().map(|model| model.share).sum();
         let counts = engine.models.iter().map(|model| {
-            let part = instances as f64 * SERVING_PART * model.share / total_share.max(f64::EPSILON);
+            let part =
+                instances as f64 * SERVING_PART * model.share / total_share.max(f64::EPSILON);
             let count = (part / f64::from(model.size.get())).round() as usize;
             (model.id.clone(), count.max(1))
         });
--- a/crates/cuminlb-assembly/src/group_view.rs
+++ b/crates/cuminlb-assembly/src/group_view.rs
@@ -74,9 +74,7 @@
 
     /// Tells whether the head serves and every member is there.
     pub fn is_serving(&self) -> bool {
-        let is_joined = |member: &Option<(InstanceId, SeatState)>| {
-            matches!(member, Some((_, state)) if *state != SeatState::Joining)
-        };
+        let is_joined = |member: &Option<(InstanceId, SeatState)>| matches!(member, Some((_, state)) if *state != SeatState::Joining);
         matches!(self.head(), Some((_, SeatState::Open))) && self.members.iter().all(is_joined)
     }
 }
--- a/crates/cuminlb-assembly/src/lib.rs
+++ b/crates/cuminlb-assembly/src/lib.rs
@@ -18,6 +18,7 @@
 mod head_holds;
 mod instance_health;
 mod instance_order;
+mod late_orders;
 mod plan_assembly;
 mod situation;
 
@@ -31,5 +32,6 @@
 pub use crate::head_holds::HeadHolds;
 pub use crate::instance_health::InstanceHealth;
 pub use crate::instance_order::InstanceOrder;
+pub use crate::late_orders::LateOrders;
 pub use crate::plan_assembly::plan_assembly;
 pub use crate::situation::Situation;
--- a/crates/cuminlb-assembly/src/plan_assembly.rs
+++ b/crates/cuminlb-assembly/src/plan_assembly.rs
@@ -19,6 +19,7 @@
 pub fn plan_assembly<'a>(situation: &Situation<'a>, now: Instant) -> Vec<AssemblyStep> {
     let mut plan = Plan {
         situation,
+        now,
         steps: Vec::new(),
         bound: BTreeSet::new(),
         standing: BTreeMap::new(),
@@ -61,6 +62,7 @@
 
 struct Plan<'s, 'a> {
     situation: &'s Situation<'a>,
+    now: Instant,
     steps: Vec<AssemblyStep>,
     /// Instances that a group needs, or that may not leave theirs yet.
     bound: BTreeSet<InstanceId>,
@@ -92,7 +94,15 @@
         };
         let head = group.head().map(|(id, _)| id);
         let is_head_listed = head.is_some_and(|head| !situation.unlisted.contains(head));
-        if group.is_whole() && is_head_listed && group.present().all(is_kept) {
+        // A group that does not serve yet is formed anew if a member may be taken away again by an
+        // order that was given earlier: the new epoch makes that order void.
+        let may_be_taken = group.can_open()
+            && group.present().any(|id| {
+                let late_orders = situation.late_orders;
+                late_orders.may_be_taken(id, group.epoch, self.now)
+            });
+        let is_sound = group.is_whole() && is_head_listed && !may_be_taken;
+        if is_sound && group.present().all(is_kept) {
             self.keep(group);
         } else {
             self.give_up(group);
@@ -145,12 +155,28 @@
             (Some((id, state)), None) => match state {
                 SeatState::Open | SeatState::Closing => {
                     if *state == SeatState::Open && !situation.ordered.contains(id) {
-                        let all_fine = group.is_whole() && group.present().all(|m| situation.is_fine(m));
+                        let all_fine =
+                            group.is_whole() && group.present().all(|m| situation.is_fine(m));
                         self.steps.push(AssemblyStep::Close {
                             head: id.clone(),
                             group: group.group.clone(),
                             epoch: group.epoch,
-                            mode: if all_fine { CloseMode::Finish } else { CloseMode::CutOff },
+                            mode: if all_fine {
+                                CloseMode::Finish
+                            } else {
+                                CloseMode::CutOff
+                            },
+                        });
+                    }
+                    self.giving_up.insert(group.shape.id.clone());
+                    self.bind(group);
+                }
+                SeatState::Ready if self.may_open_late(group) => {
+                    if !situation.ordered.contains(id) {
+                        self.steps.push(AssemblyStep::Leave {
+                            member: id.clone(),
+                            group: group.group.clone(),
+                            epoch: group.epoch,
                         });
                     }
                     self.giving_up.insert(group.shape.id.clone());
@@ -166,6 +192,17 @@
         }
     }
 
+    /// Tells whether the head of a group may begin to serve by an order that was given earlier, so
+    /// that it must leave before its members join elsewhere.
+    fn may_open_late(&self, group: &GroupView) -> bool {
+        let late_orders = self.situation.late_orders;
+        late_orders.may_open(&group.group, group.epoch, self.now)
+    }
+
+    fn candidate(&self, entry: &'a InstanceEntry, shape: &ModelShape) -> Candidate<'a> {
+        Candidate::new(entry, shape, self.situation.last_models.get(&entry.id))
+    }
+
     /// Forms groups whose heads answer nothing again, under their own names and with a higher
     /// epoch: a head that still lives somewhere loses its members by that and serves nothing.
     /// Members of a group that can't be formed again leave it, to be free when their head must
@@ -185,7 +222,7 @@
             let missing = group.members.len() - survivors.len();
             let mut helpers: Vec<Candidate<'a>> = spares
                 .iter()
-                .map(|entry| Candidate::new(entry, &group.shape))
+                .map(|entry| self.candidate(entry, &group.shape))
                 .filter(|candidate| !candidate.must_load)
                 .collect();
             helpers.sort_by_key(|candidate| candidate.join_ms);
@@ -252,9 +289,8 @@
                 .filter(|model| !given_up.contains(&model.id))
                 .filter(|model| standing(model) < targets.get(&model.id))
                 .min_by(|a, b| {
-                    let part = |model: &ModelShape| {
-                        standing(model) as f64 / targets.get(&model.id) as f64
-                    };
+                    let part =
+                        |model: &ModelShape| standing(model) as f64 / targets.get(&model.id) as f64;
                     part(a).total_cmp(&part(b)).then(b.size.cmp(&a.size))
                 });
             let Some(model) = lacking else { break };
@@ -278,24 +314,37 @@
         now: Instant,
     ) -> bool {
         let size = model.size.get() as usize;
-        let mut best: Option<(DomainRank, Option<FabricDomainId>, Vec<Candidate<'a>>, usize)> = None;
+        let mut best: Option<(
+            DomainRank,
+            Option<FabricDomainId>,
+            Vec<Candidate<'a>>,
+            usize,
+        )> = None;
         for (domain, instances) in free.iter() {
             if instances.len() < size || self.is_kept_free(domain.as_ref(), larger) {
                 continue;
             }
             let mut candidates: Vec<_> = instances
                 .iter()
-                .map(|entry| Candidate::new(entry, model))
+                .map(|entry| self.candidate(entry, model))
                 .collect();
             // Those that hold other weights are left for the models that need these.
-            candidates.sort_by_key(|candidate| {
-                (candidate.join_ms, !candidate.entry.staged.is_empty())
-            });
+            candidates
+                .sort_by_key(|candidate| (candidate.join_ms, !candidate.entry.staged.is_empty()));
             candidates.truncate(size);
-            let join_ms = candidates.iter().map(|it| it.join_ms).max().unwrap_or_default();
+            let join_ms = candidates
+                .iter()
+                .map(|it| it.join_ms)
+                .max()
+                .unwrap_or_default();
             let loads = candidates.iter().filter(|it| it.must_load).count();
-            let is_settled = || instances.iter().all(|it| !self.situation.is_new(&it.id, now));
+            let is_settled = || {
+                instances
+                    .iter()
+                    .all(|it| !self.situation.is_new(&it.id, now))
+            };
             if loads > 0 && (self.giving_up.contains(&model.id) || !is_settled()) {
+                self.waits_for_loads = true;
                 continue;
             }
             if loads > 0 && self.loads_running >= self.most_loads() {
@@ -307,7 +356,10 @@
                 same_model: self.formed_in(domain.as_ref(), model),
                 unused: std::cmp::Reverse(instances.len()),
             };
-            if best.as_ref().is_none_or(|(best_rank, ..)| rank < *best_rank) {
+            if best
+                .as_ref()
+                .is_none_or(|(best_rank, ..)| rank < *best_rank)
+            {
                 best = Some((rank, domain.clone(), candidates, loads));
             }
         }
@@ -344,18 +396,22 @@
             for model in instances.iter().filter_map(|entry| staging.get(&entry.id)) {
                 *spares.entry(model).or_default() += 1;
             }
-            let is_bare =
-                |entry: &&&InstanceEntry| entry.staged.is_empty() && !staging.contains_key(&entry.id);
+            let is_bare = |entry: &&&InstanceEntry| {
+                entry.staged.is_empty() && !staging.contains_key(&entry.id)
+            };
             for entry in instances.iter().filter(is_bare) {
                 if self.situation.is_busy && self.loads_running >= self.most_loads() {
                     return;
                 }
                 let need = |model: &ModelShape| {
                     let members = self.members_in(domain.as_ref(), &model.id);
-                    members as f64 / (1.0 + SPARE_WEIGHT * spares.get(&model.id).copied().unwrap_or(0) as f64)
+                    members as f64
+                        / (1.0 + SPARE_WEIGHT * spares.get(&model.id).copied().unwrap_or(0) as f64)
                 };
                 let neediest = engine.models.iter().max_by(|a, b| {
-                    need(a).total_cmp(&need(b)).then(a.share.total_cmp(&b.share))
+                    need(a)
+                        .total_cmp(&need(b))
+                        .then(a.share.total_cmp(&b.share))
                 });
                 let Some(model) = neediest else { return };
                 *spares.entry(&model.id).or_default() += 1;
@@ -370,7 +426,9 @@
 
     /// Lets spares that hold weights join by themselves, so that they can help out at once.
     fn warm_spares(&mut self, free: &FreeInstances<'a>) {
-        for entry in free.values().flatten().filter(|entry| entry.seat.is_none()) {
+        let last_models = self.situation.last_models;
+        let is_warm = |id: &InstanceId| last_models.contains_key(id);
+        for entry in free.values().flatten().filter(|entry| !is_warm(&entry.id)) {
             if let Some(model) = entry.staged.last() {
                 self.steps.push(AssemblyStep::Warm {
                     instance: entry.id.clone(),
--- a/crates/cuminlb-assembly/src/situation.rs
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -7,7 +7,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use crate::{FormingGroup, GroupView, HeadHolds, InstanceHealth};
+use crate::{FormingGroup, GroupView, HeadHolds, InstanceHealth, LateOrders};
 
 /// The time in which instances that start together show up.
 const SETTLING: Duration = Duration::from_millis(1_600);
@@ -35,6 +35,10 @@
     pub unlisted: &'a BTreeSet<InstanceId>,
     /// Zones to which nothing may be sent.
     pub zones_out: &'a BTreeSet<ZoneId>,
+    /// Orders that were given earlier and may still take effect.
+    pub late_orders: &'a LateOrders,
+    /// The model of the last group of instances that have left theirs.
+    pub last_models: &'a BTreeMap<InstanceId, ModelId>,
     /// When each instance was first seen.
     pub first_seen: &'a BTreeMap<InstanceId, Instant>,
     /// Whether callers have come; until then loads are fast and slow nobody down.
--- /dev/null
+++ b/crates/cuminlb-assembly/tests/assembly/model_engine.rs
@@ -0,0 +1,166 @@
+//! An engine that carries out orders as the platform's pages say.
+
+use cuminlb_catalog::{GroupOrder, InstanceEntry, OrderOutcome, Seat, SeatState};
+use cuminlb_types::prelude::*;
+
+/// The seat of an engine with the list of members that came with its join.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub seat: Seat,
+    pub members: Vec<InstanceId>,
+}
+
+#[derive(Clone, Debug)]
+pub struct ModelEngine {
+    pub id: InstanceId,
+    pub domain: u32,
+    pub life: u64,
+    pub is_alive: bool,
+    pub place: Option<Place>,
+    pub staged: Option<ModelId>,
+    /// Whether a load or a join is still to end.
+    pub joining_steps: u32,
+    pub opening: bool,
+    seen_epoch: Epoch,
+}
+
+impl ModelEngine {
+    pub fn new(number: u32, domain: u32) -> Self {
+        Self {
+            id: format!("e{number}").parse().unwrap(),
+            domain,
+            life: 1,
+            is_alive: true,
+            place: None,
+            staged: None,
+            joining_steps: 0,
+            opening: false,
+            seen_epoch: Epoch(0),
+        }
+    }
+
+    /// Starts again: all but the weights on the host is forgotten.
+    pub fn restart(&mut self) {
+        let staged = self.staged.clone();
+        let number: u32 = self.id.as_str()[1..].parse().unwrap();
+        let life = self.life + 1;
+        *self = Self::new(number, self.domain);
+        self.life = life;
+        self.staged = staged;
+    }
+
+    pub fn entry(&self) -> InstanceEntry {
+        InstanceEntry {
+            id: self.id.clone(),
+            service: "engines".parse().unwrap(),
+            address: ([127, 0, 0, 1], 80).into(),
+            zone: "za".parse().unwrap(),
+            is_leaving: false,
+            cold_ms: Millis(0),
+            slots: SlotCount(8),
+            life: Incarnation(self.life),
+            orders: OrderSequence(0),
+            domain: Some(format!("d{}", self.domain).parse().unwrap()),
+            staged: self.staged.iter().cloned().collect(),
+            seat: self.place.as_ref().map(|place| place.seat.clone()),
+        }
+    }
+
+    pub fn apply(&mut self, order: &GroupOrder) -> OrderOutcome {
+        match order {
+            GroupOrder::Join {
+                group,
+                epoch,
+                model,
+                members,
+            } => {
+                let has_other_members = self.place.as_ref().is_some_and(|place| {
+                    place.seat.group == *group
+                        && place.seat.epoch == *epoch
+                        && place.members != *members
+                });
+                if *epoch < self.seen_epoch || has_other_members {
+                    return OrderOutcome::Outdated;
+                }
+                self.seen_epoch = *epoch;
+                self.joining_steps = if self.staged.as_ref() == Some(model) {
+                    1
+                } else {
+                    3
+                };
+                self.staged = Some(model.clone());
+                self.opening = false;
+                let rank = members.iter().position(|id| *id == self.id).unwrap();
+                self.place = Some(Place {
+                    seat: Seat {
+                        group: group.clone(),
+                        epoch: *epoch,
+                        rank: rank as u32,
+                        state: SeatState::Joining,
+                    },
+                    members: members.clone(),
+                });
+                OrderOutcome::Begun
+            }
+            GroupOrder::Open { group, epoch } => match self.seat_of(group, *epoch) {
+                Some(SeatState::Open) => OrderOutcome::Done,
+                Some(SeatState::Ready) => {
+                    self.opening = true;
+                    OrderOutcome::Begun
+                }
+                _ => OrderOutcome::Conflict,
+            },
+            GroupOrder::Close { group, epoch, .. } => match self.seat_of(group, *epoch) {
+                Some(SeatState::Ready) => OrderOutcome::Done,
+                Some(SeatState::Open | SeatState::Broken) => {
+                    self.set_state(SeatState::Ready);
+                    OrderOutcome::Begun
+                }
+                _ => OrderOutcome::Conflict,
+            },
+            GroupOrder::Leave { group, epoch } => match self.seat_of(group, *epoch) {
+                Some(_) => {
+                    self.place = None;
+                    self.opening = false;
+                    OrderOutcome::Done
+                }
+                None => OrderOutcome::Conflict,
+            },
+            GroupOrder::Stage { model } => {
+                self.staged = Some(model.clone());
+                OrderOutcome::Begun
+            }
+        }
+    }
+
+    /// Lets some time pass; returns whether the head began to serve.
+    pub fn step(&mut self) -> bool {
+        if self.joining_steps > 0 {
+            self.joining_steps -= 1;
+            if self.joining_steps == 0 {
+                self.set_state(SeatState::Ready);
+            }
+        }
+        let opens = self.opening;
+        if opens {
+            self.opening = false;
+            self.set_state(SeatState::Open);
+        }
+        opens
+    }
+
+    pub fn is_open(&self) -> bool {
+        matches!(&self.place, Some(place) if place.seat.state == SeatState::Open)
+    }
+
+    fn seat_of(&self, group: &GroupId, epoch: Epoch) -> Option<SeatState> {
+        let seat = &self.place.as_ref()?.seat;
+        (seat.group == *group && seat.epoch == epoch).then_some(seat.state)
+    }
+
+    fn set_state(&mut self, state: SeatState) {
+        if let Some(place) = &mut self.place {
+            place.seat.state = state;
+        }
+    }
+}
--- a/crates/cuminlb-catalog/src/wire_format.rs
+++ b/crates/cuminlb-catalog/src/wire_format.rs
@@ -38,8 +38,11 @@
     fn answer_headers(&self, head: &response::Parts) -> http::HeaderMap;
 
     /// Returns the headers of an answer of the node's own.
-    fn own_headers(&self, request: Option<&RequestId>, retry_after: Option<Millis>)
-    -> http::HeaderMap;
+    fn own_headers(
+        &self,
+        request: Option<&RequestId>,
+        retry_after: Option<Millis>,
+    ) -> http::HeaderMap;
 
     /// Reads a row of the desired state.
     ///
--- a/crates/cuminlb-config/src/settings/gateway_settings.rs
+++ b/crates/cuminlb-config/src/settings/gateway_settings.rs
@@ -108,7 +108,10 @@
     let mut zones = BTreeMap::new();
     for entry in reader.list::<String>("zones") {
         let pair = entry.split_once('=').and_then(|(zone, region)| {
-            Some((zone.parse::<ZoneId>().ok()?, region.parse::<RegionId>().ok()?))
+            Some((
+                zone.parse::<ZoneId>().ok()?,
+                region.parse::<RegionId>().ok()?,
+            ))
         });
         match pair {
             Some((zone, region)) => {
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -63,7 +63,8 @@
     /// Notes a request for a service, which earns a part of a repeat.
     pub(crate) fn note_request(&self, service: &ServiceId) {
         let bounds = self.live_settings().bounds;
-        self.budgets.note_request(service, &bounds, self.node_count());
+        self.budgets
+            .note_request(service, &bounds, self.node_count());
     }
 
     /// Takes a repeat out of the budget of a service, or returns `false` when none is left.
--- a/crates/cuminlb-gateway/src/knowledge/directory.rs
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -29,11 +29,11 @@
 
 impl Directory {
     /// Returns the instances of a service.
-    pub(crate) fn instances(
-        &self,
-        service: &ServiceId,
-    ) -> impl Iterator<Item = &InstanceEntry> {
-        self.services.get(service).into_iter().flat_map(BTreeMap::values)
+    pub(crate) fn instances(&self, service: &ServiceId) -> impl Iterator<Item = &InstanceEntry> {
+        self.services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
     }
 
     /// Tells whether an instance bears only few requests because it has just started.
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -68,7 +68,11 @@
     /// Returns the version of a table up to which nothing is missing.
     pub(crate) fn version(&self, table: StoreTable) -> RowVersion {
         let state = self.state();
-        state.mirrors.get(&table).map(TableMirror::version).unwrap_or_default()
+        state
+            .mirrors
+            .get(&table)
+            .map(TableMirror::version)
+            .unwrap_or_default()
     }
 
     /// Returns the rows of a table that changed after a version, for a peer.
--- a/crates/cuminlb-gateway/src/knowledge/mod.rs
+++ b/crates/cuminlb-gateway/src/knowledge/mod.rs
@@ -8,7 +8,10 @@
 mod directory;
 mod follow_table;
 mod instance_records;
-#[expect(clippy::module_inception, reason = "the module is named for its main type")]
+#[expect(
+    clippy::module_inception,
+    reason = "the module is named for its main type"
+)]
 mod knowledge;
 mod node_row;
 mod peer_links;
--- a/crates/cuminlb-gateway/src/knowledge/table_mirror.rs
+++ b/crates/cuminlb-gateway/src/knowledge/table_mirror.rs
@@ -40,11 +40,13 @@
         if changes.is_whole {
             let is_listed = |key: &RowKey| changes.rows.iter().any(|row| row.key == *key);
             let removed = self.rows().filter(|row| row.version < changes.version);
-            let removed = removed.filter(|row| !is_listed(&row.key)).map(|row| SharedRow {
-                key: row.key.clone(),
-                version: changes.version,
-                value: None,
-            });
+            let removed = removed
+                .filter(|row| !is_listed(&row.key))
+                .map(|row| SharedRow {
+                    key: row.key.clone(),
+                    version: changes.version,
+                    value: None,
+                });
             fresh.extend(removed.collect::<Vec<_>>());
         }
         fresh.extend(changes.rows.into_iter().filter(|row| {
--- a/crates/cuminlb-gateway/src/leading/keep_lease.rs
+++ b/crates/cuminlb-gateway/src/leading/keep_lease.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::SharedLease;
+use super::lease_in_force::LeaseInForce;
 use super::lease_rows::LEASE_TERMS;
 use super::lease_state::{LeaseState, LeaseWrite};
 use super::outage_cover::is_outage_for_all;
@@ -34,12 +35,15 @@
                 () = sleep(LOOK_PERIOD) => {}
             }
             if state.may_take(&gateway, Instant::now()) {
-                sleep(Duration::from_millis(rand::random_range(0..MAX_TAKE_PAUSE_MS))).await;
+                sleep(Duration::from_millis(rand::random_range(
+                    0..MAX_TAKE_PAUSE_MS,
+                )))
+                .await;
                 if state.may_take(&gateway, Instant::now()) {
                     state.write(&gateway, LEASE_TERMS.length_ms).await;
                 }
             }
-            lease.send_replace(state.held());
+            lease.send_replace(state.held().map(LeaseInForce::new));
             continue;
         }
         tokio::select! {
@@ -50,7 +54,7 @@
         if written == LeaseWrite::Unknown && is_outage_for_all(&gateway).await {
             state.extend(Instant::now() + COVER);
         }
-        lease.send_replace(state.held());
+        lease.send_replace(state.held().map(LeaseInForce::new));
     }
     lease.send_replace(None);
     if state.held().is_some() {
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -6,7 +6,6 @@
 
 use cuminlb_assembly::{Assembler, AssemblyView, InstanceOrder};
 use cuminlb_catalog::{InstanceEntry, UpstreamService};
-use cuminlb_fleet::lease::HeldLease;
 use cuminlb_types::prelude::*;
 use log::info;
 use tokio::sync::watch;
@@ -14,6 +13,7 @@
 use tokio::time::{Instant, interval};
 use tokio_util::sync::CancellationToken;
 
+use super::lease_in_force::LeaseInForce;
 use super::order_report::OrderReport;
 use super::probe_report::ProbeReport;
 use crate::gateway::Gateway;
@@ -67,7 +67,7 @@
     /// Leads until the lease is lost or `stop` is cancelled.
     pub(super) async fn run(
         &mut self,
-        lease: &mut watch::Receiver<Option<HeldLease>>,
+        lease: &mut watch::Receiver<Option<LeaseInForce>>,
         stop: &CancellationToken,
     ) {
         let gateway = Arc::clone(&self.gateway);
@@ -125,11 +125,14 @@
         let assembler = self
             .assemblers
             .entry(service.id.clone())
-            .or_insert_with(|| Assembler::new(base, give_up));
+            .or_insert_with(|| Assembler::new(base, give_up, Instant::now()));
         let view = AssemblyView {
             engine: service.engine.as_ref()?,
             instances: directory.services.get(&service.id).unwrap_or(&none),
-            groups: directory.groups.get(&service.id).map_or(&[][..], Vec::as_slice),
+            groups: directory
+                .groups
+                .get(&service.id)
+                .map_or(&[][..], Vec::as_slice),
             unlisted: &directory.unlisted,
             zones_out: &directory.zones_out,
             is_busy: self.gateway.has_callers(),
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -120,9 +120,9 @@
         own: &LeaseRow,
         earlier_sent_at: Instant,
     ) -> LeaseWrite {
-        let lease = found.as_ref().and_then(|row| {
-            serde_json::from_slice::<LeaseRow>(row.value.as_deref()?).ok()
-        });
+        let lease = found
+            .as_ref()
+            .and_then(|row| serde_json::from_slice::<LeaseRow>(row.value.as_deref()?).ok());
         let version = found.map(|row| row.version);
         match (version, lease) {
             (Some(version), Some(lease))
--- a/crates/cuminlb-gateway/src/leading/mod.rs
+++ b/crates/cuminlb-gateway/src/leading/mod.rs
@@ -6,9 +6,11 @@
 //! `cuminlb-assembly` decides what to do; [`Leader`] gives the orders and asks instances how they
 //! are.
 
+mod boot_time;
 mod keep_lease;
 mod lead;
 mod leader;
+mod lease_in_force;
 mod lease_rows;
 mod lease_state;
 mod order_report;
@@ -22,4 +24,4 @@
 pub(crate) use self::suspicions::Suspicions;
 
 /// The lease of this node as its tasks share it; `None` while it has none.
-pub(crate) type SharedLease = tokio::sync::watch::Sender<Option<cuminlb_fleet::lease::HeldLease>>;
+pub(crate) type SharedLease = tokio::sync::watch::Sender<Option<lease_in_force::LeaseInForce>>;
--- a/crates/cuminlb-gateway/src/leading/outage_cover.rs
+++ b/crates/cuminlb-gateway/src/leading/outage_cover.rs
@@ -12,7 +12,9 @@
     let directory = gateway.knowledge.directory();
     let peers = gateway.peers.others(&directory);
     let after = gateway.knowledge.version(StoreTable::Nodes);
-    let asked = peers.iter().map(|(_, link)| link.rows_since(StoreTable::Nodes, after));
+    let asked = peers
+        .iter()
+        .map(|(_, link)| link.rows_since(StoreTable::Nodes, after));
     let answers = join_all(asked).await;
     let answered = answers.iter().flatten().count();
     let served = answers.iter().flatten().filter(|rows| !rows.is_store_lost);
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -64,7 +64,11 @@
     }
     let registering = (Arc::clone(&gateway), rest_stop.clone());
     tasks.spawn(async move { register_node(&registering.0, registering.1).await });
-    tasks.spawn(serve_ready(Arc::clone(&gateway), ready_listener, rest_stop.clone()));
+    tasks.spawn(serve_ready(
+        Arc::clone(&gateway),
+        ready_listener,
+        rest_stop.clone(),
+    ));
     tasks.spawn(serve_relay(
         peer_listener,
         gateway.peers.token(),
@@ -74,8 +78,16 @@
     tasks.spawn(keep_house(Arc::clone(&gateway), rest_stop.clone()));
     let mut leading = JoinSet::new();
     let lease = SharedLease::new(None);
-    leading.spawn(lead(Arc::clone(&gateway), lease.subscribe(), leading_stop.clone()));
-    leading.spawn(keep_lease(Arc::clone(&gateway), lease, leading_stop.clone()));
+    leading.spawn(lead(
+        Arc::clone(&gateway),
+        lease.subscribe(),
+        leading_stop.clone(),
+    ));
+    leading.spawn(keep_lease(
+        Arc::clone(&gateway),
+        lease,
+        leading_stop.clone(),
+    ));
     let grace = gateway.settings.bounds.grace_ms.duration();
     let cut = grace.mul_f64(FINISH_PART).saturating_sub(LEAVING_PAUSE);
     let mut front = JoinSet::new();
@@ -132,6 +144,8 @@
         gateway.knowledge.drop_lapsed(now);
         gateway.pool.close_old(now);
         let directory = gateway.knowledge.directory();
-        gateway.loads.forget_except(|id| directory.any_instance(id).is_some());
+        gateway
+            .loads
+            .forget_except(|id| directory.any_instance(id).is_some());
     }
 }
--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -35,7 +35,10 @@
     let head = gateway.edges.wire.read_request(&parts).map_err(|error| {
         let reason = error.to_smolstr();
         let field = "headers";
-        (Refusal::not_run(RefusalKind::BadRequest { field, reason }), None)
+        (
+            Refusal::not_run(RefusalKind::BadRequest { field, reason }),
+            None,
+        )
     })?;
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
     let Some(catalog) = gateway.knowledge.catalog() else {
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -28,7 +28,16 @@
     if let (Some(engine), Some(model)) = (&service.engine, &ask.head.model) {
         let groups = directory.groups.get(&ask.service)?;
         let groups = groups.iter().filter(|group| group.shape.id == *model);
-        return choose_group(gateway, &directory, ask, service, groups, engine.slots, tried, now);
+        return choose_group(
+            gateway,
+            &directory,
+            ask,
+            service,
+            groups,
+            engine.slots,
+            tried,
+            now,
+        );
     }
     choose_instance(gateway, &directory, ask, service, tried, now)
 }
@@ -90,7 +99,9 @@
         .choose(&choices, &mut rng)
         .or_else(|| chooser.choose(&second_choices, &mut rng))?;
     let chosen = (chosen.group.clone(), chosen.epoch);
-    targets.into_iter().find(|target| target.group.as_ref() == Some(&chosen))
+    targets
+        .into_iter()
+        .find(|target| target.group.as_ref() == Some(&chosen))
 }
 
 fn choose_instance(
--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -45,7 +45,11 @@
     resume_after: Option<EventId>,
 ) -> Result<Opened, TryFailure> {
     let in_flight = gateway.loads.begin(&target.instance);
-    let mut connection = gateway.pool.connect(target.address).await.map_err(not_sent)?;
+    let mut connection = gateway
+        .pool
+        .connect(target.address)
+        .await
+        .map_err(not_sent)?;
     let sent_at = Instant::now();
     let request = forwarded(gateway, ask, &target, resume_after);
     let limit = silence_limit(ask, false);
@@ -82,7 +86,10 @@
         let reason = format_smolstr!("refused with status {}", head.status);
         let has_arrived = true;
         // The connection is closed with the rest of the answer, which says nothing more.
-        return Err(TryFailure::NotRun { reason, has_arrived });
+        return Err(TryFailure::NotRun {
+            reason,
+            has_arrived,
+        });
     }
     if !head.is_proved || head.is_encoded {
         return Err(TryFailure::unknown("the answer is not the instance's own"));
@@ -103,7 +110,11 @@
         };
         return Ok(Opened::Stream(Box::new(source), Box::new(parts)));
     }
-    let body = timeout(FAILURE_BODY_TIMEOUT, Limited::new(body, MAX_FAILURE_BYTES).collect()).await;
+    let body = timeout(
+        FAILURE_BODY_TIMEOUT,
+        Limited::new(body, MAX_FAILURE_BYTES).collect(),
+    )
+    .await;
     let body = body
         .map_err(|_elapsed| TryFailure::unknown("the answer did not end"))?
         .map_err(|error| TryFailure::unknown(format_smolstr!("the answer broke off: {error}")))?;
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -25,10 +25,14 @@
 ) -> Result<(AnswerHead, Response<AnswerBody>), TryFailure> {
     let in_flight = gateway.loads.begin(&target.instance);
     let wire = gateway.edges.wire.as_ref();
-    let mut connection = gateway.pool.connect(target.address).await.map_err(|failure| {
-        in_flight.load().note_outcome(true);
-        not_sent(failure)
-    })?;
+    let mut connection = gateway
+        .pool
+        .connect(target.address)
+        .await
+        .map_err(|failure| {
+            in_flight.load().note_outcome(true);
+            not_sent(failure)
+        })?;
     let request = forwarded(gateway, ask, target, ask.head.resume_after);
     let answer = connection.send(request).await.map_err(|failure| {
         in_flight.load().note_outcome(true);
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -109,7 +109,9 @@
     }
     if Instant::now() >= ends_at {
         let timeout_ms = ask.age_ms(Instant::now());
-        return Err(Refusal::unknown(RefusalKind::DeadlineExceeded { timeout_ms }));
+        return Err(Refusal::unknown(RefusalKind::DeadlineExceeded {
+            timeout_ms,
+        }));
     }
     Err(Refusal::unknown(RefusalKind::UpstreamFailed { reason }))
 }
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -37,7 +37,10 @@
             reason = "the budget of repeats is used up".into();
             break;
         }
-        match tries.open(gateway, &ask, target, ask.head.resume_after).await {
+        match tries
+            .open(gateway, &ask, target, ask.head.resume_after)
+            .await
+        {
             Ok(Opened::Stream(source, parts)) => {
                 return Ok(StreamRelay::answer(gateway, ask, tries, *source, &parts));
             }
@@ -56,7 +59,9 @@
     if tries.may_have_run() {
         if Instant::now() >= ask.ends_at {
             let timeout_ms = ask.age_ms(Instant::now());
-            return Err(Refusal::unknown(RefusalKind::DeadlineExceeded { timeout_ms }));
+            return Err(Refusal::unknown(RefusalKind::DeadlineExceeded {
+                timeout_ms,
+            }));
         }
         return Err(Refusal::unknown(RefusalKind::UpstreamFailed { reason }));
     }
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -103,7 +103,8 @@
                     return None;
                 }
                 StreamNews::Quiet => {
-                    self.gateway.suspect(&self.ask, &source.target, source.heard_at);
+                    self.gateway
+                        .suspect(&self.ask, &source.target, source.heard_at);
                 }
                 StreamNews::Silent => {
                     if !self.move_on("silent").await {
@@ -161,7 +162,11 @@
             );
             // The instance before learns by the end of its connection that it can stop.
             self.source = None;
-            match self.tries.open(&gateway, &self.ask, target, self.last_event).await {
+            match self
+                .tries
+                .open(&gateway, &self.ask, target, self.last_event)
+                .await
+            {
                 Ok(Opened::Stream(source, _)) => {
                     self.source = Some(*source);
                     return true;
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -111,7 +111,9 @@
     /// Gives the connection of a stream that has ended back for others.
     pub(super) fn finish(self, gateway: &Gateway) {
         if self.has_ended && !self.head.closes {
-            gateway.pool.give_back(self.connection, self.head.keep_alive_ms);
+            gateway
+                .pool
+                .give_back(self.connection, self.head.keep_alive_ms);
         }
     }
 }
@@ -119,7 +121,11 @@
 /// Returns how long an instance may be silent for a request, before or after its first event.
 pub(super) fn silence_limit(ask: &Ask, has_begun: bool) -> Duration {
     if !has_begun {
-        return ask.route.target_latency_ms.duration().mul_f64(FIRST_EVENT_PART);
+        return ask
+            .route
+            .target_latency_ms
+            .duration()
+            .mul_f64(FIRST_EVENT_PART);
     }
     let pause = match ask.route.kind {
         RouteKind::Stream { pause_aim_ms, .. } => pause_aim_ms.map(Millis::duration),
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -92,7 +92,9 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
         kept.retain(|it| it.until > now && !it.connection.sender.is_closed());
-        let newest_ready = kept.iter().rposition(|it| it.connection.sender.is_ready())?;
+        let newest_ready = kept
+            .iter()
+            .rposition(|it| it.connection.sender.is_ready())?;
         Some(kept.swap_remove(newest_ready).connection)
     }
 
@@ -100,7 +102,9 @@
         let stream = TcpStream::connect(address)
             .await
             .map_err(|error| error.to_smolstr())?;
-        stream.set_nodelay(true).map_err(|error| error.to_smolstr())?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| error.to_smolstr())?;
         let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_smolstr())?;
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -73,7 +73,8 @@
     ) -> Result<T, PeerError> {
         let timeout_ms = self.timeout_ms;
         let connected = tokio::time::timeout(timeout_ms.duration(), self.connected()).await;
-        let client = connected.unwrap_or_else(|_elapsed| Err(not_connected("no connection in time")))?;
+        let client =
+            connected.unwrap_or_else(|_elapsed| Err(not_connected("no connection in time")))?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + timeout_ms.duration();
         match call(client, context).await {
--- a/crates/cuminlb-platform/src/http/http_caller.rs
+++ b/crates/cuminlb-platform/src/http/http_caller.rs
@@ -128,7 +128,6 @@
             reason,
         }
     }
-
 }
 
 const fn no_answer(timeout_ms: Millis) -> PlatformError {
--- a/src/cuminlb/ops/logging.rs
+++ b/src/cuminlb/ops/logging.rs
@@ -50,7 +50,9 @@
         dispatch = dispatch.level_for(target.to_string(), level(target_level));
     }
     dispatch
-        .chain(fern::Output::call(move |record| writer.write(decision_line(record))))
+        .chain(fern::Output::call(move |record| {
+            writer.write(decision_line(record))
+        }))
         .apply()
         .map_err(std::io::Error::other)
 }
@@ -60,10 +62,16 @@
     let mut fields = Fields(Map::new());
     let now = UnixMillis::now();
     fields.0.insert("time_ms".to_owned(), now.get().into());
-    fields.0.insert("level".to_owned(), record.level().as_str().into());
-    fields.0.insert("message".to_owned(), record.args().to_string().into());
+    fields
+        .0
+        .insert("level".to_owned(), record.level().as_str().into());
+    fields
+        .0
+        .insert("message".to_owned(), record.args().to_string().into());
     if let Err(error) = record.key_values().visit(&mut fields) {
-        fields.0.insert("field_error".to_owned(), error.to_string().into());
+        fields
+            .0
+            .insert("field_error".to_owned(), error.to_string().into());
     }
     let mut line = Value::Object(fields.0).to_string();
     line.push('\n');
--- a/tests/testsuite/native_path.rs
+++ b/tests/testsuite/native_path.rs
@@ -9,9 +9,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 
-use crate::native_site::{
-    HOST, KEY, LOOKUP_PATH, NativeSite, RESERVE_PATH, TEAM, event_ids,
-};
+use crate::native_site::{HOST, KEY, LOOKUP_PATH, NativeSite, RESERVE_PATH, TEAM, event_ids};
 
 /// The work of a plain request in tests that do not look at it.
 const SHORT: Duration = Duration::from_millis(5);
@@ -30,7 +28,10 @@
         assert_eq!(answer.headers["x-attempt-id"], format!("s{node}"));
         assert!(answer.headers.contains_key("x-response-seal"));
     }
-    let answer = site.ask(0, Method::POST, RESERVE_PATH, "r1", &[], "{}").await.unwrap();
+    let answer = site
+        .ask(0, Method::POST, RESERVE_PATH, "r1", &[], "{}")
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::OK);
     assert!(answer.text().ends_with(TEAM), "{}", answer.text());
     assert_eq!(site.fleet.runs.workers_of("r1").len(), 1);
@@ -41,17 +42,35 @@
 async fn requests_that_the_catalog_does_not_allow_are_refused() {
     let site = NativeSite::start(1, 2, SHORT).await;
     site.wait_serving().await;
-    let answer = site.ask(0, Method::GET, "/nowhere/", "a1", &[], "").await.unwrap();
+    let answer = site
+        .ask(0, Method::GET, "/nowhere/", "a1", &[], "")
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
     let url = site.nodes[0].url(LOOKUP_PATH);
-    let headers = [("host", HOST), ("x-attempt-id", "a2"), ("authorization", "Token wrong")];
-    let answer = site.client.call(Method::GET, &url, &headers, "").await.unwrap();
+    let headers = [
+        ("host", HOST),
+        ("x-attempt-id", "a2"),
+        ("authorization", "Token wrong"),
+    ];
+    let answer = site
+        .client
+        .call(Method::GET, &url, &headers, "")
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
     let long = "x".repeat(70_000);
-    let answer = site.ask(0, Method::POST, RESERVE_PATH, "a3", &[], &long).await.unwrap();
+    let answer = site
+        .ask(0, Method::POST, RESERVE_PATH, "a3", &[], &long)
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
     let headers = [("host", HOST), ("authorization", KEY)];
-    let answer = site.client.call(Method::GET, &url, &headers, "").await.unwrap();
+    let answer = site
+        .client
+        .call(Method::GET, &url, &headers, "")
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::BAD_REQUEST);
     assert_eq!(site.fleet.runs.workers_of("a3"), Vec::<String>::new());
 }
@@ -61,13 +80,19 @@
     let site = NativeSite::start(1, 2, SHORT).await;
     site.wait_serving().await;
     site.desk_failures.store(1, Ordering::Relaxed);
-    let answer = site.ask(0, Method::GET, LOOKUP_PATH, "l1", &[], "").await.unwrap();
+    let answer = site
+        .ask(0, Method::GET, LOOKUP_PATH, "l1", &[], "")
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::OK);
     let mut workers = site.fleet.runs.workers_of("l1");
     workers.sort();
     assert_eq!(workers, ["p0", "p1"]);
     site.desk_failures.store(1, Ordering::Relaxed);
-    let answer = site.ask(0, Method::POST, RESERVE_PATH, "r1", &[], "").await.unwrap();
+    let answer = site
+        .ask(0, Method::POST, RESERVE_PATH, "r1", &[], "")
+        .await
+        .unwrap();
     assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
     assert_eq!(site.fleet.runs.workers_of("r1").len(), 1);
 }
@@ -79,7 +104,11 @@
     let streams = async {
         let long = (0..6).map(|number| {
             let site = &site;
-            async move { site.stream(number % 2, &format!("s{number}"), LONG_STREAM).await.unwrap() }
+            async move {
+                site.stream(number % 2, &format!("s{number}"), LONG_STREAM)
+                    .await
+                    .unwrap()
+            }
         });
         futures_util::future::join_all(long).await
     };
@@ -92,7 +121,11 @@
     let (answers, ()) = tokio::join!(streams, fault);
     for (number, answer) in answers.iter().enumerate() {
         assert_eq!(answer.status, StatusCode::OK);
-        assert_eq!(event_ids(answer), (1..=200).collect::<Vec<_>>(), "stream {number}");
+        assert_eq!(
+            event_ids(answer),
+            (1..=200).collect::<Vec<_>>(),
+            "stream {number}"
+        );
     }
     site.assert_no_violation();
 }
@@ -105,7 +138,9 @@
     site.fleet.engine(&head).unwrap().go_dark();
     let answer = async || site.stream(1, "after", "5").await;
     wait_until("another head serves", async || {
-        answer().await.is_ok_and(|answer| answer.status == StatusCode::OK)
+        answer()
+            .await
+            .is_ok_and(|answer| answer.status == StatusCode::OK)
     })
     .await
     .unwrap();
@@ -141,9 +176,11 @@
     let member = site.member_beside(&head);
     site.fleet.engine(&member).unwrap().go_dark();
     let lease = || site.fleet.rows.get("cuminlb", "lease/leader").unwrap();
-    wait_until("another node leads", async || lease()["holder"] != leader.as_str())
-        .await
-        .unwrap();
+    wait_until("another node leads", async || {
+        lease()["holder"] != leader.as_str()
+    })
+    .await
+    .unwrap();
     let other = (index + 1) % 3;
     wait_until("a group serves again", async || {
         let answer = site.stream(other, "led", "5").await;
@@ -171,7 +208,11 @@
     })
     .await
     .unwrap();
-    assert!(start.elapsed() < Duration::from_secs(7), "{:?}", start.elapsed());
+    assert!(
+        start.elapsed() < Duration::from_secs(7),
+        "{:?}",
+        start.elapsed()
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -200,7 +241,10 @@
     let mut site = NativeSite::start(2, 4, Duration::from_millis(2_500)).await;
     site.wait_serving().await;
     let lease = site.fleet.rows.get("cuminlb", "lease/leader").unwrap();
-    let index: usize = lease["holder"].as_str().unwrap()[1..].parse::<usize>().unwrap() - 1;
+    let index: usize = lease["holder"].as_str().unwrap()[1..]
+        .parse::<usize>()
+        .unwrap()
+        - 1;
     let site_ref = &site;
     let stream = site_ref.stream(index, "s1", LONG_STREAM);
     let reserve = site_ref.ask(index, Method::POST, RESERVE_PATH, "r1", &[], "");
@@ -253,7 +297,10 @@
     })
     .await
     .unwrap();
-    let answer = site.ask(0, Method::GET, LOOKUP_PATH, "z2", &[], "").await.unwrap();
+    let answer = site
+        .ask(0, Method::GET, LOOKUP_PATH, "z2", &[], "")
+        .await
+        .unwrap();
     assert!(answer.headers.contains_key("retry-after"));
     assert_eq!(site.fleet.runs.workers_of("z2"), Vec::<String>::new());
     site.fleet.rows.remove("op", "evacuate/za");
@@ -269,7 +316,11 @@
 async fn all_nodes_lost_at_once_find_the_groups_again() {
     let mut site = NativeSite::start(3, 4, SHORT).await;
     site.wait_serving().await;
-    let before = site.fleet.engine(&site.open_head().unwrap()).unwrap().place();
+    let before = site
+        .fleet
+        .engine(&site.open_head().unwrap())
+        .unwrap()
+        .place();
     for node in &mut site.nodes {
         node.process.kill().await;
     }
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -155,7 +155,10 @@
         let number = u8::try_from(self.nodes.len() + 1).unwrap();
         let process = std::process::id().to_le_bytes();
         let site = u8::try_from(self.number).unwrap();
-        assert!(site < 16 && number < 16, "a loopback address is left for each node");
+        assert!(
+            site < 16 && number < 16,
+            "a loopback address is left for each node"
+        );
         let address = Ipv4Addr::new(127, 128 | process[1] >> 1, process[0], site * 16 + number);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
@@ -220,14 +223,18 @@
     }
 
     pub async fn is_ready(&self, node: &NativeNode) -> bool {
-        let answer = self.client.call(Method::GET, &node.ready_url(), &[], "").await;
+        let answer = self
+            .client
+            .call(Method::GET, &node.ready_url(), &[], "")
+            .await;
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 
     /// Asks a node for a stream of some events.
     pub async fn stream(&self, node: usize, id: &str, events: &str) -> Result<Answer, SiteError> {
         let headers = [("x-model", MODEL), ("x-token-count", "100,20")];
-        self.ask(node, Method::POST, STREAM_PATH, id, &headers, events).await
+        self.ask(node, Method::POST, STREAM_PATH, id, &headers, events)
+            .await
     }
 
     /// Sends a request of the team's to a node.
@@ -249,12 +256,18 @@
         ];
         headers.extend_from_slice(more);
         let url = self.nodes[node].url(path);
-        self.client.call(method, &url, &headers, body.to_owned()).await
+        self.client
+            .call(method, &url, &headers, body.to_owned())
+            .await
     }
 
     /// Lets the store refuse or serve one node.
     pub fn refuse_store(&self, node: usize, is_refused: bool) {
-        let fault = if is_refused { Fault::Refusing } else { Fault::None };
+        let fault = if is_refused {
+            Fault::Refusing
+        } else {
+            Fault::None
+        };
         self.nodes[node].store.set_fault(fault);
     }
 
