Let slow groups keep their requests; hold only members of silent heads

Change: only members of silent heads are held; a head that stood down frees its members; spares' groups have names of their own; a request is sent elsewhere when its instance sends to nobody.

--- a/crates/cuminlb-assembly/src/assembler.rs
+++ b/crates/cuminlb-assembly/src/assembler.rs
@@ -11,7 +11,7 @@
 use crate::assembly_memory::AssemblyMemory;
 use crate::{
     AssemblyStep, AssemblyView, FormingGroup, GroupView, InstanceHealth, InstanceOrder, Situation,
-    group_name, plan_assembly,
+    group_name, plan_assembly, spare_group_name,
 };
 
 /// How long the effect of an order may take to show, its answer included.
@@ -45,7 +45,7 @@
 
     /// Returns the orders to give now.
     pub fn act(&mut self, view: &AssemblyView<'_>, now: Instant) -> Vec<InstanceOrder> {
-        self.memory.note_seen(now, view.instances);
+        self.memory.note_seen(now, view);
         self.memory.forget_past(now, view.instances);
         self.review_forming(view, now);
         let steps = plan_assembly(
@@ -61,6 +61,7 @@
                 first_seen: &self.memory.first_seen,
                 late_orders: &self.memory.late_orders,
                 last_models: &self.memory.last_models(),
+                heads: &self.memory.heads,
                 unlisted: view.unlisted,
                 zones_out: view.zones_out,
                 is_busy: view.is_busy,
@@ -88,7 +89,7 @@
         }
         match order {
             GroupOrder::Leave { .. } if outcome.is_accepted() => {
-                self.memory.holds.hold(instance.clone(), now);
+                self.memory.note_left(instance, now);
             }
             GroupOrder::Stage { .. } if !outcome.is_accepted() => {
                 self.memory.clear_staging(instance);
@@ -206,7 +207,13 @@
                 member,
                 group,
                 epoch,
-            } => (member, GroupOrder::Leave { group, epoch }),
+            } => {
+                self.memory.hold_once_left(&member);
+                (member, GroupOrder::Leave { group, epoch })
+            }
+            AssemblyStep::StandDown { head, group, epoch } => {
+                (head, GroupOrder::Leave { group, epoch })
+            }
             AssemblyStep::Open { head, group, epoch } => {
                 self.memory.late_orders.note_open(group.clone(), epoch, now);
                 (head, GroupOrder::Open { group, epoch })
@@ -300,7 +307,7 @@
         let late_orders = &mut self.memory.late_orders;
         late_orders.note_join(instance.clone(), self.epoch, now);
         Some(GroupOrder::Join {
-            group: group_name(&model, self.epoch)?,
+            group: spare_group_name(&model, self.epoch)?,
             epoch: self.epoch,
             model,
             members: vec![instance.clone()],
--- a/crates/cuminlb-assembly/src/assembly_memory.rs
+++ b/crates/cuminlb-assembly/src/assembly_memory.rs
@@ -7,7 +7,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use crate::{FormingGroup, HeadHolds, InstanceHealth, LateOrders, group_model};
+use crate::{AssemblyView, FormingGroup, HeadHolds, InstanceHealth, LateOrders, group_model};
 
 /// What a leader remembers of its orders until their effect shows, and of silent instances.
 #[derive(Debug)]
@@ -25,6 +25,10 @@
     pub(crate) late_orders: LateOrders,
     /// The model of each instance's last group, and the life in which that was.
     last_models: BTreeMap<InstanceId, (Incarnation, ModelId)>,
+    /// The head of each group, and the life that it was in when it was seen as such.
+    pub(crate) heads: BTreeMap<(GroupId, Epoch), (InstanceId, Incarnation)>,
+    /// Instances that are told to leave a group whose head answers nothing.
+    leaving_silent_head: BTreeSet<InstanceId>,
     /// When each instance was first seen.
     pub(crate) first_seen: BTreeMap<InstanceId, Instant>,
     /// Instances whose last head may still stand open.
@@ -41,6 +45,8 @@
             staging: BTreeMap::new(),
             health: BTreeMap::new(),
             first_seen: BTreeMap::new(),
+            heads: BTreeMap::new(),
+            leaving_silent_head: BTreeSet::new(),
             late_orders: LateOrders::new(base, now),
             last_models: BTreeMap::new(),
             holds: HeadHolds::new(give_up),
@@ -52,6 +58,18 @@
         self.ordered.insert(id.clone(), (seat, until));
     }
 
+    /// Notes that an instance is told to leave a group whose head answers nothing.
+    pub(crate) fn hold_once_left(&mut self, id: &InstanceId) {
+        self.leaving_silent_head.insert(id.clone());
+    }
+
+    /// Notes that an instance has left its group.
+    pub(crate) fn note_left(&mut self, id: &InstanceId, now: Instant) {
+        if self.leaving_silent_head.remove(id) {
+            self.holds.hold(id.clone(), now);
+        }
+    }
+
     /// Waits for the effect of an instance's order until another time.
     pub(crate) fn wait_until(&mut self, id: &InstanceId, until: Instant) {
         if let Some((_, waited_until)) = self.ordered.get_mut(id) {
@@ -70,11 +88,20 @@
     }
 
     /// Notes the instances that are there.
-    pub(crate) fn note_seen(
-        &mut self,
-        now: Instant,
-        instances: &BTreeMap<InstanceId, InstanceEntry>,
-    ) {
+    pub(crate) fn note_seen(&mut self, now: Instant, view: &AssemblyView<'_>) {
+        let instances = view.instances;
+        for group in view.groups {
+            let head = group.head().and_then(|(head, _)| instances.get(head));
+            if let Some(head) = head {
+                let place = (group.group.clone(), group.epoch);
+                self.heads.insert(place, (head.id.clone(), head.life));
+            }
+        }
+        let is_seen = |place: &(GroupId, Epoch)| {
+            let mut groups = view.groups.iter();
+            groups.any(|group| group.group == place.0 && group.epoch == place.1)
+        };
+        self.heads.retain(|place, _| is_seen(place));
         self.first_seen.retain(|id, _| instances.contains_key(id));
         let is_same_life = |id: &InstanceId, life: Incarnation| {
             instances.get(id).is_some_and(|entry| entry.life == life)
--- a/crates/cuminlb-assembly/src/assembly_step.rs
+++ b/crates/cuminlb-assembly/src/assembly_step.rs
@@ -26,6 +26,16 @@
         /// Its epoch.
         epoch: Epoch,
     },
+    /// Tell the head of a group that is given up to leave it, as it may begin to serve by an order
+    /// that was given earlier.
+    StandDown {
+        /// The head.
+        head: InstanceId,
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
     /// Form a group.
     Form {
         /// The model.
--- a/crates/cuminlb-assembly/src/lib.rs
+++ b/crates/cuminlb-assembly/src/lib.rs
@@ -26,7 +26,7 @@
 pub use crate::assembly_step::AssemblyStep;
 pub use crate::assembly_view::AssemblyView;
 pub use crate::forming_group::FormingGroup;
-pub use crate::group_name::{group_model, group_name};
+pub use crate::group_name::{group_model, group_name, is_spare_group, spare_group_name};
 pub use crate::group_targets::GroupTargets;
 pub use crate::group_view::GroupView;
 pub use crate::head_holds::HeadHolds;
--- a/crates/cuminlb-assembly/src/plan_assembly.rs
+++ b/crates/cuminlb-assembly/src/plan_assembly.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::candidate::Candidate;
-use crate::{AssemblyStep, GroupTargets, GroupView, InstanceHealth, Situation};
+use crate::{AssemblyStep, GroupTargets, GroupView, InstanceHealth, Situation, is_spare_group};
 
 /// The loads that are started before a place for them is free.
 const LOADS_AHEAD: usize = 2;
@@ -83,9 +83,16 @@
     /// Decides whether a group stands, opens, or is given up.
     fn review(&mut self, group: &'a GroupView) {
         let situation = self.situation;
+        if is_spare_group(&group.group) {
+            return;
+        }
         let mut forming = situation.forming.iter();
-        if forming.any(|it| it.epoch == group.epoch && it.group == group.group) {
-            self.open_if_ready(group);
+        if let Some(forming) = forming.find(|it| it.group == group.group) {
+            // The members that still show an earlier epoch are about to join this one.
+            if forming.epoch == group.epoch {
+                self.open_if_ready(group);
+            }
+            self.bind(group);
             return;
         }
         let is_kept = |id: &InstanceId| {
@@ -173,8 +180,8 @@
                 }
                 SeatState::Ready if self.may_open_late(group) => {
                     if !situation.ordered.contains(id) {
-                        self.steps.push(AssemblyStep::Leave {
-                            member: id.clone(),
+                        self.steps.push(AssemblyStep::StandDown {
+                            head: id.clone(),
                             group: group.group.clone(),
                             epoch: group.epoch,
                         });
@@ -185,6 +192,7 @@
                 SeatState::Joining | SeatState::Ready | SeatState::Broken => {}
             },
             (Some(_), Some(InstanceHealth::Ended)) => {}
+            (None, _) if situation.has_head_moved(group) => {}
             (Some(_), Some(_)) | (None, _) => {
                 self.orphans.push(group);
                 self.bind(group);
--- a/crates/cuminlb-assembly/src/situation.rs
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -39,6 +39,8 @@
     pub late_orders: &'a LateOrders,
     /// The model of the last group of instances that have left theirs.
     pub last_models: &'a BTreeMap<InstanceId, ModelId>,
+    /// The head of each group that was seen with one, and the life that it was in.
+    pub heads: &'a BTreeMap<(GroupId, Epoch), (InstanceId, Incarnation)>,
     /// When each instance was first seen.
     pub first_seen: &'a BTreeMap<InstanceId, Instant>,
     /// Whether callers have come; until then loads are fast and slow nobody down.
@@ -53,6 +55,20 @@
         self.instances.contains_key(id) && !self.health.contains_key(id)
     }
 
+    /// Tells whether the head of a group is known to have another place or none by now.
+    pub fn has_head_moved(&self, group: &GroupView) -> bool {
+        let place = (group.group.clone(), group.epoch);
+        let Some((head, life)) = self.heads.get(&place) else {
+            return false;
+        };
+        let Some(entry) = self.instances.get(head) else {
+            return false;
+        };
+        let seat = entry.seat.as_ref();
+        let is_there = seat.is_some_and(|seat| (&seat.group, seat.epoch) == (&place.0, place.1));
+        entry.life != *life || !is_there && self.is_fine(head) && !self.unlisted.contains(head)
+    }
+
     /// Tells whether an instance has shown up just now, so that others may follow it.
     pub fn is_new(&self, id: &InstanceId, now: Instant) -> bool {
         let first_seen = self.first_seen.get(id);
--- a/crates/cuminlb-gateway/src/serving/silence_watch.rs
+++ b/crates/cuminlb-gateway/src/serving/silence_watch.rs
@@ -14,6 +14,10 @@
 /// keeps it.
 const GIVE_UP_SILENCE: Duration = Duration::from_millis(900);
 
+/// The silence after which a request is sent elsewhere although its instance sends to others: its
+/// connection may have gone silent, and callers leave soon after.
+const ALONE_SILENCE: Duration = Duration::from_millis(1_800);
+
 /// What to make of the time in which nothing came for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Silence {
@@ -42,13 +46,14 @@
     ) -> Silence {
         let now = Instant::now();
         let silence = now.duration_since(heard_at);
-        if silence >= GIVE_UP_SILENCE.max(limit) {
+        let instance_silence = silence.min(in_flight.load().silence(now));
+        if instance_silence >= GIVE_UP_SILENCE.max(limit) || silence >= ALONE_SILENCE.max(limit) {
             return Silence::TooLong;
         }
         let is_reported = self
             .reported_at
             .is_some_and(|at| now.duration_since(at) < REPORT_PERIOD);
-        if silence < limit || in_flight.load().silence(now) < limit || is_reported {
+        if instance_silence < limit || is_reported {
             return Silence::Usual;
         }
         self.reported_at = Some(now);
