--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -11,7 +11,8 @@
 
 use crate::Edges;
 use crate::knowledge::{Knowledge, PeerLinks};
-use crate::leading::Suspicions;
+use crate::leading::{Suspicions, leader_in};
+use crate::metrics::{GatewayMetrics, RequestLabels};
 use crate::serving::{LoadBook, RetryBudgets};
 use crate::upstream::ConnectionPool;
 
@@ -29,6 +30,7 @@
     pub(crate) loads: LoadBook,
     pub(crate) budgets: RetryBudgets,
     pub(crate) pool: ConnectionPool,
+    pub(crate) metrics: GatewayMetrics,
     /// Short tasks that nobody waits for before the end.
     pub(crate) errands: TaskTracker,
     is_draining: AtomicBool,
@@ -39,13 +41,15 @@
     pub(crate) fn new(live: watch::Receiver<Arc<GatewaySettings>>, edges: Edges) -> Arc<Self> {
         let settings = GatewaySettings::clone(&live.borrow());
         let errands = TaskTracker::new();
+        let metrics = GatewayMetrics::default();
         Arc::new(Self {
             knowledge: Knowledge::new(Arc::clone(&edges.wire)),
             peers: PeerLinks::new(settings.id.clone(), settings.peer_token.clone()),
             suspicions: Suspicions::default(),
             loads: LoadBook::default(),
             budgets: RetryBudgets::default(),
-            pool: ConnectionPool::new(errands.clone()),
+            pool: ConnectionPool::new(errands.clone(), metrics.connections.clone()),
+            metrics,
             errands,
             is_draining: AtomicBool::new(false),
             has_callers: AtomicBool::new(false),
@@ -70,7 +74,40 @@
     /// Takes a repeat out of the budget of a service, or returns `false` when none is left.
     pub(crate) fn take_repeat(&self, service: &ServiceId) -> bool {
         let bounds = self.live_settings().bounds;
-        self.budgets.take(service, &bounds, self.node_count())
+        let is_left = self.budgets.take(service, &bounds, self.node_count());
+        let counter = if is_left {
+            &self.metrics.repeats
+        } else {
+            &self.metrics.repeats_denied
+        };
+        counter.inc();
+        is_left
+    }
+
+    /// Counts a request that has got its answer.
+    pub(crate) fn count_request(&self, route: &str, outcome: &str) {
+        let labels = RequestLabels {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.metrics.requests.get_or_create(&labels).inc();
+    }
+
+    /// Sets the gauges to what this node knows now.
+    pub(crate) fn set_gauges(&self) {
+        let leads = leader_in(&self.knowledge).as_ref() == Some(&self.settings.id);
+        self.metrics.leads.set(i64::from(leads));
+        let catalog = self.knowledge.catalog();
+        let version = catalog.map_or(0, |catalog| catalog.version.get());
+        self.metrics
+            .catalog
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        let directory = self.knowledge.directory();
+        let groups = directory.groups.values().flatten();
+        let serving = groups.filter(|group| group.is_serving()).count();
+        self.metrics
+            .groups
+            .set(i64::try_from(serving).unwrap_or(i64::MAX));
     }
 
     /// Tells whether this node is about to stop.
--- a/crates/cuminlb-gateway/src/knowledge/follow_table.rs
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -11,6 +11,7 @@
 
 use super::RowSource;
 use crate::gateway::Gateway;
+use crate::metrics::StoreLabels;
 
 /// The longest time that a call waits for a change: it bounds how late a silent connection shows.
 const FEED_WAIT_MS: Millis = Millis(1_800);
@@ -28,7 +29,13 @@
         let mut must_read_whole = true;
         let mut is_lost = false;
         loop {
-            match heard(gateway, table, must_read_whole).await {
+            let heard = heard(gateway, table, must_read_whole).await;
+            let labels = StoreLabels {
+                table: table.to_string(),
+                outcome: if heard.is_ok() { "ok" } else { "failed" }.to_owned(),
+            };
+            gateway.metrics.store_calls.get_or_create(&labels).inc();
+            match heard {
                 Ok(changes) => {
                     if is_lost {
                         info!(table:% = table, version:% = changes.version; "store regained");
@@ -90,6 +97,7 @@
     let Some((node, link)) = peers.choose(&mut rand::rng()).cloned() else {
         return;
     };
+    gateway.metrics.peer_asks.inc();
     let after = gateway.knowledge.version(table);
     match link.rows_since(table, after).await {
         Ok(relayed) => {
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -145,6 +145,7 @@
         let Some(entry) = directory.any_instance(&instance) else {
             return;
         };
+        self.gateway.metrics.orders.inc();
         let service = entry.service.clone();
         let address = entry.address;
         let control = Arc::clone(&self.gateway.edges.instances);
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -135,7 +135,7 @@
             }
             (version, _) => {
                 if self.held.is_some() {
-                    warn!(row_version:? = version.map(RowVersion::get); "lease lost");
+                    warn!(row_version = version.map(RowVersion::get); "lease lost");
                 }
                 self.drop_lease();
                 LeaseWrite::Lost
--- a/crates/cuminlb-gateway/src/lib.rs
+++ b/crates/cuminlb-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod gateway_error;
 mod knowledge;
 mod leading;
+mod metrics;
 mod run_gateway;
 mod serving;
 mod upstream;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/metrics/mod.rs
@@ -0,0 +1,7 @@
+//! Counters and histograms of a node, served as text on the metrics address.
+
+mod gateway_metrics;
+mod serve_metrics;
+
+pub(crate) use self::gateway_metrics::{GatewayMetrics, RequestLabels, RouteLabels, StoreLabels};
+pub(crate) use self::serve_metrics::serve_metrics;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/metrics/serve_metrics.rs
@@ -0,0 +1,68 @@
+//! [`serve_metrics`].
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::{debug, warn};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::Gateway;
+
+/// Serves the metrics as text until `stop` is cancelled.
+pub(crate) async fn serve_metrics(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    let registry = Arc::new(gateway.metrics.registry());
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("a connection for metrics can't be accepted: {error}");
+                continue;
+            }
+        };
+        let (gateway, registry) = (Arc::clone(&gateway), Arc::clone(&registry));
+        connections.spawn(async move {
+            let service = service_fn(move |_| {
+                let answer = answer(&gateway, &registry);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                debug!("a connection for metrics ended: {error}");
+            }
+        });
+    }
+    connections.shutdown().await;
+}
+
+fn answer(gateway: &Gateway, registry: &Registry) -> Response<Full<bytes::Bytes>> {
+    gateway.set_gauges();
+    let mut text = String::new();
+    match encode(&mut text, registry) {
+        Ok(()) => Response::new(Full::from(text)),
+        Err(error) => {
+            warn!("the metrics can't be encoded: {error}");
+            let mut answer = Response::new(Full::default());
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            answer
+        }
+    }
+}
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::knowledge::{RelayService, follow_table, register_node};
 use crate::leading::{SharedLease, keep_lease, lead};
+use crate::metrics::serve_metrics;
 use crate::serving::{serve_front, serve_ready};
 use crate::{Edges, GatewayError};
 
@@ -46,6 +47,7 @@
     let gateway = Gateway::new(settings, edges);
     let caller_listener = bind(gateway.settings.caller).await?;
     let ready_listener = bind(gateway.settings.ready).await?;
+    let metrics_listener = bind(gateway.settings.metrics).await?;
     let peer_listener = bind(gateway.settings.peer).await?;
     info!(
         node:% = gateway.settings.id, zone:% = gateway.settings.zone,
@@ -69,6 +71,11 @@
         ready_listener,
         rest_stop.clone(),
     ));
+    tasks.spawn(serve_metrics(
+        Arc::clone(&gateway),
+        metrics_listener,
+        rest_stop.clone(),
+    ));
     tasks.spawn(serve_relay(
         peer_listener,
         gateway.peers.token(),
--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -58,7 +58,7 @@
     let ends_at = came_at + patience_ms.min(route.timeout_ms).duration();
     let body = read_body(body, catalog.bounds.max_body_bytes, ends_at)
         .await
-        .map_err(|kind| refuse(kind))?;
+        .map_err(&refuse)?;
     let Some(service) = route.pick_service(&mut rand::rng()).cloned() else {
         let name = path.to_smolstr();
         return Err(refuse(RefusalKind::UnknownService { name }));
--- a/crates/cuminlb-gateway/src/serving/answer_request.rs
+++ b/crates/cuminlb-gateway/src/serving/answer_request.rs
@@ -17,6 +17,7 @@
 use super::run_plain::run_plain;
 use super::run_stream::run_stream;
 use crate::gateway::Gateway;
+use crate::metrics::RouteLabels;
 
 /// Answers one request of a caller.
 pub(super) async fn answer_request(
@@ -25,16 +26,32 @@
 ) -> Response<AnswerBody> {
     gateway.note_caller();
     let mut answer = match admit(gateway, request).await {
-        Err((refusal, id)) => refuse(gateway, &refusal, id.as_ref(), None),
+        Err((refusal, id)) => {
+            gateway.count_request("", refusal.kind.code());
+            refuse(gateway, &refusal, id.as_ref(), None)
+        }
         Ok(ask) => {
             let id = ask.head.id.clone();
             let came_at = ask.came_at;
+            let route = ask.route.name.clone();
             gateway.note_request(&ask.service);
             let answered = match ask.route.kind {
                 RouteKind::Idempotent | RouteKind::AtMostOnce => run_plain(gateway, ask).await,
                 RouteKind::Stream { .. } => run_stream(gateway, ask).await,
             };
-            answered.unwrap_or_else(|refusal| refuse(gateway, &refusal, Some(&id), Some(came_at)))
+            let labels = RouteLabels::new(&route);
+            let first_bytes = gateway.metrics.first_bytes.get_or_create(&labels);
+            first_bytes.observe(came_at.elapsed().as_secs_f64());
+            match answered {
+                Ok(answer) => {
+                    gateway.count_request(&route, answer.status().as_str());
+                    answer
+                }
+                Err(refusal) => {
+                    gateway.count_request(&route, refusal.kind.code());
+                    refuse(gateway, &refusal, Some(&id), Some(came_at))
+                }
+            }
         }
     };
     if gateway.is_draining() {
@@ -53,10 +70,10 @@
     let age_ms = came_at.map_or(Millis(0), |came_at| came_at.elapsed().into());
     let catalog = gateway.knowledge.catalog().map(|catalog| catalog.version);
     info!(
-        request:? = request.map(RequestId::as_str), code = refusal.kind.code(),
+        request = request.map(RequestId::as_str), code = refusal.kind.code(),
         run_state:% = refusal.run_state, age_ms = age_ms.get(),
-        retry_after_ms:? = refusal.retry_after_ms.map(Millis::get),
-        catalog:? = catalog.map(ConfigVersion::get);
+        retry_after_ms = refusal.retry_after_ms.map(Millis::get),
+        catalog = catalog.map(ConfigVersion::get);
         "request refused: {}", refusal.kind
     );
     refusal_answer(gateway.edges.wire.as_ref(), refusal, request)
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -21,6 +21,7 @@
 use super::stream_source::{StreamNews, StreamSource};
 use super::stream_tries::StreamTries;
 use crate::gateway::Gateway;
+use crate::metrics::RouteLabels;
 
 /// The reason why a stream to a caller breaks off.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -157,9 +158,10 @@
             }
             info!(
                 request:% = self.ask.head.id, instance:% = target.instance,
-                last_event:? = self.last_event.map(EventId::get), reason = reason;
+                last_event = self.last_event.map(EventId::get), reason = reason;
                 "stream moves"
             );
+            gateway.metrics.moves.inc();
             // The instance before learns by the end of its connection that it can stop.
             self.source = None;
             match self
@@ -185,10 +187,13 @@
     }
 
     fn note_end(&self, outcome: &str) {
+        let labels = RouteLabels::new(&self.ask.route.name);
+        let pauses = self.gateway.metrics.pauses.get_or_create(&labels);
+        pauses.observe(self.longest_pause_ms.duration().as_secs_f64());
         info!(
             request:% = self.ask.head.id, route:% = self.ask.route.name, outcome = outcome,
             events = self.events, tries = self.tries.instances().len(),
-            first_event_ms:? = self.first_event_ms.map(Millis::get),
+            first_event_ms = self.first_event_ms.map(Millis::get),
             longest_pause_ms = self.longest_pause_ms.get(),
             age_ms = self.ask.age_ms(Instant::now()).get();
             "stream ended"
--- a/crates/cuminlb-gateway/src/serving/stream_tries.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_tries.rs
@@ -82,8 +82,8 @@
         let now = Instant::now();
         info!(
             request:% = ask.head.id, route:% = ask.route.name, instance:% = target.instance,
-            group:? = target.group.as_ref().map(|(group, _)| group.as_str()),
-            resume_after:? = resume_after.map(EventId::get), tries = self.instances.len(),
+            group = target.group.as_ref().map(|(group, _)| group.as_str()),
+            resume_after = resume_after.map(EventId::get), tries = self.instances.len(),
             age_ms = ask.age_ms(now).get(),
             waited_ms = Millis::from(now.duration_since(sent_at)).get(), outcome:% = outcome;
             "stream asked for"
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -24,6 +24,7 @@
         if !load.suspect(epoch, now) {
             return;
         }
+        self.metrics.suspicions.inc();
         let silent_ms = Millis::from(now.duration_since(heard_at));
         info!(
             request:% = ask.head.id, instance:% = target.instance, group:% = group,
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use prometheus_client::metrics::counter::Counter;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -29,6 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     tasks: TaskTracker,
+    opened: Counter,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -39,9 +41,10 @@
 }
 
 impl ConnectionPool {
-    pub(crate) fn new(tasks: TaskTracker) -> Self {
+    pub(crate) fn new(tasks: TaskTracker, opened: Counter) -> Self {
         Self {
             tasks,
+            opened,
             idle: Mutex::default(),
         }
     }
@@ -108,6 +111,7 @@
         let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_smolstr())?;
+        self.opened.inc();
         self.tasks.spawn(async move {
             if let Err(error) = driver.await {
                 debug!(address:% = address; "a connection to an instance ended: {error}");
--- a/src/cuminlb/ops/logging.rs
+++ b/src/cuminlb/ops/logging.rs
@@ -51,7 +51,7 @@
     }
     dispatch
         .chain(fern::Output::call(move |record| {
-            writer.write(decision_line(record))
+            writer.write(decision_line(record));
         }))
         .apply()
         .map_err(std::io::Error::other)
@@ -78,6 +78,9 @@
     line
 }
 
+/// The text of a field whose value is absent.
+const ABSENT: &str = "None";
+
 struct Fields(Map<String, Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
@@ -87,7 +90,10 @@
         } else if let Some(flag) = value.to_bool() {
             flag.into()
         } else {
-            value.to_string().into()
+            match value.to_string() {
+                text if text == ABSENT => Value::Null,
+                text => text.into(),
+            }
         };
         self.0.insert(key.as_str().to_owned(), value);
         Ok(())
--- a/tests/testsuite/native_path.rs
+++ b/tests/testsuite/native_path.rs
@@ -336,6 +336,90 @@
     sites.assert_no_violation();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_requests_by_route_and_outcome() {
+    let site = NativeSite::start(1, 2, SHORT).await;
+    site.wait_serving().await;
+    site.ask(0, Method::GET, LOOKUP_PATH, "m1", &[], "")
+        .await
+        .unwrap();
+    let url = site.nodes[0].metrics_url();
+    let answer = site.client.call(Method::GET, &url, &[], "").await.unwrap();
+    let text = answer.text();
+    for line in [
+        "cuminlb_requests_total{route=\"lookup\",outcome=\"200\"} 1",
+        "cuminlb_groups_serving 1",
+        "cuminlb_leads 1",
+        "cuminlb_catalog_version 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in {text}");
+    }
+}
+
+/// Three kinds of failed request are found by their ids in the lines of the node's log alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_cause_of_a_failed_request_stands_in_the_log() {
+    let site = NativeSite::start(1, 2, SHORT).await;
+    site.wait_serving().await;
+    let lines_of = |id: &str| -> Vec<serde_json::Value> {
+        let log = site.nodes[0].process.log();
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        let named = format!("\"{id}\"");
+        lines
+            .filter(|line: &serde_json::Value| line.to_string().contains(&named))
+            .collect()
+    };
+    let has = async |id: &str, what: &str| {
+        wait_until("the cause stands in the log", async || {
+            lines_of(id)
+                .iter()
+                .any(|line| line.to_string().contains(what))
+        })
+        .await
+        .unwrap();
+    };
+    // Refused: nobody may take it.
+    site.fleet.rows.put("op", "evacuate/za", &json!({}));
+    wait_until("lookups are refused", async || {
+        let answer = site.ask(0, Method::GET, LOOKUP_PATH, "c0", &[], "").await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+    })
+    .await
+    .unwrap();
+    site.ask(0, Method::GET, LOOKUP_PATH, "c1", &[], "")
+        .await
+        .unwrap();
+    has("c1", "no_group").await;
+    assert!(site.nodes[0].process.log().contains("zone out"));
+    site.fleet.rows.remove("op", "evacuate/za");
+    // Failed: its worker answered with a failure.
+    wait_until("lookups are served", async || {
+        let answer = site.ask(0, Method::GET, LOOKUP_PATH, "c2", &[], "").await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await
+    .unwrap();
+    site.desk_failures.store(1, Ordering::Relaxed);
+    site.ask(0, Method::POST, RESERVE_PATH, "c3", &[], "")
+        .await
+        .unwrap();
+    has("c3", "\"outcome\":\"500\"").await;
+    // Cut: the group of its stream lost a member and no other group could go on.
+    let stream = site.stream(0, "c4", LONG_STREAM);
+    let fault = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let head = site.open_head().unwrap();
+        let member = site.member_beside(&head);
+        site.fleet.engine(&member).unwrap().go_dark();
+    };
+    let (cut, ()) = tokio::join!(stream, fault);
+    assert!(cut.is_err());
+    has("c4", "head suspected").await;
+    has("c4", "stream ended").await;
+}
+
 fn rand_id() -> u64 {
     use std::sync::atomic::AtomicU64;
     static NEXT: AtomicU64 = AtomicU64::new(0);
