Split the plan by what it decides, and accept connections in one place

Change: planning/ has review, formation and spares; accept_peers and accept_each; the tests of nodes are split by feature. No behaviour changed.

--- a/crates/cuminlb-assembly/src/lib.rs
+++ b/crates/cuminlb-assembly/src/lib.rs
@@ -19,7 +19,7 @@
 mod instance_health;
 mod instance_order;
 mod late_orders;
-mod plan_assembly;
+mod planning;
 mod situation;
 
 pub use crate::assembler::Assembler;
@@ -33,5 +33,5 @@
 pub use crate::instance_health::InstanceHealth;
 pub use crate::instance_order::InstanceOrder;
 pub use crate::late_orders::LateOrders;
-pub use crate::plan_assembly::plan_assembly;
+pub use crate::planning::plan_assembly;
 pub use crate::situation::Situation;
--- a/crates/cuminlb-gateway/src/metrics/serve_metrics.rs
+++ b/crates/cuminlb-gateway/src/metrics/serve_metrics.rs
@@ -12,9 +12,9 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept_each::accept_each;
 use crate::gateway::Gateway;
 
 /// Serves the metrics as text until `stop` is cancelled.
@@ -24,22 +24,9 @@
     stop: CancellationToken,
 ) {
     let registry = Arc::new(gateway.metrics.registry());
-    let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => continue,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("a connection for metrics can't be accepted: {error}");
-                continue;
-            }
-        };
+    let mut connections = accept_each(listener, &stop, |stream| {
         let (gateway, registry) = (Arc::clone(&gateway), Arc::clone(&registry));
-        connections.spawn(async move {
+        async move {
             let service = service_fn(move |_| {
                 let answer = answer(&gateway, &registry);
                 async move { Ok::<_, Infallible>(answer) }
@@ -48,8 +35,9 @@
             if let Err(error) = served.await {
                 debug!("a connection for metrics ended: {error}");
             }
-        });
-    }
+        }
+    })
+    .await;
     connections.shutdown().await;
 }
 
--- a/crates/cuminlb-gateway/src/serving/serve_front.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_front.rs
@@ -10,11 +10,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
 use tokio::time::{Duration, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::answer_request::answer_request;
+use crate::accept_each::accept_each;
 use crate::gateway::Gateway;
 
 /// The least buffer that the reader of a connection needs.
@@ -30,21 +30,10 @@
     stop: CancellationToken,
     cut: Duration,
 ) {
-    let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => continue,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(serve_connection(Arc::clone(&gateway), stream, stop.clone()));
-            }
-            Err(error) => warn!("a caller's connection can't be accepted: {error}"),
-        }
-    }
-    drop(listener);
+    let mut connections = accept_each(listener, &stop, |stream| {
+        serve_connection(Arc::clone(&gateway), stream, stop.clone())
+    })
+    .await;
     let left = connections.len();
     info!(connections = left; "front closed");
     let ended = async { while connections.join_next().await.is_some() {} };
--- a/crates/cuminlb-gateway/src/serving/serve_ready.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_ready.rs
@@ -7,12 +7,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::{debug, warn};
+use log::debug;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use super::answer_body::whole_body;
+use crate::accept_each::accept_each;
 use crate::gateway::Gateway;
 
 /// Tells the balancer whether this node takes callers, until `stop` is cancelled.
@@ -21,22 +21,9 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) {
-    let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => continue,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!("the balancer's connection can't be accepted: {error}");
-                continue;
-            }
-        };
+    let mut connections = accept_each(listener, &stop, |stream| {
         let gateway = Arc::clone(&gateway);
-        connections.spawn(async move {
+        async move {
             let service = service_fn(move |_| {
                 let is_ready = gateway.is_ready();
                 async move {
@@ -51,7 +38,8 @@
             if let Err(error) = served.await {
                 debug!("the balancer's connection ended: {error}");
             }
-        });
-    }
+        }
+    })
+    .await;
     connections.shutdown().await;
 }
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! and hands each call to a [`PeerHandler`]. [`RelayLink`], [`serve_relay`] and [`RelayHandler`] are
 //! the same for nodes that follow a platform's store. Both ends show the peer token before the first call.
 
+mod accept_peers;
 mod call_counts;
 mod handshake;
 mod message;
