Leave out an instance that refuses a join until it answers

Ruled out: the probe, which found it silent 50 ms later; the store, which was calm. Change: an instance that does not accept a join counts as silent until a probe finds it answering.

--- a/crates/cuminlb-assembly/src/assembler.rs
+++ b/crates/cuminlb-assembly/src/assembler.rs
@@ -99,6 +99,10 @@
                 // out late, the instance refuses it.
                 let forming = &mut self.memory.forming;
                 forming.retain(|(forming, _)| forming.epoch != *epoch);
+                if outcome != OrderOutcome::Unknown {
+                    // It is left out until it answers when it is asked how it is.
+                    self.note_silence(instance);
+                }
             }
             GroupOrder::Open { group, epoch } if outcome != OrderOutcome::Unknown => {
                 let (group, until) = (group.clone(), now + EFFECT_TIMEOUT);
--- a/crates/cuminlb-assembly/tests/assembly/decisions.rs
+++ b/crates/cuminlb-assembly/tests/assembly/decisions.rs
@@ -95,3 +95,40 @@
     }
     assert_eq!(world.serving(), open_before);
 }
+
+/// An instance whose process has ended refuses every connection at once, long before its entry
+/// vanishes: the leader must not try again and again.
+#[test]
+fn an_instance_that_can_t_be_reached_is_not_tried_again_at_once() {
+    let mut world = EngineWorld::new(2, 8);
+    settle(&mut world);
+    let head = world
+        .engines
+        .values()
+        .find(|engine| engine.is_open())
+        .unwrap();
+    let members = head.place.as_ref().unwrap().members.clone();
+    let spares: Vec<_> = world
+        .engines
+        .values()
+        .filter(|engine| {
+            engine
+                .place
+                .as_ref()
+                .is_some_and(|place| place.members.len() == 1)
+        })
+        .map(|engine| engine.id.clone())
+        .collect();
+    for spare in &spares {
+        world.kill(spare);
+    }
+    world.kill(&members[1]);
+    world.probe(&members[1]);
+    let before = world.orders_given();
+    for _ in 0..20 {
+        world.look(&[]);
+        world.step(|| Fate::Delivered);
+    }
+    let given = world.orders_given() - before;
+    assert!(given <= 20, "{given} orders");
+}
--- a/crates/cuminlb-assembly/tests/assembly/engine_world.rs
+++ b/crates/cuminlb-assembly/tests/assembly/engine_world.rs
@@ -235,6 +235,11 @@
         );
     }
 
+    /// Returns the number of orders that leaders have given so far.
+    pub fn orders_given(&self) -> usize {
+        self.history.len()
+    }
+
     fn history_of(&self, group: &GroupId) -> Vec<&String> {
         let lines = self.history.iter();
         lines.filter(|line| line.contains(group.as_str())).collect()
