Let the node of the cut-off tests see a group before its links fail

Groups were counted by their owners, and the node, just started again, was cut off before it had read the roster. Change: the test waits until that node answers once; what it checks afterwards is unchanged.

--- a/tests/testsuite/cut_off.rs
+++ b/tests/testsuite/cut_off.rs
@@ -68,12 +68,20 @@
             .await
             .unwrap();
         site.wait_serving().await.unwrap();
-        Self {
+        let linked = Self {
             site,
             table,
             peers,
             list,
-        }
+        };
+        // The owners say that groups serve; the node that was started again must have read that
+        // before its links fail, or it has no group to go on with.
+        wait_until("the node has seen a group", async || {
+            linked.chat(SECOND_TEAM_KEY).await.status == StatusCode::OK
+        })
+        .await
+        .unwrap();
+        linked
     }
 
     fn set_fault_of_peers(&self, fault: LinkFault) {
