Spread the requests of one priority over urgencies, and read the priority of teams

A team's own priority was not read at all.

Change: requests of one priority get one of four urgencies by their ids; a stream that goes on comes first.

Seen failing first: requests_of_one_priority_are_spread has no counterpart before; all requests had one urgency.

--- a/crates/cuminlb-catalog/src/catalog.rs
+++ b/crates/cuminlb-catalog/src/catalog.rs
@@ -6,7 +6,7 @@
 use cuminlb_types::prelude::*;
 use smol_str::SmolStr;
 
-use crate::{ApiKey, CallerBounds, Route, UpstreamService};
+use crate::{ApiKey, CallerBounds, Route, Team, UpstreamService};
 
 /// The operators' desired state: one version of it, whole.
 #[derive(Clone, Debug, Default)]
@@ -20,7 +20,7 @@
     /// The routes of each host, those with the longest prefix first.
     routes: HashMap<SmolStr, Vec<Arc<Route>>>,
     /// The team that holds each key; `None` where callers show no keys.
-    teams: Option<HashMap<ApiKey, TeamId>>,
+    teams: Option<HashMap<ApiKey, Team>>,
 }
 
 impl Catalog {
@@ -30,7 +30,7 @@
         routes: Vec<Route>,
         services: Vec<UpstreamService>,
         bounds: CallerBounds,
-        teams: Option<HashMap<ApiKey, TeamId>>,
+        teams: Option<HashMap<ApiKey, Team>>,
     ) -> Self {
         let mut by_host: HashMap<SmolStr, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
@@ -67,7 +67,7 @@
     }
 
     /// Returns the team that holds a key.
-    pub fn team(&self, key: &ApiKey) -> Option<&TeamId> {
+    pub fn team(&self, key: &ApiKey) -> Option<&Team> {
         self.teams.as_ref()?.get(key)
     }
 
--- a/crates/cuminlb-catalog/src/forwarding.rs
+++ b/crates/cuminlb-catalog/src/forwarding.rs
@@ -14,5 +14,5 @@
     /// The last event that the caller has; the stream goes on behind it.
     pub resume_after: Option<EventId>,
     /// The rank among waiting requests, 0 first.
-    pub urgency: u8,
+    pub urgency: Urgency,
 }
--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminlb_catalog::Catalog;
+use cuminlb_catalog::{Catalog, Team};
 use cuminlb_routing::{Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::Request;
@@ -76,7 +76,7 @@
     })
 }
 
-fn team_of(catalog: &Catalog, key: &Option<cuminlb_catalog::ApiKey>) -> Option<TeamId> {
+fn team_of(catalog: &Catalog, key: &Option<cuminlb_catalog::ApiKey>) -> Option<Team> {
     catalog.team(key.as_ref()?).cloned()
 }
 
--- a/crates/cuminlb-gateway/src/serving/ask.rs
+++ b/crates/cuminlb-gateway/src/serving/ask.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cuminlb_catalog::{RequestHead, Route};
+use cuminlb_catalog::{RequestHead, Route, Team};
 use cuminlb_types::prelude::*;
 use http::request;
 use tokio::time::Instant;
@@ -22,7 +22,7 @@
     /// The service that the route gave.
     pub(super) service: ServiceId,
     /// The team that holds the caller's key.
-    pub(super) team: Option<TeamId>,
+    pub(super) team: Option<Team>,
     /// When the head was read.
     pub(super) came_at: Instant,
     /// When the caller must have its answer.
@@ -35,6 +35,12 @@
         self.ends_at.saturating_duration_since(now).into()
     }
 
+    /// Returns the rank among all requests, 0 first.
+    pub(super) fn priority(&self) -> u8 {
+        let of_team = self.team.as_ref().and_then(|team| team.priority);
+        of_team.unwrap_or(self.route.priority)
+    }
+
     /// Returns the time since the request came.
     pub(super) fn age_ms(&self, now: Instant) -> Millis {
         now.duration_since(self.came_at).into()
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod refusal;
 mod retry;
 mod slots;
+mod urgency;
 
 pub use crate::admission::{
     Admission, AdmissionLimits, AdmissionPermit, DrainRate, FairQueue, Priority, QueuePlace,
@@ -31,3 +32,4 @@
     AskState, HeldRange, LoadReport, SlotDenial, SlotEnd, SlotHolder, SlotId, SlotLedger, SlotLoad,
     SlotTerms,
 };
+pub use crate::urgency::spread_urgency;
--- /dev/null
+++ b/crates/cuminlb-routing/tests/urgency.rs
@@ -0,0 +1,52 @@
+//! How urgent requests are where others wait.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeSet;
+
+use cuminlb_routing::spread_urgency;
+use cuminlb_types::prelude::*;
+use proptest::prelude::*;
+
+fn request(number: u32) -> RequestId {
+    format!("r{number}").parse().unwrap()
+}
+
+/// Of many requests that come at once, some must be before others, or all of them wait as long.
+#[test]
+fn requests_of_one_priority_are_spread() {
+    let urgencies = (0..400).map(|number| spread_urgency(1, &request(number), None));
+    let urgencies: Vec<Urgency> = urgencies.collect();
+    let distinct: BTreeSet<Urgency> = urgencies.iter().copied().collect();
+    assert_eq!(distinct.len(), 4, "{distinct:?}");
+    for level in &distinct {
+        let count = urgencies.iter().filter(|it| *it == level).count();
+        assert!((60..140).contains(&count), "{count} of 400 have {level}");
+    }
+}
+
+#[test]
+fn a_stream_that_goes_on_comes_before_all_that_begin() {
+    let resumed = spread_urgency(1, &request(0), Some(EventId(7)));
+    for number in 0..100 {
+        assert!(resumed <= spread_urgency(1, &request(number), None));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x0D0E),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_higher_priority_is_never_less_urgent(
+        priority in 0_u8..=254, number: u32, other: u32, resumes: bool,
+    ) {
+        let resume_after = resumes.then_some(EventId(1));
+        let higher = spread_urgency(priority, &request(number), resume_after);
+        let lower = spread_urgency(priority + 1, &request(other), None);
+        prop_assert!(higher <= lower);
+        prop_assert!(lower <= Urgency(9));
+    }
+}
--- a/crates/cuminlb-types/src/size/mod.rs
+++ b/crates/cuminlb-types/src/size/mod.rs
@@ -1,4 +1,4 @@
-//! Sizes and counts.
+//! Sizes, counts and ranks.
 
 mod accelerator_count;
 mod byte_count;
@@ -8,6 +8,7 @@
 mod share_weight;
 mod slot_count;
 mod token_count;
+mod urgency;
 
 pub use self::accelerator_count::AcceleratorCount;
 pub use self::byte_count::ByteCount;
@@ -17,3 +18,4 @@
 pub use self::share_weight::ShareWeight;
 pub use self::slot_count::SlotCount;
 pub use self::token_count::TokenCount;
+pub use self::urgency::Urgency;
