Let nodes check the group of a silent head, and replace members that hold theirs up

And streams at a head that was gone itself waited 0.9 s, since only the leader's close moved them earlier.

Change: a node whose requests hear nothing from a head asks the members of its group itself; what moves at once is only what belongs to a lost group, and only what is amiss is told to the leader, which then asks once in place of twice. A member that takes 6 times as long is replaced where a spare with the weights is at hand, and is left out of groups until it is quick again.

Tests, seen failing first: assembly stragglers::a_straggler_is_replaced_by_a_spare (a straggler kept its place); native_path::a_member_that_holds_its_group_up_is_replaced.

--- a/crates/cuminlb-assembly/src/assembler.rs
+++ b/crates/cuminlb-assembly/src/assembler.rs
@@ -26,6 +26,9 @@
 /// The time that forming a group may take beside its slowest join.
 const FORM_SLACK: Duration = Duration::from_millis(3_000);
 
+/// How many times longer than usual an instance takes that is better replaced.
+pub const STRAGGLER_SLOWDOWN: f64 = 6.0;
+
 /// Forms and mends the groups of one service for as long as a node leads.
 #[derive(Debug)]
 pub struct Assembler {
@@ -134,11 +137,16 @@
         // The entry of an unlisted instance changes no more, so it may be out of date.
         let has_moved = view.unlisted.contains(instance)
             && entry.is_none_or(|entry| place(&entry.seat) != place(&report.seat));
-        let was = if has_moved {
-            let ended = InstanceHealth::Ended;
-            self.memory.health.insert(instance.clone(), ended)
+        let health = if has_moved {
+            Some(InstanceHealth::Ended)
+        } else if report.slowdown >= STRAGGLER_SLOWDOWN {
+            Some(InstanceHealth::Slow)
         } else {
-            self.memory.health.remove(instance)
+            None
+        };
+        let was = match health {
+            Some(health) => self.memory.health.insert(instance.clone(), health),
+            None => self.memory.health.remove(instance),
         };
         info!(
             instance:% = instance, was:? = was, seat:? = report.seat, has_moved = has_moved,
@@ -150,24 +158,23 @@
     /// Takes in that an instance answers nothing.
     pub fn note_silence(&mut self, instance: &InstanceId) {
         let silent = InstanceHealth::Silent;
-        if self
-            .memory
-            .health
-            .insert(instance.clone(), silent)
-            .is_none()
-        {
+        if self.memory.health.insert(instance.clone(), silent) != Some(silent) {
             info!(instance:% = instance; "instance silent");
         }
     }
 
-    /// Tells whether an instance has answered nothing when it was last asked.
-    pub fn is_silent(&self, instance: &InstanceId) -> bool {
+    /// Tells whether something spoke against an instance when it was last asked how it is.
+    pub fn is_doubted(&self, instance: &InstanceId) -> bool {
         self.memory.health.contains_key(instance)
     }
 
     /// Forgets groups that serve by now, and those that can't be formed any more.
     fn review_forming(&mut self, view: &AssemblyView<'_>, now: Instant) {
         let health = &self.memory.health;
+        let is_lost = |id: &InstanceId| {
+            let health = health.get(id);
+            health.is_some_and(|health| *health != InstanceHealth::Slow)
+        };
         self.memory.forming.retain(|(forming, until)| {
             let group = view
                 .groups
@@ -179,7 +186,7 @@
             }
             let lost = forming.members.iter().find(|id| {
                 let entry = view.instances.get(*id);
-                health.contains_key(*id) || entry.is_none_or(|entry| entry.is_leaving)
+                is_lost(id) || entry.is_none_or(|entry| entry.is_leaving)
             });
             if let Some(lost) = lost {
                 warn!(group:% = forming.group, instance:% = lost; "a member was lost while forming");
--- a/crates/cuminlb-assembly/src/instance_health.rs
+++ b/crates/cuminlb-assembly/src/instance_health.rs
@@ -5,6 +5,8 @@
 pub enum InstanceHealth {
     /// Nothing speaks against it.
     Fine,
+    /// It answers, but takes far longer than it should.
+    Slow,
     /// It answers nothing, and may be cut off or dead.
     Silent,
     /// Its process has ended.
--- a/crates/cuminlb-assembly/src/lib.rs
+++ b/crates/cuminlb-assembly/src/lib.rs
@@ -22,7 +22,7 @@
 mod planning;
 mod situation;
 
-pub use crate::assembler::Assembler;
+pub use crate::assembler::{Assembler, STRAGGLER_SLOWDOWN};
 pub use crate::assembly_step::AssemblyStep;
 pub use crate::assembly_view::AssemblyView;
 pub use crate::forming_group::FormingGroup;
--- a/crates/cuminlb-assembly/src/planning/mod.rs
+++ b/crates/cuminlb-assembly/src/planning/mod.rs
@@ -28,6 +28,7 @@
         orphans: Vec::new(),
         giving_up: BTreeSet::new(),
         formed: BTreeMap::new(),
+        promised: BTreeMap::new(),
     };
     for forming in situation.forming {
         *plan.standing.entry(forming.model.clone()).or_default() += 1;
@@ -76,6 +77,8 @@
     orphans: Vec<&'a GroupView>,
     /// Models of which a group is being given up, whose members are soon free.
     giving_up: BTreeSet<ModelId>,
+    /// The spares that take the places of stragglers, by part of the fabric.
+    promised: BTreeMap<Option<FabricDomainId>, usize>,
     /// The groups that this plan forms, by part of the fabric and model.
     formed: BTreeMap<(Option<FabricDomainId>, ModelId), usize>,
 }
--- a/crates/cuminlb-assembly/src/planning/review.rs
+++ b/crates/cuminlb-assembly/src/planning/review.rs
@@ -1,6 +1,6 @@
 //! Decides which groups stand, which open and which are given up.
 
-use cuminlb_catalog::{CloseMode, SeatState};
+use cuminlb_catalog::{CloseMode, InstanceEntry, SeatState};
 use cuminlb_types::prelude::*;
 
 use super::Plan;
@@ -24,7 +24,7 @@
         }
         let is_kept = |id: &InstanceId| {
             let entry = situation.instances.get(id);
-            situation.is_fine(id) && entry.is_some_and(|entry| !entry.is_leaving)
+            situation.is_alive(id) && entry.is_some_and(|entry| !entry.is_leaving)
         };
         let head = group.head().map(|(id, _)| id);
         let is_head_listed = head.is_some_and(|head| !situation.unlisted.contains(head));
@@ -36,13 +36,41 @@
                 late_orders.may_be_taken(id, group.epoch, self.now)
             });
         let is_sound = group.is_whole() && is_head_listed && !may_be_taken;
-        if is_sound && group.present().all(is_kept) {
+        if is_sound && group.present().all(is_kept) && !self.replaces_stragglers(group) {
             self.keep(group);
         } else {
             self.give_up(group);
         }
     }
 
+    /// Tells whether a group has members that hold it up and spares that can take their places at
+    /// once; these spares are then promised to it.
+    fn replaces_stragglers(&mut self, group: &GroupView) -> bool {
+        let situation = self.situation;
+        let stragglers = group.present().filter(|id| situation.is_slow(id)).count();
+        let domain = group.present().find_map(|id| situation.instances.get(id));
+        let Some(domain) = domain.map(|entry| entry.domain.clone()) else {
+            return false;
+        };
+        if stragglers == 0 {
+            return false;
+        }
+        let is_spare = |entry: &&InstanceEntry| {
+            let seat = entry.seat.as_ref();
+            entry.domain == domain
+                && situation.is_usable(entry)
+                && entry.has_staged(&group.shape.id)
+                && seat.is_none_or(|seat| is_spare_group(&seat.group))
+        };
+        let spares = situation.instances.values().filter(is_spare).count();
+        let promised = self.promised.entry(domain).or_default();
+        if *promised + stragglers > spares {
+            return false;
+        }
+        *promised += stragglers;
+        true
+    }
+
     pub(super) fn keep(&mut self, group: &GroupView) {
         let Some((_, state)) = group.head() else {
             return;
@@ -70,8 +98,8 @@
         let Some((head, _)) = group.head() else {
             return;
         };
-        let is_fine = group.present().all(|id| self.situation.is_fine(id));
-        if is_fine && group.can_open() && !self.situation.ordered.contains(head) {
+        let is_alive = group.present().all(|id| self.situation.is_alive(id));
+        if is_alive && group.can_open() && !self.situation.ordered.contains(head) {
             self.steps.push(AssemblyStep::Open {
                 head: head.clone(),
                 group: group.group.clone(),
@@ -85,6 +113,7 @@
         let situation = self.situation;
         let head = group.head();
         let head_health = head.and_then(|(id, _)| situation.health.get(id));
+        let head_health = head_health.filter(|health| **health != InstanceHealth::Slow);
         match (head, head_health) {
             (Some((id, state)), None) => match state {
                 SeatState::Open | SeatState::Closing => {
--- a/crates/cuminlb-assembly/src/situation.rs
+++ b/crates/cuminlb-assembly/src/situation.rs
@@ -55,6 +55,16 @@
         self.instances.contains_key(id) && !self.health.contains_key(id)
     }
 
+    /// Tells whether an instance answers, but is so slow that it holds its group up.
+    pub fn is_slow(&self, id: &InstanceId) -> bool {
+        self.health.get(id) == Some(&InstanceHealth::Slow)
+    }
+
+    /// Tells whether an instance has an entry and is neither silent nor known to have ended.
+    pub fn is_alive(&self, id: &InstanceId) -> bool {
+        self.is_fine(id) || self.instances.contains_key(id) && self.is_slow(id)
+    }
+
     /// Tells whether the head of a group is known to have another place or none by now.
     pub fn has_head_moved(&self, group: &GroupView) -> bool {
         let place = (group.group.clone(), group.epoch);
--- a/crates/cuminlb-assembly/tests/assembly/engine_world.rs
+++ b/crates/cuminlb-assembly/tests/assembly/engine_world.rs
@@ -102,6 +102,12 @@
         self.engines.get_mut(id).unwrap().is_alive = false;
     }
 
+    /// Makes an engine slow, or quick again, and lets the leader hear of it.
+    pub fn set_slowdown(&mut self, id: &InstanceId, slowdown: f64) {
+        self.engines.get_mut(id).unwrap().slowdown = slowdown;
+        self.probe(id);
+    }
+
     pub fn restart(&mut self, id: &InstanceId) {
         self.engines.get_mut(id).unwrap().restart();
     }
@@ -130,7 +136,7 @@
             is_busy: false,
             waiting: 0,
             running: 0,
-            slowdown: 1.0,
+            slowdown: engine.slowdown,
             staged: Vec::new(),
             seat: engine.entry().seat,
         };
--- a/crates/cuminlb-assembly/tests/assembly/main.rs
+++ b/crates/cuminlb-assembly/tests/assembly/main.rs
@@ -11,3 +11,4 @@
 mod engine_world;
 mod model_engine;
 mod properties;
+mod stragglers;
--- a/crates/cuminlb-assembly/tests/assembly/model_engine.rs
+++ b/crates/cuminlb-assembly/tests/assembly/model_engine.rs
@@ -16,6 +16,8 @@
     pub domain: u32,
     pub life: u64,
     pub is_alive: bool,
+    /// How many times longer than usual it takes.
+    pub slowdown: f64,
     pub place: Option<Place>,
     pub staged: Option<ModelId>,
     /// Whether a load or a join is still to end.
@@ -31,6 +33,7 @@
             domain,
             life: 1,
             is_alive: true,
+            slowdown: 1.0,
             place: None,
             staged: None,
             joining_steps: 0,
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -31,6 +31,9 @@
 /// How often an instance is asked before it counts as silent.
 const PROBE_TRIES: u32 = 2;
 
+/// How often a member is asked whom another node has found silent already.
+const SECOND_PROBE_TRIES: u32 = 1;
+
 /// The time from asking an instance how it is to asking it again.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -175,12 +178,12 @@
         if assembler.note_outcome(&report.instance, &report.order, report.outcome, now) {
             let directory = self.gateway.knowledge.directory();
             if let Some(entry) = directory.any_instance(&report.instance) {
-                self.probe(entry, PROBE_PERIOD, now);
+                self.probe(entry, PROBE_PERIOD, PROBE_TRIES, now);
             }
         }
     }
 
-    /// Asks the members of groups whose heads were reported silent how they are.
+    /// Asks the members of groups that other nodes have found amiss how they are.
     fn check_suspicions(&mut self, directory: &Directory, now: Instant) {
         for notice in self.gateway.suspicions.take() {
             info!(
@@ -197,30 +200,31 @@
             };
             for member in group.present() {
                 if let Some(entry) = directory.any_instance(member) {
-                    self.probe(entry, PROBE_PERIOD, now);
+                    self.probe(entry, PROBE_PERIOD, SECOND_PROBE_TRIES, now);
                 }
             }
         }
     }
 
-    /// Asks silent instances once more, and members of groups whose entries have vanished.
+    /// Asks silent and slow instances once more, and members of groups whose entries have vanished.
     fn check_doubted(&mut self, directory: &Directory, service: &UpstreamService, now: Instant) {
         let assembler = self.assemblers.get(&service.id);
-        let is_silent = |id: &InstanceId| assembler.is_some_and(|it| it.is_silent(id));
+        let is_known_bad = |id: &InstanceId| assembler.is_some_and(|it| it.is_doubted(id));
         let is_doubted = |entry: &&InstanceEntry| {
-            is_silent(&entry.id) || entry.seat.is_some() && directory.unlisted.contains(&entry.id)
+            is_known_bad(&entry.id)
+                || entry.seat.is_some() && directory.unlisted.contains(&entry.id)
         };
         let doubted: Vec<&InstanceEntry> = directory
             .instances(&service.id)
             .filter(is_doubted)
             .collect();
         for entry in doubted {
-            self.probe(entry, DOUBTED_PROBE_PERIOD, now);
+            self.probe(entry, DOUBTED_PROBE_PERIOD, PROBE_TRIES, now);
         }
     }
 
     /// Asks an instance how it is, unless that was done within a period.
-    fn probe(&mut self, entry: &InstanceEntry, period: Duration, now: Instant) {
+    fn probe(&mut self, entry: &InstanceEntry, period: Duration, tries: u32, now: Instant) {
         let probed_at = self.probed_at.get(&entry.id);
         if probed_at.is_some_and(|&at| now.duration_since(at) < period) {
             return;
@@ -232,7 +236,7 @@
         let address = entry.address;
         self.probes.spawn(async move {
             let mut report = None;
-            for _ in 0..PROBE_TRIES {
+            for _ in 0..tries {
                 report = control.report(address, PROBE_TIMEOUT_MS).await;
                 if report.is_some() {
                     break;
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -8,11 +8,16 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
+use super::group_standing::GroupStanding;
+
 /// How long an instance that has fallen silent gets no new requests, unless something comes.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
-/// How often the leader is told of an instance that stays silent.
-const TELLING_PERIOD: Duration = Duration::from_millis(300);
+/// How often the group of a head that stays silent is checked.
+const CHECK_PERIOD: Duration = Duration::from_millis(500);
+
+/// How long the outcome of a check counts.
+const STANDING_AGE: Duration = Duration::from_millis(1_000);
 
 /// How long an instance that has refused a request gets only what no other can take.
 const REFUSAL_PENALTY: Duration = Duration::from_millis(300);
@@ -35,8 +40,10 @@
     progress_at: Instant,
     /// The epoch in which the instance fell silent, and until when that counts.
     suspected: Option<(Epoch, Instant)>,
-    /// When others were last told of it.
-    told_at: Option<Instant>,
+    /// When its group was last checked.
+    checked_at: Option<Instant>,
+    /// The outcome of the newest check: the epoch, what was found, and when.
+    standing: Option<(Epoch, GroupStanding, Instant)>,
     refused_until: Option<Instant>,
     failing: f64,
     /// The requests that were sent within the newest [`RATE_WINDOW`].
@@ -50,7 +57,8 @@
             seen: Mutex::new(Seen {
                 progress_at: now,
                 suspected: None,
-                told_at: None,
+                checked_at: None,
+                standing: None,
                 refused_until: None,
                 failing: 0.0,
                 sent_at: VecDeque::new(),
@@ -89,18 +97,32 @@
         now.duration_since(self.seen().progress_at)
     }
 
-    /// Notes that the instance has fallen silent; returns whether others should be told, as they
-    /// have not been told just before.
+    /// Notes that the instance has fallen silent; returns whether its group should be checked, as
+    /// that was not done just before.
     pub(super) fn suspect(&self, epoch: Epoch, now: Instant) -> bool {
         let mut seen = self.seen();
         seen.suspected = Some((epoch, now + SUSPICION));
-        let is_told = seen
-            .told_at
-            .is_some_and(|at| now.duration_since(at) < TELLING_PERIOD);
-        if !is_told {
-            seen.told_at = Some(now);
+        let is_checked = seen
+            .checked_at
+            .is_some_and(|at| now.duration_since(at) < CHECK_PERIOD);
+        if !is_checked {
+            seen.checked_at = Some(now);
         }
-        !is_told
+        !is_checked
+    }
+
+    /// Notes what a check of the instance's group has found.
+    pub(super) fn note_standing(&self, epoch: Epoch, standing: GroupStanding, now: Instant) {
+        let mut seen = self.seen();
+        seen.standing = Some((epoch, standing, now));
+        seen.suspected = standing.is_lost().then(|| (epoch, now + SUSPICION));
+    }
+
+    /// Returns what a check of the instance's group has found lately in an epoch.
+    pub(super) fn standing(&self, epoch: Epoch, now: Instant) -> Option<GroupStanding> {
+        let (checked, standing, at) = self.seen().standing?;
+        let is_fresh = now.duration_since(at) < STANDING_AGE;
+        (checked == epoch && is_fresh).then_some(standing)
     }
 
     /// Tells whether the instance is taken to be silent in an epoch.
--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 
 /// How often a request that waits for its answer looks at how the instance does otherwise.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
+const LOOK_PERIOD: Duration = Duration::from_millis(30);
 
 /// The largest answer that is kept whole where a stream was asked for.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -62,7 +62,7 @@
                 biased;
                 answered = timeout(LOOK_PERIOD, answer.as_mut()) => match answered {
                     Ok(answered) => break answered.map_err(not_sent)?,
-                    Err(_elapsed) => match watch.look(&in_flight, sent_at, limit) {
+                    Err(_elapsed) => match watch.look(&in_flight, sent_at, limit, target.epoch()) {
                         Silence::Usual => {}
                         Silence::Suspicious => gateway.suspect(ask, &target, sent_at),
                         Silence::TooLong => return Err(TryFailure::Silent),
--- a/crates/cuminlb-gateway/src/serving/silence_watch.rs
+++ b/crates/cuminlb-gateway/src/serving/silence_watch.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
+use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
+use super::group_standing::GroupStanding;
 use super::in_flight::InFlight;
 
 /// How often a request that hears nothing says so.
-const REPORT_PERIOD: Duration = Duration::from_millis(300);
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
-/// The silence after which a request is sent elsewhere although nobody has confirmed that its
-/// group stands still: that costs another reading of the prompt, so a group that is merely slow
-/// keeps it.
+/// The silence after which a request is sent elsewhere although nobody knows whether its group
+/// stands still: that costs another reading of the prompt, so a group that is merely slow keeps it.
 const GIVE_UP_SILENCE: Duration = Duration::from_millis(900);
 
 /// The silence after which a request is sent elsewhere although its instance sends to others: its
@@ -43,11 +44,18 @@
         in_flight: &InFlight,
         heard_at: Instant,
         limit: Duration,
+        epoch: Epoch,
     ) -> Silence {
         let now = Instant::now();
         let silence = now.duration_since(heard_at);
         let instance_silence = silence.min(in_flight.load().silence(now));
-        if instance_silence >= GIVE_UP_SILENCE.max(limit) || silence >= ALONE_SILENCE.max(limit) {
+        let patience = match in_flight.load().standing(epoch, now) {
+            Some(GroupStanding::MemberLost | GroupStanding::HeadLost) => limit,
+            Some(GroupStanding::Intact | GroupStanding::Straggling) | None => {
+                GIVE_UP_SILENCE.max(limit)
+            }
+        };
+        if instance_silence >= patience || silence >= ALONE_SILENCE.max(limit) {
             return Silence::TooLong;
         }
         let is_reported = self
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -18,7 +18,7 @@
 use crate::upstream::Connection;
 
 /// How often a stream that is silent looks at how its instance does otherwise.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
+const LOOK_PERIOD: Duration = Duration::from_millis(30);
 
 /// The part of the pause that is still on time after which an instance is suspected.
 const PAUSE_PART: f64 = 0.75;
@@ -97,7 +97,7 @@
                     }
                     Ok(Some(Err(error))) => return StreamNews::Broken(error.to_smolstr()),
                     Ok(None) => self.has_ended = true,
-                    Err(_elapsed) => match self.watch.look(&self.in_flight, self.heard_at, limit) {
+                    Err(_elapsed) => match self.watch.look(&self.in_flight, self.heard_at, limit, self.target.epoch()) {
                         Silence::Usual => {}
                         Silence::Suspicious => return StreamNews::Quiet,
                         Silence::TooLong => return StreamNews::Silent,
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -1,4 +1,4 @@
-//! What a node does when an instance falls silent.
+//! What a node does when the head of a group falls silent.
 
 use std::sync::Arc;
 
@@ -8,13 +8,15 @@
 use tokio::time::Instant;
 
 use super::ask::Ask;
+use super::check_group::check_group;
+use super::group_standing::GroupStanding;
 use super::target::Target;
 use crate::gateway::Gateway;
 use crate::leading::leader_in;
 
 impl Gateway {
-    /// Sends nothing more to an instance from which nothing has come for a request since
-    /// `heard_at`, and tells the leader.
+    /// Sends nothing more to a head from which nothing has come for a request since `heard_at`,
+    /// until the members of its group have said how they are; tells the leader what is amiss.
     pub(super) fn suspect(self: &Arc<Self>, ask: &Ask, target: &Target, heard_at: Instant) {
         let Some((group, epoch)) = target.group.clone() else {
             return;
@@ -26,11 +28,6 @@
         }
         self.metrics.suspicions.inc();
         let silent_ms = Millis::from(now.duration_since(heard_at));
-        info!(
-            request:% = ask.head.id, instance:% = target.instance, group:% = group,
-            epoch:% = epoch, silent_ms = silent_ms.get();
-            "head suspected"
-        );
         let notice = SuspicionNotice {
             node: self.settings.id.clone(),
             head: target.instance.clone(),
@@ -38,8 +35,29 @@
             epoch,
             silent_ms,
         };
+        info!(
+            request:% = ask.head.id, instance:% = notice.head, group:% = notice.group,
+            epoch:% = epoch, silent_ms = silent_ms.get();
+            "head suspected"
+        );
+        let gateway = Arc::clone(self);
+        self.errands.spawn(async move {
+            let standing = check_group(&gateway, &notice.group, epoch).await;
+            info!(
+                instance:% = notice.head, group:% = notice.group, epoch:% = epoch,
+                standing:? = standing;
+                "silent head checked"
+            );
+            load.note_standing(epoch, standing, Instant::now());
+            if standing != GroupStanding::Intact {
+                gateway.tell_leader(notice).await;
+            }
+        });
+    }
+
+    async fn tell_leader(&self, notice: SuspicionNotice) {
         let Some(leader) = leader_in(&self.knowledge) else {
-            warn!(instance:% = target.instance; "there is no leader to tell");
+            warn!(instance:% = notice.head; "there is no leader to tell");
             return;
         };
         if leader == self.settings.id {
@@ -51,10 +69,8 @@
             warn!(node:% = leader; "the leader is not listed");
             return;
         };
-        self.errands.spawn(async move {
-            if let Err(error) = link.suspect(notice).await {
-                warn!(node:% = leader; "the leader was not told: {error}");
-            }
-        });
+        if let Err(error) = link.suspect(notice).await {
+            warn!(node:% = leader; "the leader was not told: {error}");
+        }
     }
 }
--- a/crates/cuminlb-gateway/src/serving/target.rs
+++ b/crates/cuminlb-gateway/src/serving/target.rs
@@ -14,3 +14,11 @@
     /// The group that it is the head of, and its epoch.
     pub(super) group: Option<(GroupId, Epoch)>,
 }
+
+impl Target {
+    /// Returns the epoch of its group; zero where it serves by itself.
+    pub(super) fn epoch(&self) -> Epoch {
+        let group = self.group.as_ref();
+        group.map_or(Epoch(0), |(_, epoch)| *epoch)
+    }
+}
--- a/tests/testsuite/native_operation.rs
+++ b/tests/testsuite/native_operation.rs
@@ -71,11 +71,9 @@
 async fn all_nodes_lost_at_once_find_the_groups_again() {
     let mut site = NativeSite::start(3, 4, SHORT).await;
     site.wait_serving().await;
-    let before = site
-        .fleet
-        .engine(&site.open_head().unwrap())
-        .unwrap()
-        .place();
+    // Another group may still open meanwhile, so the same head is looked at again.
+    let head = site.open_head().unwrap();
+    let before = site.fleet.engine(&head).unwrap().place();
     for node in &mut site.nodes {
         node.process.kill().await;
     }
@@ -83,7 +81,6 @@
         site.restart_node(index);
     }
     site.wait_serving().await;
-    let head = site.open_head().unwrap();
     assert_eq!(site.fleet.engine(&head).unwrap().place(), before);
     let sites = Arc::new(site);
     let answer = sites.stream(2, "again", "10").await.unwrap();
--- a/tests/testsuite/native_path.rs
+++ b/tests/testsuite/native_path.rs
@@ -128,6 +128,32 @@
     site.assert_no_violation();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_that_holds_its_group_up_is_replaced() {
+    let site = NativeSite::start(2, 5, SHORT).await;
+    site.wait_serving().await;
+    let head = site.open_head().unwrap();
+    let straggler = site.member_beside(&head);
+    site.fleet.engine(&straggler).unwrap().slow_down(20.0);
+    let streams = (0..4).map(|number| {
+        let site = &site;
+        async move {
+            let answer = site.stream(number % 2, &format!("s{number}"), "40").await;
+            event_ids(&answer.unwrap())
+        }
+    });
+    for events in futures_util::future::join_all(streams).await {
+        assert_eq!(events, (1..=40).collect::<Vec<_>>());
+    }
+    wait_until("a group serves without the straggler", async || {
+        site.open_head()
+            .is_some_and(|head| site.member_beside(&head) != straggler && head != straggler)
+    })
+    .await
+    .unwrap();
+    site.assert_no_violation();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_is_formed_again_when_its_head_falls_silent() {
     let site = NativeSite::start(2, 3, SHORT).await;
