Let nodes that don't lead gather changes of instances for longer

Change: nodes that do not lead wait 120 ms after a change before they ask for the next, the leader 20 ms as before. A drain has 2 s to be known, so this costs nothing there.

Ruled out: renewing the lease more rarely, or looking at it more rarely; a dead leader would be replaced later.

--- a/crates/cuminlb-gateway/src/knowledge/follow_table.rs
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -11,13 +11,17 @@
 
 use super::RowSource;
 use crate::gateway::Gateway;
+use crate::leading::leader_in;
 use crate::metrics::StoreLabels;
 
 /// The longest time that a call waits for a change: it bounds how late a silent connection shows.
 const FEED_WAIT_MS: Millis = Millis(1_800);
 
 /// The pause after a change of the instances, as changes come in bursts.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(20);
+const INSTANCES_PAUSE: Duration = Duration::from_millis(120);
+
+/// That pause at the leader, whose next order waits for the change.
+const LEADER_PAUSE: Duration = Duration::from_millis(20);
 
 /// The pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(350);
@@ -45,7 +49,10 @@
                     let is_quiet = changes.rows.is_empty();
                     take_in(gateway, table, changes);
                     if table == StoreTable::Instances && !is_quiet {
-                        tokio::time::sleep(INSTANCES_PAUSE).await;
+                        let leads = leader_in(&gateway.knowledge);
+                        let leads = leads.as_ref() == Some(&gateway.settings.id);
+                        let pause = if leads { LEADER_PAUSE } else { INSTANCES_PAUSE };
+                        tokio::time::sleep(pause).await;
                     }
                 }
                 Err(StoreError::HistoryGone) => {
