Let a few nodes follow the store, and the others follow these

News older than 1.1 s, or no answer within 0.8 s, send a node to the next follower and then to the store itself, so a change is known within the 2 s that drains and catalogs have. A follower that started after a row was removed gives the whole table, as it could not tell of the removal. Followers look every 0.8 s in place of 1.8 s.

Tests: native_feeds (two), seen failing where all nodes follow the store. Not proved by a test of its own: that a follower which started late gives the whole table.

--- a/crates/cuminlb-gateway/src/knowledge/follow_table.rs
+++ b/crates/cuminlb-gateway/src/knowledge/follow_table.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminlb_catalog::{RowChangeSet, StoreError, StoreTable};
+use cuminlb_peer::{RelayLink, RelayedRows};
 use cuminlb_types::prelude::*;
 use log::{debug, info, warn};
 use rand::seq::IndexedRandom;
@@ -10,12 +11,20 @@
 use tokio_util::sync::CancellationToken;
 
 use super::RowSource;
+use super::feed_peers::FeedPeers;
+use super::row_origin::RowOrigin;
 use crate::gateway::Gateway;
 use crate::leading::leader_in;
 use crate::metrics::StoreLabels;
 
 /// The longest time that a call waits for a change: it bounds how late a silent connection shows.
-const FEED_WAIT_MS: Millis = Millis(1_800);
+const FEED_WAIT_MS: Millis = Millis(800);
+
+/// The same for a call to a peer.
+const PEER_WAIT_MS: Millis = Millis(400);
+
+/// The age from which on a peer's news of the store are too old to rely on.
+const MAX_PEER_AGE_MS: Millis = Millis(1_100);
 
 /// The pause after a change of the instances, as changes come in bursts.
 const INSTANCES_PAUSE: Duration = Duration::from_millis(120);
@@ -32,7 +41,16 @@
     let follow = async {
         let mut must_read_whole = true;
         let mut is_lost = false;
+        let mut failed_peers = FeedPeers::default();
         loop {
+            let now = Instant::now();
+            let origin = RowOrigin::choose(gateway, &failed_peers, now);
+            if let (RowOrigin::Peer(node, link), false) = (origin, must_read_whole || is_lost) {
+                if !follow_peer(gateway, table, &node, &link).await {
+                    failed_peers.note_failure(node, Instant::now());
+                }
+                continue;
+            }
             let heard = heard(gateway, table, must_read_whole).await;
             let labels = StoreLabels {
                 table: table.to_string(),
@@ -77,6 +95,40 @@
     }
 }
 
+/// Hears from a peer that follows the store; returns whether its news are new enough.
+async fn follow_peer(
+    gateway: &Gateway,
+    table: StoreTable,
+    node: &NodeId,
+    link: &RelayLink,
+) -> bool {
+    let after = gateway.knowledge.version(table);
+    match link.await_rows(table, after, PEER_WAIT_MS).await {
+        Ok(relayed) => {
+            let is_fresh = relayed.heard_ms <= MAX_PEER_AGE_MS;
+            if !is_fresh {
+                info!(
+                    table:% = table, node:% = node, heard_ms = relayed.heard_ms.get();
+                    "the peer's news are too old"
+                );
+            }
+            learn_from_peer(gateway, table, relayed);
+            is_fresh
+        }
+        Err(error) => {
+            warn!(table:% = table, node:% = node; "peer lost: {error}");
+            false
+        }
+    }
+}
+
+fn learn_from_peer(gateway: &Gateway, table: StoreTable, relayed: RelayedRows) {
+    let knowledge = &gateway.knowledge;
+    let rows = relayed.changes.rows.len();
+    knowledge.learn(table, relayed.changes, RowSource::Peer, Instant::now());
+    debug!(table:% = table, rows = rows, heard_ms:% = relayed.heard_ms; "rows learnt from a peer");
+}
+
 async fn heard(
     gateway: &Gateway,
     table: StoreTable,
@@ -108,12 +160,8 @@
     let after = gateway.knowledge.version(table);
     match link.rows_since(table, after).await {
         Ok(relayed) => {
-            let rows = relayed.changes.rows.len();
-            debug!(table:% = table, node:% = node, rows = rows, heard_ms:% = relayed.heard_ms; "peer asked");
-            let now = Instant::now();
-            gateway
-                .knowledge
-                .learn(table, relayed.changes, RowSource::Peer, now);
+            debug!(table:% = table, node:% = node; "peer asked");
+            learn_from_peer(gateway, table, relayed);
         }
         Err(error) => debug!(table:% = table, node:% = node; "peer gave no rows: {error}"),
     }
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -22,6 +22,8 @@
     state: Mutex<State>,
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     directory: watch::Sender<Arc<Directory>>,
+    /// The version of each table's newest row.
+    news: BTreeMap<StoreTable, watch::Sender<RowVersion>>,
 }
 
 #[derive(Debug, Default)]
@@ -47,6 +49,9 @@
             state: Mutex::default(),
             catalog: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
+            news: StoreTable::ALL
+                .map(|table| (table, watch::Sender::new(RowVersion(0))))
+                .into(),
         }
     }
 
@@ -82,6 +87,14 @@
         mirror.map(|mirror| mirror.since(after)).unwrap_or_default()
     }
 
+    /// Returns a receiver that is told the version of a table's newest row.
+    pub(crate) fn table_news(&self, table: StoreTable) -> watch::Receiver<RowVersion> {
+        match self.news.get(&table) {
+            Some(news) => news.subscribe(),
+            None => watch::Sender::new(RowVersion(0)).subscribe(),
+        }
+    }
+
     /// Returns a row as this node knows it.
     pub(crate) fn row(&self, table: StoreTable, key: &RowKey) -> Option<SharedRow> {
         let state = self.state();
@@ -120,6 +133,14 @@
             state.lost.remove(&table);
         }
         let fresh = state.mirrors.entry(table).or_default().apply(changes);
+        let newest = fresh.iter().map(|row| row.version).max();
+        if let (Some(newest), Some(news)) = (newest, self.news.get(&table)) {
+            news.send_if_modified(|known| {
+                let is_newer = newest > *known;
+                *known = newest.max(*known);
+                is_newer
+            });
+        }
         let changed = match table {
             StoreTable::Desired => self.learn_desired(&mut state, &fresh, source),
             StoreTable::Instances => self.learn_instances(&mut state, &fresh, now),
--- a/crates/cuminlb-gateway/src/knowledge/mod.rs
+++ b/crates/cuminlb-gateway/src/knowledge/mod.rs
@@ -6,6 +6,7 @@
 //! groups and nodes.
 
 mod directory;
+mod feed_peers;
 mod follow_table;
 mod instance_records;
 #[expect(
@@ -17,6 +18,7 @@
 mod peer_links;
 mod register_node;
 mod relay_service;
+mod row_origin;
 mod row_source;
 mod table_mirror;
 
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -5,7 +5,7 @@
 use cuminlb_catalog::StoreTable;
 use cuminlb_peer::{RelayHandler, RelayedRows, SuspicionNotice};
 use cuminlb_types::prelude::*;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::gateway::Gateway;
 
@@ -32,6 +32,20 @@
         }
     }
 
+    async fn await_rows(
+        &self,
+        table: StoreTable,
+        after: RowVersion,
+        wait_ms: Millis,
+    ) -> RelayedRows {
+        let knowledge = &self.gateway.knowledge;
+        let mut news = knowledge.table_news(table);
+        let has_news = news.wait_for(|newest| *newest > after);
+        // Without news the answer says that there are none, and how old that is.
+        let _ = timeout(wait_ms.duration(), has_news).await;
+        self.rows_since(table, after)
+    }
+
     fn suspect(&self, notice: SuspicionNotice) {
         self.gateway.suspicions.raise(notice);
     }
--- a/crates/cuminlb-gateway/src/knowledge/table_mirror.rs
+++ b/crates/cuminlb-gateway/src/knowledge/table_mirror.rs
@@ -16,6 +16,8 @@
     rows: BTreeMap<RowKey, SharedRow>,
     version: RowVersion,
     removed: usize,
+    /// The version from which on no removed row is missing.
+    complete_from: RowVersion,
 }
 
 impl TableMirror {
@@ -37,6 +39,9 @@
     /// Takes changes in and returns the rows that are new to this node.
     pub(crate) fn apply(&mut self, changes: RowChangeSet) -> Vec<SharedRow> {
         let mut fresh = Vec::new();
+        if changes.is_whole && self.version == RowVersion(0) {
+            self.complete_from = changes.version;
+        }
         if changes.is_whole {
             let is_listed = |key: &RowKey| changes.rows.iter().any(|row| row.key == *key);
             let removed = self.rows().filter(|row| row.version < changes.version);
@@ -63,8 +68,15 @@
         fresh
     }
 
-    /// Returns the rows that changed after a version.
+    /// Returns the rows that changed after a version, or all rows where a removed one may be missing.
     pub(crate) fn since(&self, after: RowVersion) -> RowChangeSet {
+        if after < self.complete_from {
+            return RowChangeSet {
+                is_whole: true,
+                rows: self.rows().cloned().collect(),
+                version: self.version,
+            };
+        }
         let rows = self.rows.values().filter(|row| row.version > after);
         RowChangeSet {
             is_whole: false,
@@ -88,6 +100,7 @@
         let Some(&oldest_kept) = versions.get(versions.len() / 2) else {
             return;
         };
+        self.complete_from = self.complete_from.max(oldest_kept);
         self.rows
             .retain(|_, row| row.value.is_some() || row.version >= oldest_kept);
     }
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -53,8 +53,30 @@
         table: StoreTable,
         after: RowVersion,
     ) -> Result<RelayedRows, PeerError> {
-        self.call(async |client, context| client.rows_since(context, table, after).await)
-            .await
+        let time_ms = self.timeout_ms;
+        self.call(time_ms, async |client, context| {
+            client.rows_since(context, table, after).await
+        })
+        .await
+    }
+
+    /// Asks the peer for the rows of a table that changed after a version, and lets it wait for
+    /// such a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] when no answer came.
+    pub async fn await_rows(
+        &self,
+        table: StoreTable,
+        after: RowVersion,
+        wait_ms: Millis,
+    ) -> Result<RelayedRows, PeerError> {
+        let time_ms = self.timeout_ms + wait_ms;
+        self.call(time_ms, async |client, context| {
+            client.await_rows(context, table, after, wait_ms).await
+        })
+        .await
     }
 
     /// Tells the peer that an instance has fallen silent.
@@ -63,12 +85,16 @@
     ///
     /// Returns [`PeerError`] when no answer came.
     pub async fn suspect(&self, notice: SuspicionNotice) -> Result<(), PeerError> {
-        self.call(async |client, context| client.suspect(context, notice).await)
-            .await
+        let time_ms = self.timeout_ms;
+        self.call(time_ms, async |client, context| {
+            client.suspect(context, notice).await
+        })
+        .await
     }
 
     async fn call<T>(
         &self,
+        time_ms: Millis,
         call: impl AsyncFnOnce(RelayApiClient, Context) -> Result<T, RpcError>,
     ) -> Result<T, PeerError> {
         let timeout_ms = self.timeout_ms;
@@ -76,13 +102,13 @@
         let client =
             connected.unwrap_or_else(|_elapsed| Err(not_connected("no connection in time")))?;
         let mut context = tarpc::context::current();
-        context.deadline = Instant::now() + timeout_ms.duration();
+        context.deadline = Instant::now() + time_ms.duration();
         match call(client, context).await {
             Ok(answer) => Ok(answer),
             Err(error) => {
                 *self.client.lock().await = None;
                 Err(PeerError::NoAnswer {
-                    timeout_ms,
+                    timeout_ms: time_ms,
                     reason: error.to_smolstr(),
                 })
             }
--- a/crates/cuminlb-peer/src/relay_server.rs
+++ b/crates/cuminlb-peer/src/relay_server.rs
@@ -46,6 +46,16 @@
         self.handler.rows_since(table, after)
     }
 
+    async fn await_rows(
+        self,
+        _: Context,
+        table: StoreTable,
+        after: RowVersion,
+        wait_ms: Millis,
+    ) -> RelayedRows {
+        self.handler.await_rows(table, after, wait_ms).await
+    }
+
     async fn suspect(self, _: Context, notice: SuspicionNotice) {
         self.handler.suspect(notice);
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod latency;
 mod memory_table;
 mod metrics;
+mod native_feeds;
 mod native_operation;
 mod native_path;
 mod native_site;
