--- a/crates/cuminlb-assembly/tests/assembly/engine_world.rs
+++ b/crates/cuminlb-assembly/tests/assembly/engine_world/mod.rs
@@ -1,4 +1,7 @@
-//! Engines and leaders, with orders that are lost, late, repeated and out of turn.
+//! Engines and leaders, with orders that are lost, late, repeated and out of turn; what must hold of
+//! them is in `checks`.
+
+mod checks;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,7 +13,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use super::model_engine::ModelEngine;
+use crate::model_engine::ModelEngine;
 
 /// The time of one step.
 pub const STEP: Duration = Duration::from_millis(250);
@@ -221,36 +224,11 @@
             .apply(&order.order)
     }
 
-    /// Fails if an engine is taken into another group while the head of its own serves.
-    fn check_two(&self, engine: &ModelEngine, group: &GroupId, epoch: Epoch) {
-        let Some(place) = &engine.place else { return };
-        let would_be_refused = epoch < place.seat.epoch;
-        if place.seat.group == *group || would_be_refused {
-            return;
-        }
-        let head = &self.engines[&place.members[0]];
-        let is_same = head.place.as_ref().is_some_and(|at| {
-            at.seat.group == place.seat.group && at.seat.epoch == place.seat.epoch
-        });
-        assert!(
-            !(head.is_alive && is_same && head.is_open()),
-            "{} is taken into {group} while {} is open; orders of that group: {:#?}",
-            engine.id,
-            place.seat.group,
-            self.history_of(&place.seat.group)
-        );
-    }
-
     /// Returns the number of orders that leaders have given so far.
     pub fn orders_given(&self) -> usize {
         self.history.len()
     }
 
-    fn history_of(&self, group: &GroupId) -> Vec<&String> {
-        let lines = self.history.iter();
-        lines.filter(|line| line.contains(group.as_str())).collect()
-    }
-
     fn pass_time(&mut self) {
         let ids: Vec<InstanceId> = self.engines.keys().cloned().collect();
         for id in &ids {
@@ -273,27 +251,6 @@
         }
     }
 
-    /// Fails if a head begins to serve and a member was never ready in its group.
-    fn check_partial(&self, head: &ModelEngine) {
-        let place = head.place.as_ref().unwrap();
-        let size = self
-            .engine
-            .models
-            .iter()
-            .find(|model| place.seat.group.as_str().starts_with(model.id.as_str()));
-        assert_eq!(place.members.len(), size.unwrap().size.get() as usize);
-        for member in &place.members {
-            let was_ready = self.been_ready.iter().any(|(id, _, group, epoch)| {
-                id == member && *group == place.seat.group && *epoch == place.seat.epoch
-            });
-            assert!(
-                was_ready,
-                "{member} was never ready in {}",
-                place.seat.group
-            );
-        }
-    }
-
     /// A head whose members are not there gives up after a while.
     fn note_stall(&mut self, head: &ModelEngine) {
         if !head.is_open() || self.is_whole(head) {
@@ -307,21 +264,6 @@
             engine.place.as_mut().unwrap().seat.state = SeatState::Broken;
         }
     }
-
-    fn is_whole(&self, head: &ModelEngine) -> bool {
-        let Some(place) = &head.place else {
-            return false;
-        };
-        place.members.iter().all(|id| {
-            let member = &self.engines[id];
-            member.is_alive
-                && member.place.as_ref().is_some_and(|at| {
-                    at.seat.group == place.seat.group
-                        && at.seat.epoch == place.seat.epoch
-                        && at.seat.state != SeatState::Joining
-                })
-        })
-    }
 }
 
 fn view<'a>(
--- a/tests/testsuite/native_feeds.rs
+++ b/tests/testsuite/native_feeds.rs
@@ -44,8 +44,8 @@
     nodes.filter(|&node| after[node] > before[node]).collect()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn few_nodes_call_the_store_for_all() {
+/// Returns a site of six nodes, at least half of which follow others.
+async fn settled_site() -> NativeSite {
     let site = NativeSite::start(6, 4, SHORT).await;
     site.wait_serving().await;
     wait_until("half of the nodes leave the store alone", async || {
@@ -53,6 +53,12 @@
     })
     .await
     .unwrap();
+    site
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn few_nodes_call_the_store_for_all() {
+    let site = settled_site().await;
     let lookups = (0..6).map(|node| site.stream(node, "all", "5"));
     for answer in futures_util::future::join_all(lookups).await {
         assert_eq!(answer.unwrap().status, StatusCode::OK);
@@ -61,13 +67,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_catalog_is_in_force_in_time_though_nodes_that_follow_the_store_freeze() {
-    let site = NativeSite::start(6, 4, SHORT).await;
-    site.wait_serving().await;
-    wait_until("half of the nodes leave the store alone", async || {
-        callers(&site).await.len() <= 3
-    })
-    .await
-    .unwrap();
+    let site = settled_site().await;
     let frozen = callers(&site).await;
     assert!(!frozen.is_empty());
     for &node in &frozen {
