--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -156,10 +156,10 @@
         let process = std::process::id().to_le_bytes();
         let site = u8::try_from(self.number).unwrap();
         assert!(
-            site < 16 && number < 16,
+            site < 32 && number < 8,
             "a loopback address is left for each node"
         );
-        let address = Ipv4Addr::new(127, 128 | process[1] >> 1, process[0], site * 16 + number);
+        let address = Ipv4Addr::new(127, 128 | process[1] >> 1, process[0], site * 8 + number);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
         let settings = self.folder.path().join(format!("n{number}.toml"));
