Let the last try of a request stay with a group that may still answer

Change: a request that may not be tried again leaves only a group that is known to be lost.

Test, seen failing first (502 in place of 200): native_path::the_last_try_of_a_request_stays_with_a_busy_group.

--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -37,12 +37,14 @@
     Other(Response<AnswerBody>),
 }
 
-/// Sends a request for a stream and waits until the answer begins.
+/// Sends a request for a stream and waits until the answer begins; `is_last` where no other
+/// instance may be tried after it.
 pub(super) async fn open_stream(
     gateway: &Arc<Gateway>,
     ask: &Ask,
     target: Target,
     resume_after: Option<EventId>,
+    is_last: bool,
 ) -> Result<Opened, TryFailure> {
     let in_flight = gateway.loads.begin(&target.instance);
     let mut connection = gateway
@@ -53,7 +55,7 @@
     let sent_at = Instant::now();
     let request = forwarded(gateway, ask, &target, resume_after);
     let limit = silence_limit(ask, false);
-    let mut watch = SilenceWatch::default();
+    let mut watch = SilenceWatch::new(is_last);
     let answer = {
         let answer = connection.send(request);
         tokio::pin!(answer);
--- a/crates/cuminlb-gateway/src/serving/silence_watch.rs
+++ b/crates/cuminlb-gateway/src/serving/silence_watch.rs
@@ -34,9 +34,19 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SilenceWatch {
     reported_at: Option<Instant>,
+    /// Whether no other instance may go on, so that a group that may still answer keeps the request.
+    is_last: bool,
 }
 
 impl SilenceWatch {
+    /// Starts to watch a request; `is_last` where no other instance may go on with it.
+    pub(super) const fn new(is_last: bool) -> Self {
+        Self {
+            reported_at: None,
+            is_last,
+        }
+    }
+
     /// Judges the silence since `heard_at`, which is suspicious after `limit` if the instance sends
     /// nothing to other requests of this node either.
     pub(super) fn look(
@@ -49,13 +59,15 @@
         let now = Instant::now();
         let silence = now.duration_since(heard_at);
         let instance_silence = silence.min(in_flight.load().silence(now));
-        let patience = match in_flight.load().standing(epoch, now) {
-            Some(GroupStanding::MemberLost | GroupStanding::HeadLost) => limit,
-            Some(GroupStanding::Intact | GroupStanding::Straggling) | None => {
-                GIVE_UP_SILENCE.max(limit)
-            }
+        let standing = in_flight.load().standing(epoch, now);
+        let is_too_long = if standing.is_some_and(GroupStanding::is_lost) {
+            instance_silence >= limit
+        } else {
+            !self.is_last
+                && (instance_silence >= GIVE_UP_SILENCE.max(limit)
+                    || silence >= ALONE_SILENCE.max(limit))
         };
-        if instance_silence >= patience || silence >= ALONE_SILENCE.max(limit) {
+        if is_too_long {
             return Silence::TooLong;
         }
         let is_reported = self
--- a/crates/cuminlb-gateway/src/serving/stream_tries.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_tries.rs
@@ -56,6 +56,11 @@
         self.runs == 0 || self.may_repeat && self.runs < self.max_runs
     }
 
+    /// Tells whether the request may not run again after its next send.
+    const fn is_last(&self) -> bool {
+        !self.may_repeat || self.runs + 1 >= self.max_runs
+    }
+
     /// Sends the request once.
     pub(super) async fn open(
         &mut self,
@@ -66,7 +71,7 @@
     ) -> Result<Opened, TryFailure> {
         self.instances.push(target.instance.clone());
         let sent_at = Instant::now();
-        let opened = open_stream(gateway, ask, target.clone(), resume_after).await;
+        let opened = open_stream(gateway, ask, target.clone(), resume_after, self.is_last()).await;
         match &opened {
             Ok(_) | Err(TryFailure::Unknown { .. } | TryFailure::Silent) => {
                 self.has_arrived = true;
--- a/tests/testsuite/native_path.rs
+++ b/tests/testsuite/native_path.rs
@@ -154,6 +154,27 @@
     site.assert_no_violation();
 }
 
+/// Both groups are busy for longer than a request waits where another one may try.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_try_of_a_request_stays_with_a_busy_group() {
+    let site = NativeSite::start(1, 4, SHORT).await;
+    site.wait_serving().await;
+    wait_until("two groups serve", async || {
+        let engines = (0..4).map(|number| site.fleet.engine(&format!("e{number}")).unwrap());
+        let open = engines.filter(|engine| engine.place().is_some_and(|place| place.2 == "open"));
+        open.count() == 2
+    })
+    .await
+    .unwrap();
+    for number in 0..4 {
+        let engine = site.fleet.engine(&format!("e{number}")).unwrap();
+        engine.slow_down(150.0);
+    }
+    let answer = site.stream(0, "busy", "1").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    assert_eq!(event_ids(&answer), [1]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_is_formed_again_when_its_head_falls_silent() {
     let site = NativeSite::start(2, 3, SHORT).await;
