--- a/crates/cuminlb-assembly/src/assembler/steps.rs
+++ b/crates/cuminlb-assembly/src/assembler/steps.rs
@@ -1,6 +1,7 @@
 //! Turns the steps of a plan into orders, and records the effects to wait for.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_catalog::{GroupOrder, InstanceEntry};
@@ -160,7 +161,7 @@
     fn record_pending_effect(
         &mut self,
         id: &InstanceId,
-        instances: &BTreeMap<InstanceId, InstanceEntry>,
+        instances: &BTreeMap<InstanceId, Arc<InstanceEntry>>,
         until: Instant,
     ) {
         let seat = instances.get(id).and_then(|entry| entry.seat.clone());
--- a/crates/cuminlb-assembly/src/assembly_state.rs
+++ b/crates/cuminlb-assembly/src/assembly_state.rs
@@ -1,6 +1,7 @@
 //! The leader's state between two plans: pending orders, probe results and recent groups.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_catalog::{InstanceEntry, Seat};
@@ -143,7 +144,7 @@
     pub(crate) fn remove_expired(
         &mut self,
         now: Instant,
-        instances: &BTreeMap<InstanceId, InstanceEntry>,
+        instances: &BTreeMap<InstanceId, Arc<InstanceEntry>>,
     ) {
         self.awaiting_effect.retain(|id, (seat, until)| {
             now < *until && instances.get(id).is_some_and(|entry| entry.seat == *seat)
--- a/crates/cuminlb-assembly/src/assembly_view.rs
+++ b/crates/cuminlb-assembly/src/assembly_view.rs
@@ -1,6 +1,7 @@
 //! The leader's current view of one service: the input of [`Assembler`](crate::Assembler).
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use cuminlb_catalog::{EngineSpec, InstanceEntry};
 use cuminlb_types::prelude::*;
@@ -13,7 +14,7 @@
     /// The capacity and timing of the service's engines.
     pub engine: &'a EngineSpec,
     /// The instances of the service.
-    pub instances: &'a BTreeMap<InstanceId, InstanceEntry>,
+    pub instances: &'a BTreeMap<InstanceId, Arc<InstanceEntry>>,
     /// The groups of these instances.
     pub groups: &'a [GroupView],
     /// Instances whose entries were removed although their processes may still run.
--- a/crates/cuminlb-assembly/src/plan_input.rs
+++ b/crates/cuminlb-assembly/src/plan_input.rs
@@ -1,6 +1,7 @@
 //! The input of [`plan_assembly`](crate::plan_assembly), with the predicates that a plan needs.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_catalog::{EngineSpec, InstanceEntry};
@@ -18,7 +19,7 @@
     /// The capacity and timing of the service's engines.
     pub engine: &'a EngineSpec,
     /// The instances of the service.
-    pub instances: &'a BTreeMap<InstanceId, InstanceEntry>,
+    pub instances: &'a BTreeMap<InstanceId, Arc<InstanceEntry>>,
     /// The groups of these instances.
     pub groups: &'a [GroupView],
     /// Groups that the leader is forming.
--- a/crates/cuminlb-assembly/src/planning/evaluation.rs
+++ b/crates/cuminlb-assembly/src/planning/evaluation.rs
@@ -1,5 +1,7 @@
 //! Decides which existing groups are kept, opened or dissolved.
 
+use std::sync::Arc;
+
 use cuminlb_catalog::{CloseMode, InstanceEntry, SeatState};
 use cuminlb_types::prelude::*;
 
@@ -66,7 +68,12 @@
                 && entry.has_staged(&group.shape.id)
                 && seat.is_none_or(|seat| is_spare_group(&seat.group))
         };
-        let spares = input.instances.values().filter(is_spare).count();
+        let spares = input
+            .instances
+            .values()
+            .map(Arc::as_ref)
+            .filter(is_spare)
+            .count();
         let reserved = self.reserved_spares.entry(domain).or_default();
         if *reserved + stragglers > spares {
             return false;
--- a/crates/cuminlb-assembly/src/planning/formation.rs
+++ b/crates/cuminlb-assembly/src/planning/formation.rs
@@ -1,6 +1,7 @@
 //! Forms missing groups, and forms groups again whose heads do not respond.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use cuminlb_catalog::{InstanceEntry, ModelShape};
 use cuminlb_types::prelude::*;
@@ -18,7 +19,7 @@
     pub(super) fn free_instances(&self, now: Instant) -> FreeInstances<'a> {
         let input = self.input;
         let mut free = FreeInstances::new();
-        for entry in input.instances.values() {
+        for entry in input.instances.values().map(Arc::as_ref) {
             let is_free = input.is_eligible(entry)
                 && !self.reserved.contains(&entry.id)
                 && !input.join_holds.is_held(&entry.id, now);
@@ -39,7 +40,7 @@
             let input = self.input;
             let survivors: Vec<&'a InstanceEntry> = group
                 .present()
-                .filter_map(|id| input.instances.get(id))
+                .filter_map(|id| input.instances.get(id).map(Arc::as_ref))
                 .filter(|entry| input.is_eligible(entry))
                 .collect();
             let Some(first) = survivors.first() else {
@@ -91,7 +92,13 @@
                 && self.input.is_healthy(&entry.id)
                 && !self.input.zones_out.contains(&entry.zone)
         };
-        let usable = self.input.instances.values().filter(usable).count();
+        let usable = self
+            .input
+            .instances
+            .values()
+            .map(Arc::as_ref)
+            .filter(usable)
+            .count();
         let targets = GroupTargets::new(self.input.engine, usable);
         let mut skipped: BTreeSet<&ModelId> = BTreeSet::new();
         loop {
--- a/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
+++ b/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
@@ -4,6 +4,7 @@
 mod checks;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_assembly::{Assembler, AssemblyView, GroupView, InstanceOrder};
@@ -40,7 +41,7 @@
     pub engine: EngineSpec,
     pub engines: BTreeMap<InstanceId, SimulatedEngine>,
     /// The entries that leaders see, which may be out of date.
-    seen: BTreeMap<InstanceId, InstanceEntry>,
+    seen: BTreeMap<InstanceId, Arc<InstanceEntry>>,
     leader: Assembler,
     epoch_base: u64,
     delayed_orders: Vec<(u8, u64, InstanceOrder)>,
@@ -124,7 +125,7 @@
     pub fn refresh_entries(&mut self, hidden: &[InstanceId]) {
         for (id, engine) in &self.engines {
             if engine.is_alive && !hidden.contains(id) {
-                self.seen.insert(id.clone(), engine.entry());
+                self.seen.insert(id.clone(), Arc::new(engine.entry()));
             }
         }
     }
@@ -148,7 +149,7 @@
             staged: Vec::new(),
             seat: engine.entry().seat,
         };
-        let groups = GroupView::collect(&self.engine, self.seen.values());
+        let groups = GroupView::collect(&self.engine, self.seen.values().map(Arc::as_ref));
         let unlisted = BTreeSet::new();
         let zones_out = BTreeSet::new();
         let view = view(&self.engine, &self.seen, &groups, &unlisted, &zones_out);
@@ -178,7 +179,7 @@
                 self.execute(&order);
             }
         }
-        let groups = GroupView::collect(&self.engine, self.seen.values());
+        let groups = GroupView::collect(&self.engine, self.seen.values().map(Arc::as_ref));
         let unlisted = BTreeSet::new();
         let zones_out = BTreeSet::new();
         let orders = {
@@ -283,7 +284,7 @@
 
 fn view<'a>(
     engine: &'a EngineSpec,
-    instances: &'a BTreeMap<InstanceId, InstanceEntry>,
+    instances: &'a BTreeMap<InstanceId, Arc<InstanceEntry>>,
     groups: &'a [GroupView],
     unlisted: &'a BTreeSet<InstanceId>,
     zones_out: &'a BTreeSet<ZoneId>,
--- a/crates/cuminlb-catalog/src/row_store.rs
+++ b/crates/cuminlb-catalog/src/row_store.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use cuminlb_types::prelude::*;
 
-use crate::{RowChangeSet, StoreError, StoreTable, WriteOutcome};
+use crate::{RowChangeSet, SharedRow, StoreError, StoreTable, WriteOutcome};
 
 /// The platform's store of versioned rows.
 #[async_trait]
@@ -15,6 +15,18 @@
     /// Returns [`StoreError`] if the call fails.
     async fn read_table(&self, table: StoreTable) -> Result<RowChangeSet, StoreError>;
 
+    /// Reads one row; `None` if there is none with this key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the call fails or takes longer than `timeout_ms`.
+    async fn read_row(
+        &self,
+        table: StoreTable,
+        key: &RowKey,
+        timeout_ms: Millis,
+    ) -> Result<Option<SharedRow>, StoreError>;
+
     /// Waits for changes after a version, for at most `wait_ms`. The result is empty if none
     /// occurred in that time.
     ///
--- a/crates/cuminlb-config/src/settings/fleet_bounds.rs
+++ b/crates/cuminlb-config/src/settings/fleet_bounds.rs
@@ -4,6 +4,9 @@
 
 use crate::check::{Bounds, TableReader};
 
+/// The time within which a change must be known everywhere, unless the settings state it.
+const DEFAULT_PROPAGATION_MS: Millis = Millis(2_000);
+
 /// Limits that all nodes enforce together, and the timing of the platform.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetBounds {
@@ -19,6 +22,9 @@
     pub grace_ms: Millis,
     /// The period at which an instance writes its entry.
     pub heartbeat_ms: Millis,
+    /// The time within which a change of the desired state or of an instance must be known
+    /// everywhere.
+    pub propagation_ms: Millis,
     /// The memory limit of the process, in megabytes.
     pub memory_mb: u64,
 }
@@ -36,6 +42,9 @@
             stall_ms: reader.bounded("stall", Millis(6_000), time_bounds),
             grace_ms: reader.bounded("grace", Millis(8_000), time_bounds),
             heartbeat_ms: reader.bounded("heartbeat", Millis(1_200), time_bounds),
+            propagation_ms: reader
+                .bounded("drain_notice", DEFAULT_PROPAGATION_MS, time_bounds)
+                .min(reader.bounded("catalog_notice", DEFAULT_PROPAGATION_MS, time_bounds)),
             memory_mb: reader.optional("memory_mb").unwrap_or(256),
         }
     }
--- a/crates/cuminlb-config/src/settings/gateway_settings.rs
+++ b/crates/cuminlb-config/src/settings/gateway_settings.rs
@@ -6,7 +6,7 @@
 use cuminlb_types::prelude::*;
 use smol_str::SmolStr;
 
-use super::{FleetBounds, LogSettings};
+use super::{FleetBounds, LogSettings, MachineSettings};
 use crate::check::{Bounds, ConfigError, Problems, TableReader};
 
 /// The settings of a gateway node, which runs on the users' platform.
@@ -36,6 +36,8 @@
     pub peer_token: SmolStr,
     /// The fleet-wide limits and the timing of the platform.
     pub bounds: FleetBounds,
+    /// What the machine can bear.
+    pub machine: MachineSettings,
     /// The logging configuration.
     pub log: LogSettings,
 }
@@ -84,6 +86,7 @@
             reader.required::<String>("peer_token", "give a secret of 16 bytes or more")
         });
         let bounds = reader.section("bounds", FleetBounds::read);
+        let machine = reader.section("machine", MachineSettings::read);
         let log = reader.section("log", LogSettings::read);
         Some(Self {
             id: id?,
@@ -98,6 +101,7 @@
             store_timeout_ms,
             peer_token: peer_token?.into(),
             bounds,
+            machine,
             log,
         })
     }
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -5,12 +5,13 @@
 
 use cuminlb_catalog::StoreTable;
 use cuminlb_config::GatewaySettings;
+use cuminlb_replica::{FollowTiming, Follower, Replica, RowSink};
 use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
 use crate::Edges;
-use crate::knowledge::{Knowledge, PeerLinks};
+use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::{Suspicions, current_leader};
 use crate::metrics::{GatewayMetrics, RequestLabels};
 use crate::serving::{LoadTracker, RetryBudgets};
@@ -24,8 +25,10 @@
     /// The current settings.
     live: watch::Receiver<Arc<GatewaySettings>>,
     pub(crate) edges: Edges,
-    pub(crate) knowledge: Knowledge,
-    pub(crate) peers: PeerLinks,
+    pub(crate) knowledge: Arc<Knowledge>,
+    pub(crate) replica: Arc<Replica>,
+    pub(crate) follower: Follower,
+    pub(crate) peers: Arc<PeerLinks>,
     pub(crate) suspicions: Suspicions,
     pub(crate) loads: LoadTracker,
     pub(crate) budgets: RetryBudgets,
@@ -42,9 +45,28 @@
         let settings = GatewaySettings::clone(&live.borrow());
         let background_tasks = TaskTracker::new();
         let metrics = GatewayMetrics::default();
+        let knowledge = Arc::new(Knowledge::new(Arc::clone(&edges.wire), metrics.clone()));
+        let replica = Arc::new(Replica::new(Arc::clone(&knowledge) as Arc<dyn RowSink>));
+        let peers = PeerLinks::new(settings.id.clone(), settings.peer_token.clone());
+        let peers = Arc::new(peers);
+        let node_peers = NodePeers {
+            own_id: settings.id.clone(),
+            zone: settings.zone.clone(),
+            knowledge: Arc::clone(&knowledge),
+            replica: Arc::clone(&replica),
+            links: Arc::clone(&peers),
+        };
+        let follower = Follower::new(
+            Arc::clone(&replica),
+            Arc::clone(&edges.store),
+            Arc::new(node_peers),
+            FollowTiming::new(settings.bounds.propagation_ms),
+        );
         Arc::new(Self {
-            knowledge: Knowledge::new(Arc::clone(&edges.wire)),
-            peers: PeerLinks::new(settings.id.clone(), settings.peer_token.clone()),
+            knowledge,
+            replica,
+            follower,
+            peers,
             suspicions: Suspicions::default(),
             loads: LoadTracker::default(),
             budgets: RetryBudgets::default(),
@@ -96,7 +118,7 @@
 
     /// Updates the gauges to the current state of this node.
     pub(crate) fn update_gauges(&self) {
-        let is_leader = current_leader(&self.knowledge).as_ref() == Some(&self.settings.id);
+        let is_leader = current_leader(&self.replica).as_ref() == Some(&self.settings.id);
         self.metrics.is_leader.set(i64::from(is_leader));
         let catalog = self.knowledge.catalog();
         let version = catalog.map_or(0, |catalog| catalog.version.get());
@@ -136,7 +158,7 @@
 
     /// Returns whether this node knows how many nodes share the capacity of the instances.
     fn has_node_rows(&self) -> bool {
-        self.knowledge.version(StoreTable::Nodes) > RowVersion(0)
+        self.replica.version(StoreTable::Nodes) > RowVersion(0)
     }
 
     /// Returns the number of nodes that share budgets with this one, including itself.
--- a/crates/cuminlb-gateway/src/knowledge/directory.rs
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -1,19 +1,19 @@
 //! A snapshot of instances, groups and nodes.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::InstanceEntry;
+use cuminlb_replica::NodeRow;
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use super::NodeRow;
-
 /// The instances, groups and nodes as this node knows them at one point in time.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Directory {
     /// The instances of each service.
-    pub(crate) services: BTreeMap<ServiceId, BTreeMap<InstanceId, InstanceEntry>>,
+    pub(crate) services: BTreeMap<ServiceId, BTreeMap<InstanceId, Arc<InstanceEntry>>>,
     /// The groups of each service whose engine forms groups.
     pub(crate) groups: BTreeMap<ServiceId, Vec<GroupView>>,
     /// The availability zones that nothing may be sent to.
@@ -24,7 +24,7 @@
     /// The instances that are cold, and until when.
     pub(crate) cold_until: BTreeMap<InstanceId, Instant>,
     /// The nodes.
-    pub(crate) nodes: BTreeMap<NodeId, NodeRow>,
+    pub(crate) nodes: Arc<BTreeMap<NodeId, NodeRow>>,
 }
 
 impl Directory {
@@ -34,6 +34,7 @@
             .get(service)
             .into_iter()
             .flat_map(BTreeMap::values)
+            .map(Arc::as_ref)
     }
 
     /// Returns whether an instance can accept only a few requests because it has just started.
@@ -44,11 +45,11 @@
     /// Returns an instance of any service.
     pub(crate) fn find_instance(&self, id: &InstanceId) -> Option<&InstanceEntry> {
         let mut services = self.services.values();
-        services.find_map(|instances| instances.get(id))
+        services.find_map(|instances| instances.get(id).map(Arc::as_ref))
     }
 
     /// Returns an instance of a service.
     pub(crate) fn instance(&self, service: &ServiceId, id: &InstanceId) -> Option<&InstanceEntry> {
-        self.services.get(service)?.get(id)
+        self.services.get(service)?.get(id).map(Arc::as_ref)
     }
 }
--- a/crates/cuminlb-gateway/src/knowledge/instance_records.rs
+++ b/crates/cuminlb-gateway/src/knowledge/instance_records.rs
@@ -1,6 +1,7 @@
 //! The entries of instances, including those that have vanished from the store.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_catalog::InstanceEntry;
@@ -22,7 +23,7 @@
 /// The entries of instances.
 #[derive(Debug, Default)]
 pub(crate) struct InstanceRecords {
-    entries: BTreeMap<InstanceId, InstanceEntry>,
+    entries: BTreeMap<InstanceId, Arc<InstanceEntry>>,
     /// Until when each instance is cold.
     cold_until: BTreeMap<InstanceId, Instant>,
     /// Entries that vanished and may come back, with the time until which they are used.
@@ -47,13 +48,13 @@
             InstanceEntry {
                 orders: known.orders,
                 ..entry.clone()
-            } == *known
+            } == **known
         });
         if !is_same {
             self.cold_until
                 .insert(entry.id.clone(), now + entry.cold_remaining_ms.duration());
         }
-        self.entries.insert(entry.id.clone(), entry);
+        self.entries.insert(entry.id.clone(), Arc::new(entry));
         !is_same || was_unlisted
     }
 
@@ -92,7 +93,7 @@
     }
 
     /// Returns the entries.
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &InstanceEntry> {
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Arc<InstanceEntry>> {
         self.entries.values()
     }
 
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -4,35 +4,30 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cuminlb_assembly::GroupView;
-use cuminlb_catalog::{
-    Catalog, DesiredRow, InstanceEntry, RowChangeSet, SharedRow, StoreTable, WireFormat,
-};
+use cuminlb_catalog::{Catalog, DesiredRow, SharedRow, StoreTable, WireFormat};
+use cuminlb_replica::{NodeRow, RowSink, RowSource};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::Directory;
 use super::instance_records::InstanceRecords;
-use super::table_mirror::TableMirror;
-use super::{Directory, NodeRow, RowSource};
+use crate::metrics::{GatewayMetrics, StoreLabels};
 
 /// All that a node knows about the platform.
 pub(crate) struct Knowledge {
     wire: Arc<dyn WireFormat>,
+    metrics: GatewayMetrics,
     state: Mutex<State>,
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     directory: watch::Sender<Arc<Directory>>,
-    /// The version of the newest row of each table.
-    newest_versions: BTreeMap<StoreTable, watch::Sender<RowVersion>>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    mirrors: BTreeMap<StoreTable, TableMirror>,
-    last_read_at: BTreeMap<StoreTable, Instant>,
-    /// The tables for which the latest call to the store has failed.
-    failed_tables: BTreeSet<StoreTable>,
     instances: InstanceRecords,
+    nodes: Arc<BTreeMap<NodeId, NodeRow>>,
     zones_out: BTreeSet<ZoneId>,
 }
 
@@ -43,15 +38,14 @@
 }
 
 impl Knowledge {
-    pub(crate) fn new(wire: Arc<dyn WireFormat>) -> Self {
+    /// Creates the knowledge of a node that has read nothing.
+    pub(crate) fn new(wire: Arc<dyn WireFormat>, metrics: GatewayMetrics) -> Self {
         Self {
             wire,
+            metrics,
             state: Mutex::default(),
             catalog: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
-            newest_versions: StoreTable::ALL
-                .map(|table| (table, watch::Sender::new(RowVersion(0))))
-                .into(),
         }
     }
 
@@ -70,90 +64,6 @@
         self.directory.subscribe()
     }
 
-    /// Returns the version of a table up to which no change is missing.
-    pub(crate) fn version(&self, table: StoreTable) -> RowVersion {
-        let state = self.state();
-        state
-            .mirrors
-            .get(&table)
-            .map(TableMirror::version)
-            .unwrap_or_default()
-    }
-
-    /// Returns the rows of a table that changed after a version, for a peer.
-    pub(crate) fn changes_since(&self, table: StoreTable, after: RowVersion) -> RowChangeSet {
-        let state = self.state();
-        let mirror = state.mirrors.get(&table);
-        mirror
-            .map(|mirror| mirror.changes_since(after))
-            .unwrap_or_default()
-    }
-
-    /// Returns a receiver that is notified of the version of a table's newest row.
-    pub(crate) fn table_updates(&self, table: StoreTable) -> watch::Receiver<RowVersion> {
-        match self.newest_versions.get(&table) {
-            Some(sender) => sender.subscribe(),
-            None => watch::Sender::new(RowVersion(0)).subscribe(),
-        }
-    }
-
-    /// Returns a row as this node knows it.
-    pub(crate) fn row(&self, table: StoreTable, key: &RowKey) -> Option<SharedRow> {
-        let state = self.state();
-        state.mirrors.get(&table)?.row(key).cloned()
-    }
-
-    /// Returns the time since the store last responded for a table.
-    pub(crate) fn store_read_age(&self, table: StoreTable, now: Instant) -> Option<Millis> {
-        let last_read_at = self.state().last_read_at.get(&table).copied()?;
-        Some(now.duration_since(last_read_at).into())
-    }
-
-    /// Records that a call to the store for a table has failed.
-    pub(crate) fn record_store_failure(&self, table: StoreTable, now: Instant) {
-        let mut state = self.state();
-        state.failed_tables.insert(table);
-        state.instances.record_store_failure(now);
-    }
-
-    /// Returns whether the latest call to the store has failed for every table.
-    pub(crate) fn is_store_lost(&self) -> bool {
-        self.state().failed_tables.len() == StoreTable::ALL.len()
-    }
-
-    /// Applies changes of a table; returns the rows that are new to this node.
-    pub(crate) fn apply_changes(
-        &self,
-        table: StoreTable,
-        changes: RowChangeSet,
-        source: RowSource,
-        now: Instant,
-    ) -> Vec<SharedRow> {
-        let mut state = self.state();
-        if source == RowSource::Store {
-            state.last_read_at.insert(table, now);
-            state.failed_tables.remove(&table);
-        }
-        let new_rows = state.mirrors.entry(table).or_default().apply(changes);
-        let newest = new_rows.iter().map(|row| row.version).max();
-        if let (Some(newest), Some(sender)) = (newest, self.newest_versions.get(&table)) {
-            sender.send_if_modified(|known| {
-                let is_newer = newest > *known;
-                *known = newest.max(*known);
-                is_newer
-            });
-        }
-        let changed = match table {
-            StoreTable::Desired => self.apply_desired(&mut state, &new_rows, source),
-            StoreTable::Instances => self.apply_instances(&mut state, &new_rows, now),
-            StoreTable::Nodes => !new_rows.is_empty(),
-        };
-        if changed {
-            self.publish(&state, now);
-        }
-        new_rows
-    }
-
     /// Removes expired entries of instances that vanished and have not come back.
     pub(crate) fn remove_expired(&self, now: Instant) {
         let mut state = self.state();
@@ -242,16 +152,42 @@
         changed
     }
 
+    /// Applies rows of the nodes; rows of other kinds, such as leases, change nothing here.
+    fn apply_nodes(state: &mut State, new_rows: &[SharedRow]) -> bool {
+        let mut changed = false;
+        for row in new_rows {
+            let Some(node) = NodeRow::node(&row.key) else {
+                continue;
+            };
+            let nodes = Arc::make_mut(&mut state.nodes);
+            changed = true;
+            match row.value.as_deref().map(serde_json::from_slice) {
+                None => {
+                    nodes.remove(&node);
+                }
+                Some(Ok(node_row)) => {
+                    nodes.insert(node, node_row);
+                }
+                Some(Err(error)) => {
+                    warn!(node:% = node; "failed to decode the row of a node: {error}");
+                    nodes.remove(&node);
+                }
+            }
+        }
+        changed
+    }
+
     fn publish(&self, state: &State, now: Instant) {
         let mut directory = Directory {
             zones_out: state.zones_out.clone(),
             unlisted: state.instances.unlisted(),
             cold_until: state.instances.cold_until(now),
+            nodes: Arc::clone(&state.nodes),
             ..Directory::default()
         };
         for entry in state.instances.entries() {
             let service = directory.services.entry(entry.service.clone()).or_default();
-            service.insert(entry.id.clone(), InstanceEntry::clone(entry));
+            service.insert(entry.id.clone(), Arc::clone(entry));
         }
         if let Some(catalog) = self.catalog() {
             for service in catalog.engine_services() {
@@ -261,18 +197,6 @@
                 }
             }
         }
-        let nodes = state.mirrors.get(&StoreTable::Nodes);
-        for row in nodes.into_iter().flat_map(TableMirror::rows) {
-            let Some(node) = NodeRow::node(&row.key) else {
-                continue;
-            };
-            match serde_json::from_slice(row.value.as_deref().unwrap_or_default()) {
-                Ok(node_row) => {
-                    directory.nodes.insert(node, node_row);
-                }
-                Err(error) => warn!(node:% = node; "failed to decode the row of a node: {error}"),
-            }
-        }
         self.directory.send_replace(Arc::new(directory));
     }
 
@@ -280,3 +204,32 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl RowSink for Knowledge {
+    fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], source: RowSource, now: Instant) {
+        let mut state = self.state();
+        let changed = match table {
+            StoreTable::Desired => self.apply_desired(&mut state, rows, source),
+            StoreTable::Instances => self.apply_instances(&mut state, rows, now),
+            StoreTable::Nodes => Self::apply_nodes(&mut state, rows),
+        };
+        if changed {
+            self.publish(&state, now);
+        }
+    }
+
+    fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant) {
+        let labels = StoreLabels {
+            table: table.to_string(),
+            outcome: if is_ok { "ok" } else { "failed" }.to_owned(),
+        };
+        self.metrics.store_calls.get_or_create(&labels).inc();
+        if !is_ok {
+            self.state().instances.record_store_failure(now);
+        }
+    }
+
+    fn peer_asked(&self) {
+        self.metrics.peer_fetches.inc();
+    }
+}
--- a/crates/cuminlb-gateway/src/knowledge/register_node.rs
+++ b/crates/cuminlb-gateway/src/knowledge/register_node.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use cuminlb_catalog::{StoreTable, WriteOutcome};
+use cuminlb_replica::{NodeCapacity, NodeRow};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio_util::sync::CancellationToken;
 
-use super::NodeRow;
 use crate::gateway::Gateway;
 
 /// Delay after a failed attempt.
@@ -20,6 +20,10 @@
         peer: settings.peer,
         zone: settings.zone.clone(),
         incarnation: Incarnation(UnixMillis::now().get()),
+        capacity: NodeCapacity {
+            link_mbps: settings.machine.link_mbps,
+            cpu_cores: settings.machine.cpu_cores,
+        },
     };
     let (Some(key), Ok(value)) = (NodeRow::key(&settings.id), serde_json::to_vec(&row)) else {
         warn!("failed to encode the row of this node");
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use cuminlb_catalog::StoreTable;
-use cuminlb_peer::{RelayHandler, RelayedRows, SuspicionNotice};
+use cuminlb_peer::{
+    ChunkRequest, RelayHandler, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+};
 use cuminlb_types::prelude::*;
-use tokio::time::{Instant, timeout};
 
 use crate::gateway::Gateway;
 
@@ -22,29 +22,12 @@
 }
 
 impl RelayHandler for RelayService {
-    fn rows_since(&self, table: StoreTable, after: RowVersion) -> RelayedRows {
-        let knowledge = &self.gateway.knowledge;
-        let age_ms = knowledge.store_read_age(table, Instant::now());
-        RelayedRows {
-            changes: knowledge.changes_since(table, after),
-            heard_ms: age_ms.unwrap_or(Millis(u64::MAX)),
-            is_store_lost: knowledge.is_store_lost(),
-        }
+    async fn await_update(&self, cursors: TableCursors, wait_ms: Millis) -> RelayedUpdate {
+        self.gateway.follower.await_update(cursors, wait_ms).await
     }
 
-    async fn await_rows(
-        &self,
-        table: StoreTable,
-        after: RowVersion,
-        wait_ms: Millis,
-    ) -> RelayedRows {
-        let knowledge = &self.gateway.knowledge;
-        let mut updates = knowledge.table_updates(table);
-        let has_update = updates.wait_for(|newest| *newest > after);
-        // After a timeout, the response reports that there are no changes, and how old that
-        // information is.
-        let _ = timeout(wait_ms.duration(), has_update).await;
-        self.rows_since(table, after)
+    fn read_chunks(&self, request: &ChunkRequest) -> Vec<ValueChunk> {
+        self.gateway.replica.read_chunks(request)
     }
 
     fn suspect(&self, notice: SuspicionNotice) {
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -3,11 +3,10 @@
 use cuminlb_catalog::StoreTable;
 use cuminlb_fleet::lease::LeaseTiming;
 use cuminlb_fleet::rows::LeaseRow;
+use cuminlb_replica::Replica;
 use cuminlb_types::prelude::*;
 use log::warn;
 
-use crate::knowledge::Knowledge;
-
 /// The key of the lease row.
 const LEASE_KEY: &str = "lease/leader";
 
@@ -23,8 +22,8 @@
 }
 
 /// Returns the lease as this node knows it, with the version of its row.
-pub(super) fn read_lease(knowledge: &Knowledge) -> Option<(LeaseRow, RowVersion)> {
-    let row = knowledge.row(StoreTable::Nodes, &lease_key()?)?;
+pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, RowVersion)> {
+    let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
     match serde_json::from_slice(row.value.as_deref().unwrap_or_default()) {
         Ok(lease) => Some((lease, row.version)),
         Err(error) => {
@@ -35,7 +34,7 @@
 }
 
 /// Returns the leader as far as this node knows.
-pub(crate) fn current_leader(knowledge: &Knowledge) -> Option<NodeId> {
-    let (lease, _) = read_lease(knowledge)?;
+pub(crate) fn current_leader(replica: &Replica) -> Option<NodeId> {
+    let (lease, _) = read_lease(replica)?;
     (lease.length_ms > Millis(0)).then_some(lease.holder)
 }
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -61,8 +61,8 @@
 
     /// Returns whether the lease of another node has ended, so that this node may acquire it.
     pub(super) fn may_acquire(&mut self, gateway: &Gateway, now: Instant) -> bool {
-        let Some((row, version)) = read_lease(&gateway.knowledge) else {
-            return gateway.knowledge.version(StoreTable::Nodes) > RowVersion(0);
+        let Some((row, version)) = read_lease(&gateway.replica) else {
+            return gateway.replica.version(StoreTable::Nodes) > RowVersion(0);
         };
         // The earlier incarnation of this node has ended, so nobody acts on its lease.
         let is_own = row.holder == gateway.settings.id && row.incarnation != self.incarnation;
--- a/crates/cuminlb-gateway/src/leading/store_outage.rs
+++ b/crates/cuminlb-gateway/src/leading/store_outage.rs
@@ -1,6 +1,7 @@
 //! Detects outages of the store that affect all nodes.
 
-use cuminlb_catalog::StoreTable;
+use cuminlb_peer::{RelayPeer, StoreContact};
+use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
 use log::info;
 
@@ -11,20 +12,22 @@
 pub(super) async fn is_store_outage(gateway: &Gateway) -> bool {
     let directory = gateway.knowledge.directory();
     let peers = gateway.peers.others(&directory);
-    let after = gateway.knowledge.version(StoreTable::Nodes);
+    let cursors = gateway.replica.cursors();
     let requests = peers
         .iter()
-        .map(|(_, link)| link.rows_since(StoreTable::Nodes, after));
+        .map(|(_, link)| link.await_update(cursors, Millis(0)));
     let responses = join_all(requests).await;
-    let responded = responses.iter().flatten().count();
-    let served_peers = responses
+    let contacts: Vec<StoreContact> = responses
         .iter()
         .flatten()
-        .filter(|rows| !rows.is_store_lost);
-    let served_count = served_peers.count();
-    let is_outage = served_count == 0 && (responded + 1) * 2 > peers.len() + 1;
+        .map(|update| update.contact)
+        .collect();
+    let served = contacts.iter().filter(|it| **it == StoreContact::Served);
+    let served_count = served.count();
+    let is_outage = served_count == 0 && (contacts.len() + 1) * 2 > peers.len() + 1;
     info!(
-        peers = peers.len(), answered = responded, served = served_count, is_outage = is_outage;
+        peers = peers.len(), answered = contacts.len(), served = served_count,
+        is_outage = is_outage;
         "peers asked for the store"
     );
     is_outage
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_catalog::StoreTable;
 use cuminlb_config::GatewaySettings;
 use cuminlb_peer::serve_relay;
 use log::{info, warn};
@@ -16,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::Gateway;
-use crate::knowledge::{RelayService, follow_table, register_node};
+use crate::knowledge::{RelayService, register_node};
 use crate::leading::{SharedLease, keep_lease, lead};
 use crate::metrics::serve_metrics;
 use crate::serving::{serve_callers, serve_ready};
@@ -59,11 +58,8 @@
     let callers_stop = CancellationToken::new();
     let background_stop = CancellationToken::new();
     let mut background = JoinSet::new();
-    for table in StoreTable::ALL {
-        let gateway = Arc::clone(&gateway);
-        let stop = background_stop.clone();
-        background.spawn(async move { follow_table(&gateway, table, stop).await });
-    }
+    let following = (Arc::clone(&gateway), background_stop.clone());
+    background.spawn(async move { following.0.follower.run(following.1).await });
     let registration = (Arc::clone(&gateway), background_stop.clone());
     background.spawn(async move { register_node(&registration.0, registration.1).await });
     background.spawn(serve_ready(
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -4,7 +4,7 @@
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::{EngineSpec, InstanceEntry, UpstreamService};
-use cuminlb_routing::{GroupCandidate, GroupChooser};
+use cuminlb_routing::{GroupCandidate, GroupChooser, cold_allowance};
 use cuminlb_types::prelude::*;
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
@@ -153,14 +153,17 @@
     }
 
     /// Returns whether an instance that is cold has capacity for another request of this node. The
-    /// nodes divide its rate limit equally, so that they need not coordinate.
+    /// nodes divide its rate limit, so that they need not coordinate.
     fn has_cold_capacity(&self, id: &InstanceId) -> bool {
         let rate_per_s = self.service.cold_rate.get();
         if rate_per_s <= 0.0 || !self.directory.is_cold(id, self.now) {
             return true;
         }
-        let share_per_s = rate_per_s * COLD_RATE_FACTOR / self.gateway.node_count() as f64;
-        let max_per_window = share_per_s.floor().max(1.0) as usize;
-        self.gateway.loads.load(id).recent_send_count(self.now) < max_per_window
+        let load = self.gateway.loads.load(id);
+        let own_id = &self.gateway.settings.id;
+        let position = load.node_position(id, own_id, &self.directory.nodes);
+        let limit = RequestsPerSecond(rate_per_s * COLD_RATE_FACTOR);
+        let max_per_window = cold_allowance(limit, self.directory.nodes.len(), position);
+        load.recent_send_count(self.now) < max_per_window
     }
 }
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -1,11 +1,13 @@
 //! The load and health of one instance, as observed by this node.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cuminlb_replica::NodeRow;
 use cuminlb_types::prelude::*;
+use cuminlb_types::rendezvous_rank;
 use tokio::time::Instant;
 
 use super::group_health::GroupHealth;
@@ -49,6 +51,15 @@
     failure_rate: f64,
     /// The times of the requests sent within the last [`RATE_WINDOW`].
     recent_sends: VecDeque<Instant>,
+    /// This node's position in the order of the nodes that is specific to the instance.
+    position: Option<NodePosition>,
+}
+
+/// The position of a node among the nodes that it was computed for.
+#[derive(Debug)]
+struct NodePosition {
+    nodes: Arc<BTreeMap<NodeId, NodeRow>>,
+    position: usize,
 }
 
 impl InstanceLoad {
@@ -63,6 +74,7 @@
                 penalty_until: None,
                 failure_rate: 0.0,
                 recent_sends: VecDeque::new(),
+                position: None,
             }),
         }
     }
@@ -87,6 +99,29 @@
         observations.recent_sends.len()
     }
 
+    /// Returns the position of a node in the order of all `nodes` that is specific to the instance
+    /// `id`. It is computed again only when the nodes have changed.
+    pub(super) fn node_position(
+        &self,
+        id: &InstanceId,
+        own_id: &NodeId,
+        nodes: &Arc<BTreeMap<NodeId, NodeRow>>,
+    ) -> usize {
+        let mut observations = self.observations();
+        let known = observations.position.as_ref();
+        if let Some(known) = known.filter(|known| Arc::ptr_eq(&known.nodes, nodes)) {
+            return known.position;
+        }
+        let own_rank = rendezvous_rank(id, own_id);
+        let is_before = |node: &&NodeId| rendezvous_rank(id, node) > own_rank;
+        let position = nodes.keys().filter(is_before).count();
+        observations.position = Some(NodePosition {
+            nodes: Arc::clone(nodes),
+            position,
+        });
+        position
+    }
+
     /// Records that something was received from the instance.
     pub(super) fn record_progress(&self, now: Instant) {
         let mut observations = self.observations();
--- a/crates/cuminlb-gateway/src/serving/retry_budgets.rs
+++ b/crates/cuminlb-gateway/src/serving/retry_budgets.rs
@@ -10,6 +10,10 @@
 /// Fraction of the allowance that is used, because nodes join and leave within a window.
 const ALLOWANCE_FRACTION: f64 = 0.6;
 
+/// Balance that a node may always save up from the ratio, because a budget below one retry would
+/// never allow any.
+const MIN_BALANCE_RETRIES: f64 = 1.0;
+
 /// The retry budgets, one for each service.
 ///
 /// All nodes share the allowance. Each node saves up its fraction of the extra retries and earns
@@ -39,10 +43,14 @@
         update: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let share = bounds.retry_extra * ALLOWANCE_FRACTION / nodes as f64;
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(Ratio(bounds.retry_ratio.get() * ALLOWANCE_FRACTION))
+            let ratio = Ratio(bounds.retry_ratio.get() * ALLOWANCE_FRACTION);
+            let mut budget = RetryBudget::new(ratio);
+            budget.set_max_balance(share);
+            budget
         });
-        budget.set_max_balance(bounds.retry_extra * ALLOWANCE_FRACTION / nodes as f64);
+        budget.set_max_balance(share.max(MIN_BALANCE_RETRIES));
         update(budget)
     }
 }
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cuminlb_peer::SuspicionNotice;
+use cuminlb_replica::RelayLane;
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::time::Instant;
@@ -63,7 +64,7 @@
     }
 
     async fn notify_leader(&self, notice: SuspicionNotice) {
-        let Some(leader) = current_leader(&self.knowledge) else {
+        let Some(leader) = current_leader(&self.replica) else {
             warn!(instance:% = notice.head; "no leader to notify about a silent head");
             return;
         };
@@ -72,7 +73,7 @@
             return;
         }
         let directory = self.knowledge.directory();
-        let Some(link) = self.peers.link(&directory, &leader) else {
+        let Some(link) = self.peers.link(&directory, &leader, RelayLane::News) else {
             warn!(node:% = leader; "the leader is not in the node table");
             return;
         };
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -18,15 +18,17 @@
 mod relay_api;
 mod relay_handler;
 mod relay_link;
+mod relay_peer;
 mod relay_server;
 mod transport;
 
 pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    ConfigDocument, EventsQuery, PeerStatus, RelayedRows, ReleasedSlot, RenewalResponse,
-    RenewedGroup, SlotGrant, SlotRelease, SlotRenewal, SlotRequest, SlotResponse, SuspicionNotice,
-    TableNotice,
+    ChunkId, ChunkList, ChunkRef, ChunkRequest, ConfigDocument, EventsQuery, PeerStatus,
+    RelayedRow, RelayedTable, RelayedUpdate, RelayedValue, ReleasedSlot, RenewalResponse,
+    RenewedGroup, SlotGrant, SlotRelease, SlotRenewal, SlotRequest, SlotResponse, StoreContact,
+    SuspicionNotice, TableCursors, TableNotice, ValueChunk,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
@@ -35,4 +37,5 @@
 pub use crate::peer_server::serve_peers;
 pub use crate::relay_handler::RelayHandler;
 pub use crate::relay_link::RelayLink;
+pub use crate::relay_peer::RelayPeer;
 pub use crate::relay_server::serve_relay;
--- a/crates/cuminlb-peer/src/relay_api.rs
+++ b/crates/cuminlb-peer/src/relay_api.rs
@@ -2,19 +2,19 @@
 //!
 //! The order of its methods and of their parameters is part of the wire format.
 
-use cuminlb_catalog::StoreTable;
 use cuminlb_types::prelude::*;
 
-use crate::message::{RelayedRows, SuspicionNotice};
+use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
 
 /// The calls between nodes that follow a platform's store.
 #[tarpc::service]
 pub trait RelayApi {
-    /// Returns the rows of a table that changed after a version, as known to the called node.
-    async fn rows_since(table: StoreTable, after: RowVersion) -> RelayedRows;
+    /// Returns the rows that changed after `cursors`, as known to the called node, which waits up
+    /// to `wait_ms` for such a row.
+    async fn await_update(cursors: TableCursors, wait_ms: Millis) -> RelayedUpdate;
 
-    /// Returns the same as `rows_since`, but waits up to `wait_ms` for such a row.
-    async fn await_rows(table: StoreTable, after: RowVersion, wait_ms: Millis) -> RelayedRows;
+    /// Returns those of the requested chunks that the called node has.
+    async fn read_chunks(request: ChunkRequest) -> Vec<ValueChunk>;
 
     /// Notifies the leader that an instance has become silent.
     async fn suspect(notice: SuspicionNotice);
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use cuminlb_catalog::StoreTable;
+use async_trait::async_trait;
 use cuminlb_types::prelude::*;
 use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
@@ -11,10 +11,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
-use crate::message::{RelayedRows, SuspicionNotice};
+use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
 use crate::relay_api::RelayApiClient;
 use crate::transport::tarpc_transport;
-use crate::{PeerError, PeerToken};
+use crate::{PeerError, PeerToken, RelayPeer};
 
 /// The client side of the connection to one peer that follows the same store.
 ///
@@ -24,7 +24,16 @@
     address: SocketAddr,
     token: PeerToken,
     timeout_ms: Millis,
-    client: Mutex<Option<RelayApiClient>>,
+    connection: Mutex<Connection>,
+}
+
+/// The current connection of a link.
+#[derive(Debug, Default)]
+struct Connection {
+    /// The number of connections opened so far, so that a late failure of an earlier connection
+    /// does not close the current one.
+    generation: u64,
+    client: Option<RelayApiClient>,
 }
 
 impl RelayLink {
@@ -34,7 +43,7 @@
             address,
             token,
             timeout_ms,
-            client: Mutex::new(None),
+            connection: Mutex::default(),
         }
     }
 
@@ -43,42 +52,6 @@
         self.address
     }
 
-    /// Requests the rows of a table that changed after a version.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`PeerError`] if no response was received.
-    pub async fn rows_since(
-        &self,
-        table: StoreTable,
-        after: RowVersion,
-    ) -> Result<RelayedRows, PeerError> {
-        let call_timeout_ms = self.timeout_ms;
-        self.call(call_timeout_ms, async |client, context| {
-            client.rows_since(context, table, after).await
-        })
-        .await
-    }
-
-    /// Requests the rows of a table that changed after a version; the peer waits up to `wait_ms`
-    /// for such a row, which extends the timeout of the call.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`PeerError`] if no response was received.
-    pub async fn await_rows(
-        &self,
-        table: StoreTable,
-        after: RowVersion,
-        wait_ms: Millis,
-    ) -> Result<RelayedRows, PeerError> {
-        let call_timeout_ms = self.timeout_ms + wait_ms;
-        self.call(call_timeout_ms, async |client, context| {
-            client.await_rows(context, table, after, wait_ms).await
-        })
-        .await
-    }
-
     /// Notifies the peer that an instance has become silent.
     ///
     /// # Errors
@@ -102,14 +75,14 @@
         let connect_timeout_ms = self.timeout_ms;
         let client =
             tokio::time::timeout(connect_timeout_ms.duration(), self.client_or_connect()).await;
-        let client =
+        let (client, generation) =
             client.unwrap_or_else(|_elapsed| Err(not_connected("connection attempt timed out")))?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + call_timeout_ms.duration();
         match call(client, context).await {
             Ok(response) => Ok(response),
             Err(error) => {
-                *self.client.lock().await = None;
+                self.close(generation).await;
                 Err(PeerError::NoResponse {
                     timeout_ms: call_timeout_ms,
                     reason: error.to_smolstr(),
@@ -118,10 +91,10 @@
         }
     }
 
-    async fn client_or_connect(&self) -> Result<RelayApiClient, PeerError> {
-        let mut cached = self.client.lock().await;
-        if let Some(client) = cached.as_ref() {
-            return Ok(client.clone());
+    async fn client_or_connect(&self) -> Result<(RelayApiClient, u64), PeerError> {
+        let mut connection = self.connection.lock().await;
+        if let Some(client) = connection.client.as_ref() {
+            return Ok((client.clone(), connection.generation));
         }
         let mut stream = TcpStream::connect(self.address)
             .await
@@ -129,8 +102,40 @@
         self.token.client_handshake(&mut stream).await?;
         let transport = tarpc_transport(stream);
         let client = RelayApiClient::new(tarpc::client::Config::default(), transport).spawn();
-        *cached = Some(client.clone());
-        Ok(client)
+        connection.generation += 1;
+        connection.client = Some(client.clone());
+        Ok((client, connection.generation))
+    }
+
+    /// Closes the connection with a number, unless another one has replaced it.
+    async fn close(&self, generation: u64) {
+        let mut connection = self.connection.lock().await;
+        if connection.generation == generation {
+            connection.client = None;
+        }
+    }
+}
+
+#[async_trait]
+impl RelayPeer for RelayLink {
+    async fn await_update(
+        &self,
+        cursors: TableCursors,
+        wait_ms: Millis,
+    ) -> Result<RelayedUpdate, PeerError> {
+        let call_timeout_ms = self.timeout_ms + wait_ms;
+        self.call(call_timeout_ms, async |client, context| {
+            client.await_update(context, cursors, wait_ms).await
+        })
+        .await
+    }
+
+    async fn read_chunks(&self, request: ChunkRequest) -> Result<Vec<ValueChunk>, PeerError> {
+        let call_timeout_ms = self.timeout_ms;
+        self.call(call_timeout_ms, async |client, context| {
+            client.read_chunks(context, request).await
+        })
+        .await
     }
 }
 
--- a/crates/cuminlb-peer/src/relay_server.rs
+++ b/crates/cuminlb-peer/src/relay_server.rs
@@ -1,6 +1,5 @@
 //! The server side of the calls between nodes that follow a platform's store.
 
-use cuminlb_catalog::StoreTable;
 use cuminlb_types::prelude::*;
 use futures_util::StreamExt;
 use tarpc::context::Context;
@@ -9,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::accept_peers::accept_peers;
-use crate::message::{RelayedRows, SuspicionNotice};
+use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
 use crate::relay_api::RelayApi;
 use crate::transport::tarpc_transport;
 use crate::{PeerToken, RelayHandler};
@@ -44,18 +43,17 @@
 }
 
 impl<H: RelayHandler> RelayApi for Server<H> {
-    async fn rows_since(self, _: Context, table: StoreTable, after: RowVersion) -> RelayedRows {
-        self.handler.rows_since(table, after)
-    }
-
-    async fn await_rows(
+    async fn await_update(
         self,
         _: Context,
-        table: StoreTable,
-        after: RowVersion,
+        cursors: TableCursors,
         wait_ms: Millis,
-    ) -> RelayedRows {
-        self.handler.await_rows(table, after, wait_ms).await
+    ) -> RelayedUpdate {
+        self.handler.await_update(cursors, wait_ms).await
+    }
+
+    async fn read_chunks(self, _: Context, request: ChunkRequest) -> Vec<ValueChunk> {
+        self.handler.read_chunks(&request)
     }
 
     async fn suspect(self, _: Context, notice: SuspicionNotice) {
--- /dev/null
+++ b/crates/cuminlb-replica/src/fetch_values.rs
@@ -0,0 +1,187 @@
+//! The task that fetches large values that peers have announced.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminlb_catalog::SharedRow;
+use cuminlb_peer::{ChunkRequest, RelayPeer};
+use cuminlb_types::prelude::*;
+use log::{debug, info, warn};
+use tokio::time::{Instant, sleep};
+
+use crate::{FollowTiming, Follower, PendingValue, RelayLane, RowSource, ValueAssembly};
+
+/// Length of the missing chunks up to which they are requested from peers. Above it the row is read
+/// from the store, whose link is wider than those of the nodes.
+const MAX_RELAYED_BYTES: ByteCount = ByteCount(49_152);
+
+/// Length of the chunks of one request to a peer.
+const REQUEST_BYTES: ByteCount = ByteCount(32_768);
+
+/// Timeout of reading a short row from the store.
+const STORE_TIMEOUT_MS: Millis = Millis(700);
+
+/// How long the store is not asked for a value after it did not provide one.
+const STORE_AVOIDANCE: Duration = Duration::from_millis(2_000);
+
+/// Delay before another peer is asked after one that had none of the chunks.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Number of requests in a row without a chunk after which the store is asked for a short rest.
+const MAX_FAILED_REQUESTS: u32 = 2;
+
+/// Probability that a request for chunks goes to a random node.
+const OTHER_SOURCE_PROBABILITY: f64 = 0.4;
+
+/// The transfer of one value.
+struct Transfer {
+    pending: PendingValue,
+    assembly: ValueAssembly,
+    /// The node that is asked for chunks.
+    source: NodeId,
+    /// The number of latest requests that brought no chunk.
+    failed_requests: u32,
+}
+
+impl Transfer {
+    /// Returns whether the row should rather be read from the store.
+    fn needs_store(&self) -> bool {
+        let is_long = self.assembly.missing_bytes() > MAX_RELAYED_BYTES;
+        is_long || self.failed_requests >= MAX_FAILED_REQUESTS
+    }
+}
+
+/// Fetches announced values until the future is dropped.
+pub(crate) async fn fetch_values(follower: &Follower) {
+    let mut store_failed_at: Option<Instant> = None;
+    let mut transfer: Option<Transfer> = None;
+    loop {
+        let pending = follower.replica.next_pending().await;
+        let mut current = match transfer.take() {
+            Some(current) if current.pending == pending => current,
+            previous => start_transfer(follower, pending, previous),
+        };
+        let is_store_usable = store_failed_at.is_none_or(|at| at.elapsed() > STORE_AVOIDANCE);
+        if is_store_usable && current.needs_store() {
+            if read_from_store(follower, &current.pending).await {
+                continue;
+            }
+            store_failed_at = Some(Instant::now());
+        }
+        if request_chunks(follower, &mut current).await {
+            current.failed_requests = 0;
+        } else {
+            current.failed_requests += 1;
+            sleep(RETRY_DELAY).await;
+        }
+        finish(follower, &current);
+        transfer = Some(current);
+    }
+}
+
+/// Starts the transfer of a value with the chunks that have arrived before.
+fn start_transfer(
+    follower: &Follower,
+    pending: PendingValue,
+    previous: Option<Transfer>,
+) -> Transfer {
+    let known = follower.replica.row(pending.table, &pending.key);
+    let known = known.as_ref().and_then(|row| row.value.as_deref());
+    let mut assembly = ValueAssembly::new(pending.list.clone(), known);
+    if let Some(previous) = previous {
+        assembly.adopt(previous.assembly);
+    }
+    info!(
+        table:% = pending.table, key:% = pending.key, row_version:% = pending.version,
+        length_bytes = pending.list.length_bytes().get(),
+        missing_bytes = assembly.missing_bytes().get();
+        "large value announced"
+    );
+    Transfer {
+        source: pending.announced_by.clone(),
+        pending,
+        assembly,
+        failed_requests: 0,
+    }
+}
+
+/// Reads the row of a value from the store; returns whether it succeeded.
+async fn read_from_store(follower: &Follower, pending: &PendingValue) -> bool {
+    let length = pending.list.length_bytes();
+    let timeout_ms = STORE_TIMEOUT_MS + FollowTiming::transfer_time_ms(length);
+    let (table, key) = (pending.table, &pending.key);
+    let row = match follower.store.read_row(table, key, timeout_ms).await {
+        Ok(Some(row)) => row,
+        Ok(None) => return false,
+        Err(error) => {
+            warn!(table:% = table, key:% = key; "failed to read a large value: {error}");
+            return false;
+        }
+    };
+    if row.version < pending.version {
+        return false;
+    }
+    let now = Instant::now();
+    follower
+        .replica
+        .apply_row(table, row, RowSource::Store, now);
+    true
+}
+
+/// Requests missing chunks from a peer; returns whether it provided any.
+async fn request_chunks(follower: &Follower, transfer: &mut Transfer) -> bool {
+    let Some((node, link)) = choose_peer(follower, transfer) else {
+        return false;
+    };
+    let request = ChunkRequest {
+        table: transfer.pending.table,
+        key: transfer.pending.key.clone(),
+        chunks: transfer.assembly.missing(REQUEST_BYTES),
+    };
+    match link.read_chunks(request).await {
+        Ok(chunks) => {
+            let added = chunks
+                .into_iter()
+                .filter_map(|chunk| transfer.assembly.add(chunk).then_some(()));
+            let added = added.count();
+            debug!(node:% = node, chunks = added; "chunks of a large value learnt from a peer");
+            if added > 0 {
+                transfer.source = node;
+            }
+            added > 0
+        }
+        Err(error) => {
+            debug!(node:% = node; "failed to fetch chunks: {error}");
+            false
+        }
+    }
+}
+
+/// Chooses the node that provided chunks before, and sometimes another one, which spreads a longer
+/// transfer over the nodes that have the value.
+fn choose_peer(follower: &Follower, transfer: &Transfer) -> Option<(NodeId, Arc<dyn RelayPeer>)> {
+    let is_short = transfer.assembly.missing_bytes() <= MAX_RELAYED_BYTES;
+    let asks_another = transfer.failed_requests > 0 || !is_short;
+    if asks_another && rand::random_bool(OTHER_SOURCE_PROBABILITY) {
+        return follower.random_peer(RelayLane::Bulk);
+    }
+    let link = follower.peers.link(&transfer.source, RelayLane::Bulk)?;
+    Some((transfer.source.clone(), link))
+}
+
+/// Applies the value if all of its chunks have arrived.
+fn finish(follower: &Follower, transfer: &Transfer) {
+    let Some(value) = transfer.assembly.value() else {
+        return;
+    };
+    let pending = &transfer.pending;
+    let row = SharedRow {
+        key: pending.key.clone(),
+        version: pending.version,
+        value: Some(value),
+    };
+    let now = Instant::now();
+    follower
+        .replica
+        .apply_row(pending.table, row, RowSource::Peer, now);
+}
--- /dev/null
+++ b/crates/cuminlb-replica/src/follow_relay.rs
@@ -0,0 +1,130 @@
+//! The conversation with the peer that a node follows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminlb_catalog::StoreTable;
+use cuminlb_peer::{RelayPeer, RelayedUpdate};
+use cuminlb_types::prelude::*;
+use log::{debug, info, warn};
+use tokio::time::{Instant, sleep};
+
+use crate::{Follower, RelayLane, RelayRanking, RowOrigin};
+
+/// How often a node that follows the store checks whether it still should.
+const ORIGIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// How long after its start a node decides whom to follow even if its own row is not listed.
+const MAX_UNDECIDED: Duration = Duration::from_millis(1_000);
+
+/// Delay between two requests to random peers while the store does not serve this node.
+const FALLBACK_PERIOD: Duration = Duration::from_millis(350);
+
+/// Decides whom this node follows, and follows a relay while it is to.
+pub(crate) async fn follow_relay(follower: &Follower) {
+    let started_at = Instant::now();
+    let mut ranking = RelayRanking::default();
+    loop {
+        let origin = choose_origin(follower, &mut ranking, started_at);
+        follower.origin.send_if_modified(|known| {
+            let is_changed = *known != origin;
+            if is_changed {
+                info!(origin:? = origin; "origin of rows chosen");
+                *known = origin.clone();
+            }
+            is_changed
+        });
+        match origin {
+            RowOrigin::Relay(node) => match follower.peers.link(&node, RelayLane::News) {
+                Some(link) => follow_once(follower, node, link).await,
+                None => sleep(ORIGIN_CHECK_PERIOD).await,
+            },
+            RowOrigin::Undecided | RowOrigin::Store if follower.replica.has_failed_table() => {
+                ask_random_peer(follower).await;
+                sleep(FALLBACK_PERIOD).await;
+            }
+            RowOrigin::Undecided | RowOrigin::Store => sleep(ORIGIN_CHECK_PERIOD).await,
+        }
+    }
+}
+
+fn choose_origin(
+    follower: &Follower,
+    ranking: &mut RelayRanking,
+    started_at: Instant,
+) -> RowOrigin {
+    let now = Instant::now();
+    let membership = follower.peers.membership();
+    let is_listed = membership.nodes.contains_key(&membership.own_id);
+    if !is_listed && now.duration_since(started_at) < MAX_UNDECIDED {
+        return RowOrigin::Undecided;
+    }
+    let mut failed_peers = follower.failed_peers();
+    if ranking.update(&membership) {
+        failed_peers.retain(|node| membership.nodes.contains_key(node));
+    }
+    RowOrigin::choose(&membership, ranking, &failed_peers, now)
+}
+
+/// Waits for changes from a relay.
+async fn follow_once(follower: &Follower, node: NodeId, link: Arc<dyn RelayPeer>) {
+    let cursors = follower.replica.cursors();
+    let wait_ms = follower.timing.peer_wait_ms;
+    match link.await_update(cursors, wait_ms).await {
+        Ok(update) => {
+            let age_ms = oldest_age(&update);
+            let has_rows = apply(follower, &node, update);
+            if age_ms <= follower.timing.max_peer_age_ms {
+                follower.failed_peers().record_success(&node);
+            } else {
+                info!(node:% = node, heard_ms = age_ms.get(); "the peer's news are too old");
+                follower.failed_peers().record_failure(node, Instant::now());
+            }
+            if has_rows {
+                sleep(follower.timing.batch_delay).await;
+            }
+        }
+        Err(error) => {
+            warn!(node:% = node; "peer lost: {error}");
+            follower.failed_peers().record_failure(node, Instant::now());
+        }
+    }
+}
+
+/// Asks any peer for changes, because the store does not serve this node.
+async fn ask_random_peer(follower: &Follower) {
+    let Some((node, link)) = follower.random_peer(RelayLane::News) else {
+        return;
+    };
+    follower.replica.record_peer_request();
+    let cursors = follower.replica.cursors();
+    match link.await_update(cursors, Millis(0)).await {
+        Ok(update) => {
+            apply(follower, &node, update);
+        }
+        Err(error) => {
+            debug!(node:% = node; "failed to fetch rows: {error}");
+            follower.failed_peers().record_failure(node, Instant::now());
+        }
+    }
+}
+
+/// Applies what a peer relayed; returns whether it has rows other than those of the nodes.
+fn apply(follower: &Follower, node: &NodeId, update: RelayedUpdate) -> bool {
+    let counts = update.tables.iter().map(|table| table.rows.len());
+    let rows: usize = counts.sum();
+    let has_rows = update
+        .tables
+        .iter()
+        .any(|table| table.table != StoreTable::Nodes && !table.rows.is_empty());
+    let heard_ms = oldest_age(&update);
+    follower.replica.apply_update(update, node, Instant::now());
+    debug!(node:% = node, rows = rows, heard_ms:% = heard_ms; "rows learnt from a peer");
+    has_rows
+}
+
+/// Returns the age of the oldest table of an update.
+fn oldest_age(update: &RelayedUpdate) -> Millis {
+    let ages = update.tables.iter().map(|table| table.heard_ms);
+    ages.max().unwrap_or_default()
+}
--- a/crates/cuminlb-replica/src/node_row.rs
+++ b/crates/cuminlb-replica/src/node_row.rs
@@ -5,29 +5,34 @@
 use cuminlb_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::NodeCapacity;
+
 /// The prefix of the keys of node rows.
 const KEY_PREFIX: &str = "node/";
 
 /// What a node reports about itself in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub(crate) struct NodeRow {
+pub struct NodeRow {
     /// The address that the other nodes connect to.
-    pub(crate) peer: SocketAddr,
+    pub peer: SocketAddr,
     /// The availability zone.
-    pub(crate) zone: ZoneId,
+    pub zone: ZoneId,
     /// Distinguishes successive starts of the process.
-    pub(crate) incarnation: Incarnation,
+    pub incarnation: Incarnation,
+    /// The capacity of the machine.
+    #[serde(default)]
+    pub capacity: NodeCapacity,
 }
 
 impl NodeRow {
     /// Returns the key of a node's row.
-    pub(crate) fn key(node: &NodeId) -> Option<RowKey> {
+    pub fn key(node: &NodeId) -> Option<RowKey> {
         format!("{KEY_PREFIX}{node}").parse().ok()
     }
 
     /// Returns the node that a key belongs to, if it is the key of a node row.
-    pub(crate) fn node(key: &RowKey) -> Option<NodeId> {
+    pub fn node(key: &RowKey) -> Option<NodeId> {
         key.as_str().strip_prefix(KEY_PREFIX)?.parse().ok()
     }
 }
--- /dev/null
+++ b/crates/cuminlb-replica/src/replica_state.rs
@@ -0,0 +1,56 @@
+//! The tables of a replica and how recent they are.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminlb_catalog::StoreTable;
+use cuminlb_peer::TableCursors;
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::TableMirror;
+
+/// The tables of a replica and how recent they are.
+#[derive(Debug, Default)]
+pub(crate) struct ReplicaState {
+    mirrors: BTreeMap<StoreTable, TableMirror>,
+    /// When the store is known to have held no newer rows of a table.
+    heard_at: BTreeMap<StoreTable, Instant>,
+    /// The tables for which the latest call to the store has failed.
+    pub(crate) failed_tables: BTreeSet<StoreTable>,
+}
+
+impl ReplicaState {
+    pub(crate) fn mirror(&mut self, table: StoreTable) -> &mut TableMirror {
+        self.mirrors.entry(table).or_default()
+    }
+
+    /// Records that the store held no rows of a table at `at` that this replica lacks.
+    pub(crate) fn record_heard(&mut self, table: StoreTable, at: Instant) {
+        let heard_at = self.heard_at.entry(table).or_insert(at);
+        *heard_at = at.max(*heard_at);
+    }
+
+    /// Returns the time since the store is known to have held no newer rows of a table.
+    pub(crate) fn heard_age(&self, table: StoreTable, now: Instant) -> Option<Millis> {
+        let heard_at = self.heard_at.get(&table)?;
+        Some(now.duration_since(*heard_at).into())
+    }
+
+    /// Returns the versions up to which every change has arrived or been announced.
+    pub(crate) fn cursors(&self) -> TableCursors {
+        self.versions(TableMirror::version)
+    }
+
+    /// Returns the versions of the newest rows that peers can be given.
+    pub(crate) fn newest(&self) -> TableCursors {
+        self.versions(TableMirror::newest_version)
+    }
+
+    fn versions(&self, version: impl Fn(&TableMirror) -> RowVersion) -> TableCursors {
+        let mut cursors = TableCursors::default();
+        for (table, mirror) in &self.mirrors {
+            cursors.set(*table, version(mirror));
+        }
+        cursors
+    }
+}
--- a/crates/cuminlb-replica/src/row_origin.rs
+++ b/crates/cuminlb-replica/src/row_origin.rs
@@ -1,59 +1,57 @@
 //! The choice between following the store and following a peer.
 
-use std::sync::Arc;
+use std::time::Duration;
 
-use cuminlb_peer::RelayLink;
 use cuminlb_types::prelude::*;
 use cuminlb_types::rendezvous_rank;
 use tokio::time::Instant;
 
-use super::failed_peers::FailedPeers;
-use crate::gateway::Gateway;
-use crate::leading::current_leader;
+use crate::{FailedPeers, Membership, RelayRanking};
 
-/// Number of nodes for each one that follows the store itself and serves the others.
-const NODES_PER_STORE_FOLLOWER: usize = 12;
+/// Number of relays that fail one after the other before a node asks the store itself, which may
+/// serve it although it serves none of them.
+const MAX_RECENT_FAILURES: usize = 2;
 
-/// Minimum number of nodes that follow the store themselves.
-const MIN_STORE_FOLLOWERS: usize = 2;
+/// How long these failures count.
+const RECENT_FAILURE_AGE: Duration = Duration::from_millis(2_500);
 
-/// Key by which rendezvous hashing selects the nodes that follow the store.
-const RENDEZVOUS_KEY: &str = "store followers";
-
-/// Where a node reads changes from.
-#[derive(Clone, Debug)]
-pub(super) enum RowOrigin {
+/// Where a node gets changes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RowOrigin {
+    /// The node has not yet read which other nodes there are.
+    Undecided,
     /// The platform's store.
     Store,
     /// A node that follows the store.
-    Peer(NodeId, Arc<RelayLink>),
+    Relay(NodeId),
 }
 
 impl RowOrigin {
-    /// Chooses where this node reads changes from now. A few nodes and the leader follow the store.
-    /// The others follow one of these few that has not failed them recently, or else the store.
-    pub(super) fn choose(gateway: &Gateway, failed_peers: &FailedPeers, now: Instant) -> Self {
-        let own_id = &gateway.settings.id;
-        if current_leader(&gateway.knowledge).as_ref() == Some(own_id) {
+    /// Chooses where a node gets changes from. The leader and a few nodes of each zone follow the
+    /// store. The others follow one of these few; if none is usable, or several have just failed,
+    /// they follow the store too.
+    pub fn choose(
+        membership: &Membership,
+        ranking: &RelayRanking,
+        failed_peers: &FailedPeers,
+        now: Instant,
+    ) -> Self {
+        let own_id = &membership.own_id;
+        if membership.is_leader() {
+            return Self::Store;
+        }
+        if failed_peers.recent_count(RECENT_FAILURE_AGE, now) >= MAX_RECENT_FAILURES {
             return Self::Store;
         }
-        let directory = gateway.knowledge.directory();
-        let mut nodes: Vec<&NodeId> = directory.nodes.keys().collect();
-        nodes.sort_by_key(|node| std::cmp::Reverse(rendezvous_rank(&RENDEZVOUS_KEY, node)));
-        nodes.truncate((nodes.len() / NODES_PER_STORE_FOLLOWER).max(MIN_STORE_FOLLOWERS));
-        if nodes.contains(&own_id) {
+        let is_avoided = |node: &NodeId| node != own_id && failed_peers.is_avoided(node, now);
+        let relays: Vec<&NodeId> = ranking.relays(is_avoided).collect();
+        if relays.contains(&own_id) {
             return Self::Store;
         }
-        // Each node has its own order, so that the load of the other nodes is spread over the
-        // followers.
-        nodes.sort_by_key(|node| rendezvous_rank(own_id, node));
-        let mut usable = nodes
+        // Each node has its own order of the relays, which spreads the nodes over them.
+        let relay = relays
             .into_iter()
-            .filter(|node| !failed_peers.has_failed(node, now));
-        let peer = usable.find_map(|node| {
-            let link = gateway.peers.link(&directory, node)?;
-            Some(Self::Peer(node.clone(), link))
-        });
-        peer.unwrap_or(Self::Store)
+            .max_by_key(|relay| rendezvous_rank(own_id, relay));
+        relay.map_or(Self::Store, |relay| Self::Relay(relay.clone()))
     }
 }
--- /dev/null
+++ b/crates/cuminlb-replica/src/row_sink.rs
@@ -0,0 +1,18 @@
+//! The boundary to what a node does with new rows.
+
+use cuminlb_catalog::{SharedRow, StoreTable};
+use tokio::time::Instant;
+
+use crate::RowSource;
+
+/// Receives the rows that are new to a node.
+pub trait RowSink: Send + Sync + 'static {
+    /// Handles new rows of a table, in the order in which the node applies them.
+    fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], source: RowSource, now: Instant);
+
+    /// Handles the outcome of a call to the store, by this node or by the relay that it follows.
+    fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant);
+
+    /// Handles a request to a peer for rows that the store did not provide.
+    fn peer_asked(&self);
+}
--- a/crates/cuminlb-replica/src/row_source.rs
+++ b/crates/cuminlb-replica/src/row_source.rs
@@ -4,7 +4,7 @@
 
 /// Where rows were read from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RowSource {
+pub enum RowSource {
     /// The platform's store.
     Store,
     /// Another node.
--- /dev/null
+++ b/crates/cuminlb-replica/tests/replica/main.rs
@@ -0,0 +1,19 @@
+//! Tests of the replica: chunks of large values, the choice of whom to follow, and the spread of
+//! changes over many nodes with slow links, in virtual time.
+#![allow(
+    clippy::expect_used,
+    clippy::unwrap_used,
+    clippy::panic,
+    unreachable_pub,
+    reason = "a test fails by panicking"
+)]
+
+mod chunks;
+mod following;
+mod mirrors;
+mod simulated_fleet;
+mod simulated_link;
+mod simulated_peer;
+mod simulated_sink;
+mod simulated_store;
+mod spreading;
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod choice;
 mod claim;
+mod cold_allowance;
 mod quarantine;
 mod refusal;
 mod retry;
@@ -24,6 +25,7 @@
     CLAIM_RETENTION_MS, DuplicateResolution, SettleStep, content_digest, next_settle_step,
     resolve_duplicate,
 };
+pub use crate::cold_allowance::cold_allowance;
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
