Check silent groups once a relay, share loads, and budget retries over a window

Each node knew only its own load. Change: a follower has its relay check a group; the relay does it once for all who ask and notifies the leader. The leader handles what has finished and rests between plans in proportion to their time. Retries are budgeted over the platform's window (retry_window is used now), with less weight for requests that soon leave it. Nodes report the requests in flight to their relay, relays to each other; the choice of a group uses the sum. Failed calls to the store are repeated ever more slowly. Ruled out: a fixed higher share of the budget (it would not be kept for a burst).

--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use cuminlb_catalog::StoreTable;
 use cuminlb_config::GatewaySettings;
 use cuminlb_replica::{FollowTiming, Follower, Replica, RowSink};
+use cuminlb_routing::LoadBoard;
 use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -14,7 +15,7 @@
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::{Suspicions, current_leader};
 use crate::metrics::{GatewayMetrics, RequestLabels};
-use crate::serving::{LoadTracker, RetryBudgets};
+use crate::serving::{GroupChecks, LoadTracker, RetryBudgets};
 use crate::upstream::ConnectionPool;
 
 /// The state that the tasks of a node share.
@@ -30,7 +31,10 @@
     pub(crate) follower: Follower,
     pub(crate) peers: Arc<PeerLinks>,
     pub(crate) suspicions: Suspicions,
+    pub(crate) group_checks: GroupChecks,
     pub(crate) loads: LoadTracker,
+    /// The load of the other nodes.
+    pub(crate) load_board: LoadBoard,
     pub(crate) budgets: RetryBudgets,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
@@ -68,7 +72,9 @@
             follower,
             peers,
             suspicions: Suspicions::default(),
+            group_checks: GroupChecks::default(),
             loads: LoadTracker::default(),
+            load_board: LoadBoard::default(),
             budgets: RetryBudgets::default(),
             pool: ConnectionPool::new(background_tasks.clone(), metrics.connections.clone()),
             metrics,
@@ -89,8 +95,7 @@
     /// Records a request for a service, which earns a fraction of a retry.
     pub(crate) fn record_request(&self, service: &ServiceId) {
         let bounds = self.live_settings().bounds;
-        self.budgets
-            .record_request(service, &bounds, self.node_count());
+        self.budgets.record_request(service, &bounds);
     }
 
     /// Withdraws a retry from the budget of a service and counts it; returns `false` if none is
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 
 use cuminlb_peer::{
-    ChunkRequest, RelayHandler, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+    ChunkRequest, GroupHealth, LoadReport, LoadScope, RelayHandler, RelayedUpdate, SuspicionNotice,
+    TableCursors, ValueChunk,
 };
+use cuminlb_routing::InFlightCount;
 use cuminlb_types::prelude::*;
+use tokio::time::Instant;
 
 use crate::gateway::Gateway;
+use crate::serving::GroupChecks;
 
 /// Responds to the calls of the other nodes.
 #[derive(Clone, Debug)]
@@ -30,6 +34,25 @@
         self.gateway.replica.read_chunks(request)
     }
 
+    fn exchange_loads(&self, report: LoadReport) -> Vec<InFlightCount> {
+        let own = self.gateway.loads.in_flight_counts();
+        let board = &self.gateway.load_board;
+        let now = Instant::now();
+        let LoadReport {
+            node,
+            scope,
+            counts,
+        } = report;
+        match scope {
+            LoadScope::Node => board.exchange_with_follower(&node, counts, &own, now),
+            LoadScope::Relay => board.exchange_with_relay(&node, counts, &own, now),
+        }
+    }
+
+    async fn check_group(&self, notice: SuspicionNotice) -> GroupHealth {
+        GroupChecks::check(&self.gateway, notice).await
+    }
+
     fn suspect(&self, notice: SuspicionNotice) {
         self.gateway.suspicions.add(notice);
     }
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -10,7 +10,7 @@
 use log::info;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval};
+use tokio::time::{Instant, interval, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use super::active_lease::ActiveLease;
@@ -22,6 +22,10 @@
 /// Planning interval when there is no event.
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
 
+/// Rest after planning, as a multiple of the time that it took. Events come faster than a plan over
+/// a large fleet can follow, and the leader serves callers too.
+const REST_FACTOR: u32 = 4;
+
 /// Time after which an order counts as unanswered.
 const ORDER_TIMEOUT_MS: Millis = Millis(800);
 
@@ -53,6 +57,7 @@
     probes: JoinSet<ProbeReport>,
     /// When each instance was last probed.
     probed_at: BTreeMap<InstanceId, Instant>,
+    next_plan_at: Instant,
 }
 
 impl Leader {
@@ -65,6 +70,7 @@
             orders: JoinSet::new(),
             probes: JoinSet::new(),
             probed_at: BTreeMap::new(),
+            next_plan_at: Instant::now(),
         }
     }
 
@@ -88,11 +94,27 @@
                 Some(Ok(report)) = self.probes.join_next() => self.handle_probe_report(&report),
             }
             let now = Instant::now();
+            if now < self.next_plan_at {
+                sleep_until(self.next_plan_at).await;
+            }
+            self.handle_finished();
+            let now = Instant::now();
             match *lease.borrow() {
                 None => return,
                 Some(held) if held.is_valid(now) => self.plan(now),
                 Some(_) => {}
             }
+            self.next_plan_at = Instant::now() + now.elapsed() * REST_FACTOR;
+        }
+    }
+
+    /// Handles all orders and probes that have finished.
+    fn handle_finished(&mut self) {
+        while let Some(Ok(report)) = self.orders.try_join_next() {
+            self.handle_order_report(&report);
+        }
+        while let Some(Ok(report)) = self.probes.try_join_next() {
+            self.handle_probe_report(&report);
         }
     }
 
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -66,8 +66,7 @@
                 continue;
             };
             let load = self.gateway.loads.load(&head.id);
-            // Assumes that the other nodes send as much as this one.
-            let in_flight = f64::from(load.in_flight()) * self.gateway.node_count() as f64;
+            let in_flight = self.total_in_flight(&head.id, load.in_flight());
             let choice = GroupCandidate {
                 group: group.group.clone(),
                 epoch: group.epoch,
@@ -96,6 +95,16 @@
             .find(|target| target.group.as_ref() == Some(&chosen))
     }
 
+    /// Returns the number of requests of all nodes in flight at an instance, of which `own` are
+    /// this node's.
+    fn total_in_flight(&self, id: &InstanceId, own: u32) -> f64 {
+        match self.gateway.load_board.others_in_flight(id, self.now) {
+            Some(others) => f64::from(own + others),
+            // Assumes that the other nodes send as much as this one.
+            None => f64::from(own) * self.gateway.node_count() as f64,
+        }
+    }
+
     /// Returns the head of a group if the request may be sent to it.
     fn eligible_head(&self, group: &GroupView) -> Option<&InstanceEntry> {
         let (head, _) = group.head()?;
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -5,13 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cuminlb_peer::GroupHealth;
 use cuminlb_replica::NodeRow;
 use cuminlb_types::prelude::*;
 use cuminlb_types::rendezvous_rank;
 use tokio::time::Instant;
 
-use super::group_health::GroupHealth;
-
 /// How long an instance that has fallen silent receives no new requests, unless it sends something.
 const SUSPICION_PERIOD: Duration = Duration::from_millis(1_500);
 
--- a/crates/cuminlb-gateway/src/serving/load_tracker.rs
+++ b/crates/cuminlb-gateway/src/serving/load_tracker.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use cuminlb_routing::InFlightCount;
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
@@ -27,6 +28,16 @@
         load
     }
 
+    /// Returns the number of requests of this node in flight at each instance that has any.
+    pub(crate) fn in_flight_counts(&self) -> Vec<InFlightCount> {
+        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = loads.iter().map(|(id, load)| InFlightCount {
+            instance: id.clone(),
+            requests: load.in_flight(),
+        });
+        counts.filter(|count| count.requests > 0).collect()
+    }
+
     /// Counts a request to an instance as in flight until the guard is dropped.
     pub(super) fn start_request(&self, id: &InstanceId) -> InFlightGuard {
         InFlightGuard::new(self.load(id))
--- a/crates/cuminlb-gateway/src/serving/probe_group.rs
+++ b/crates/cuminlb-gateway/src/serving/probe_group.rs
@@ -2,10 +2,10 @@
 
 use cuminlb_assembly::STRAGGLER_SLOWDOWN;
 use cuminlb_catalog::{InstanceEntry, InstanceReport, SeatState};
+use cuminlb_peer::GroupHealth;
 use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
 
-use super::group_health::GroupHealth;
 use crate::gateway::Gateway;
 
 /// Time within which a member that is alive responds to a probe.
@@ -45,7 +45,11 @@
     }
 }
 
-async fn probe_member(gateway: &Gateway, entry: &InstanceEntry) -> Option<InstanceReport> {
+/// Probes a member; `None` if it does not respond.
+pub(super) async fn probe_member(
+    gateway: &Gateway,
+    entry: &InstanceEntry,
+) -> Option<InstanceReport> {
     for _ in 0..PROBE_ATTEMPTS {
         let control = &gateway.edges.instances;
         let report = control.report(entry.address, PROBE_TIMEOUT_MS).await;
--- a/crates/cuminlb-gateway/src/serving/retry_budgets.rs
+++ b/crates/cuminlb-gateway/src/serving/retry_budgets.rs
@@ -4,53 +4,53 @@
 use std::sync::{Mutex, PoisonError};
 
 use cuminlb_config::FleetBounds;
-use cuminlb_routing::RetryBudget;
+use cuminlb_routing::WindowedBudget;
 use cuminlb_types::prelude::*;
+use tokio::time::Instant;
 
-/// Fraction of the allowance that is used, because nodes join and leave within a window.
-const ALLOWANCE_FRACTION: f64 = 0.6;
+/// Fraction of the extra retries that is used, because a node that starts again within a window
+/// gets its share again.
+const EXTRA_FRACTION: f64 = 0.6;
 
-/// Balance that a node may always save up from the ratio, because a budget below one retry would
-/// never allow any.
-const MIN_BALANCE_RETRIES: f64 = 1.0;
+/// Fraction of the ratio that is used, because requests and retries are counted elsewhere, and a
+/// little later.
+const RATIO_FRACTION: f64 = 0.7;
 
 /// The retry budgets, one for each service.
 ///
-/// All nodes share the allowance. Each node saves up its fraction of the extra retries and earns
-/// the ratio through its own requests, so that the sum stays within the limit without any messages
+/// All nodes share the allowance. Each node has its fraction of the extra retries and earns the
+/// ratio through its own requests, so that the sum stays within the limit without any messages
 /// between nodes.
 #[derive(Debug, Default)]
 pub(crate) struct RetryBudgets {
-    budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    budgets: Mutex<HashMap<ServiceId, WindowedBudget>>,
 }
 
 impl RetryBudgets {
     /// Records a request, which earns a fraction of a retry.
-    pub(crate) fn record_request(&self, service: &ServiceId, bounds: &FleetBounds, nodes: usize) {
-        self.with_budget(service, bounds, nodes, |budget| budget.deposit());
+    pub(crate) fn record_request(&self, service: &ServiceId, bounds: &FleetBounds) {
+        let now = Instant::now();
+        self.with_budget(service, bounds, |budget| budget.record_request(now));
     }
 
     /// Withdraws a retry from the budget; returns `false` if none is left.
     pub(crate) fn acquire(&self, service: &ServiceId, bounds: &FleetBounds, nodes: usize) -> bool {
-        self.with_budget(service, bounds, nodes, |budget| budget.withdraw_retry())
+        let extra = bounds.retry_extra * EXTRA_FRACTION / nodes as f64;
+        let now = Instant::now();
+        self.with_budget(service, bounds, |budget| budget.withdraw_retry(extra, now))
     }
 
     fn with_budget<T>(
         &self,
         service: &ServiceId,
         bounds: &FleetBounds,
-        nodes: usize,
-        update: impl FnOnce(&mut RetryBudget) -> T,
+        update: impl FnOnce(&mut WindowedBudget) -> T,
     ) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let share = bounds.retry_extra * ALLOWANCE_FRACTION / nodes as f64;
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let ratio = Ratio(bounds.retry_ratio.get() * ALLOWANCE_FRACTION);
-            let mut budget = RetryBudget::new(ratio);
-            budget.set_max_balance(share);
-            budget
+            let ratio = Ratio(bounds.retry_ratio.get() * RATIO_FRACTION);
+            WindowedBudget::new(ratio, bounds.retry_window_ms)
         });
-        budget.set_max_balance(share.max(MIN_BALANCE_RETRIES));
         update(budget)
     }
 }
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/share_loads.rs
@@ -0,0 +1,94 @@
+//! The task that tells the other nodes the load of this one, and learns theirs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminlb_peer::{LoadReport, LoadScope, RelayLink};
+use cuminlb_replica::{RelayLane, RowOrigin};
+use cuminlb_routing::InFlightCount;
+use cuminlb_types::prelude::*;
+use futures_util::future::join_all;
+use log::debug;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::Gateway;
+
+/// Interval between two exchanges with the relay.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(300);
+
+/// Exchanges load with the relay that this node follows, or as a relay with the others, until
+/// `stop` is cancelled.
+pub(crate) async fn share_loads(gateway: Arc<Gateway>, stop: CancellationToken) {
+    let exchange = async {
+        loop {
+            sleep(EXCHANGE_PERIOD).await;
+            if !gateway.has_callers() {
+                continue;
+            }
+            match gateway.follower.origin() {
+                RowOrigin::Relay(relay) => exchange_with_relay(&gateway, &relay).await,
+                RowOrigin::Store => exchange_among_relays(&gateway).await,
+                RowOrigin::Undecided => {}
+            }
+        }
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = exchange => {}
+    }
+}
+
+/// Reports the load of this node to its relay.
+async fn exchange_with_relay(gateway: &Gateway, relay: &NodeId) {
+    let counts = gateway.loads.in_flight_counts();
+    if let Some(told) = exchange(gateway, relay, LoadScope::Node, counts).await {
+        gateway.load_board.record_told(told, Instant::now());
+    }
+}
+
+/// Reports the load of this node and its followers to the other relays.
+async fn exchange_among_relays(gateway: &Gateway) {
+    let now = Instant::now();
+    let own = gateway.loads.in_flight_counts();
+    let sums = gateway.load_board.own_sums(&own, now);
+    let relays = gateway.follower.other_relays(now);
+    let exchanges = relays.iter().map(|relay| {
+        let sums = sums.clone();
+        async move {
+            (
+                relay,
+                exchange(gateway, relay, LoadScope::Relay, sums).await,
+            )
+        }
+    });
+    for (relay, told) in join_all(exchanges).await {
+        if let Some(told) = told {
+            let now = Instant::now();
+            gateway.load_board.record_relay(relay, told, now);
+        }
+    }
+    gateway.load_board.refresh(Instant::now());
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    peer: &NodeId,
+    scope: LoadScope,
+    counts: Vec<InFlightCount>,
+) -> Option<Vec<InFlightCount>> {
+    let directory = gateway.knowledge.directory();
+    let link: Arc<RelayLink> = gateway.peers.link(&directory, peer, RelayLane::News)?;
+    let report = LoadReport {
+        node: gateway.settings.id.clone(),
+        scope,
+        counts,
+    };
+    match link.exchange_loads(report).await {
+        Ok(told) => Some(told),
+        Err(error) => {
+            debug!(node:% = peer; "failed to exchange loads: {error}");
+            None
+        }
+    }
+}
--- a/crates/cuminlb-gateway/src/serving/silence_watch.rs
+++ b/crates/cuminlb-gateway/src/serving/silence_watch.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use cuminlb_peer::GroupHealth;
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use super::group_health::GroupHealth;
 use super::in_flight_guard::InFlightGuard;
 
 /// How often a request that receives nothing reports its instance as suspicious.
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -2,20 +2,25 @@
 //! leader.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use cuminlb_peer::SuspicionNotice;
-use cuminlb_replica::RelayLane;
+use cuminlb_peer::{GroupHealth, SuspicionNotice};
+use cuminlb_replica::{RelayLane, RowOrigin};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::admitted_request::AdmittedRequest;
-use super::group_health::GroupHealth;
-use super::probe_group::probe_group;
+use super::group_checks::GroupChecks;
+use super::probe_group::probe_member;
 use super::target::Target;
 use crate::gateway::Gateway;
+use crate::knowledge::Directory;
 use crate::leading::current_leader;
 
+/// Time within which a relay reports the result of a check.
+const RELAY_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
 impl Gateway {
     /// Stops sending to a head from which nothing was received for a request since `last_seen_at`,
     /// until the members of its group have been probed. Notifies the leader if the group is
@@ -50,20 +55,12 @@
         );
         let gateway = Arc::clone(self);
         self.background_tasks.spawn(async move {
-            let group_health = probe_group(&gateway, &notice.group, epoch).await;
-            info!(
-                instance:% = notice.head, group:% = notice.group, epoch:% = epoch,
-                standing:? = group_health;
-                "silent head checked"
-            );
-            load.record_group_health(epoch, group_health, Instant::now());
-            if group_health != GroupHealth::Intact {
-                gateway.notify_leader(notice).await;
-            }
+            let health = check_group(&gateway, notice).await;
+            load.record_group_health(epoch, health, Instant::now());
         });
     }
 
-    async fn notify_leader(&self, notice: SuspicionNotice) {
+    pub(super) async fn notify_leader(&self, notice: SuspicionNotice) {
         let Some(leader) = current_leader(&self.replica) else {
             warn!(instance:% = notice.head; "no leader to notify about a silent head");
             return;
@@ -82,3 +79,36 @@
         }
     }
 }
+
+/// Has the group of a silent head checked: by the relay that this node follows, which does it once
+/// for all its followers, or else by this node.
+async fn check_group(gateway: &Arc<Gateway>, notice: SuspicionNotice) -> GroupHealth {
+    let directory = gateway.knowledge.directory();
+    if let RowOrigin::Relay(relay) = gateway.follower.origin()
+        && let Some(link) = gateway.peers.link(&directory, &relay, RelayLane::News)
+    {
+        let checked = timeout(RELAY_CHECK_TIMEOUT, link.check_group(notice.clone())).await;
+        match checked {
+            Ok(Ok(health)) if health != GroupHealth::Intact => return health,
+            Ok(Ok(_)) => return check_own_path(gateway, &directory, &notice).await,
+            Ok(Err(error)) => warn!(node:% = relay; "failed to have a group checked: {error}"),
+            Err(_elapsed) => warn!(node:% = relay; "the check of a group took too long"),
+        }
+    }
+    GroupChecks::check(gateway, notice).await
+}
+
+/// Checks whether this node reaches the head of a group that is intact to others.
+async fn check_own_path(
+    gateway: &Gateway,
+    directory: &Directory,
+    notice: &SuspicionNotice,
+) -> GroupHealth {
+    let Some(head) = directory.find_instance(&notice.head) else {
+        return GroupHealth::HeadLost;
+    };
+    match probe_member(gateway, head).await {
+        Some(_) => GroupHealth::Intact,
+        None => GroupHealth::HeadLost,
+    }
+}
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -25,10 +25,10 @@
 pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
-    ChunkId, ChunkList, ChunkRef, ChunkRequest, ConfigDocument, EventsQuery, PeerStatus,
-    RelayedRow, RelayedTable, RelayedUpdate, RelayedValue, ReleasedSlot, RenewalResponse,
-    RenewedGroup, SlotGrant, SlotRelease, SlotRenewal, SlotRequest, SlotResponse, StoreContact,
-    SuspicionNotice, TableCursors, TableNotice, ValueChunk,
+    ChunkId, ChunkList, ChunkRef, ChunkRequest, ConfigDocument, EventsQuery, GroupHealth,
+    LoadReport, LoadScope, PeerStatus, RelayedRow, RelayedTable, RelayedUpdate, RelayedValue,
+    ReleasedSlot, RenewalResponse, RenewedGroup, SlotGrant, SlotRelease, SlotRenewal, SlotRequest,
+    SlotResponse, StoreContact, SuspicionNotice, TableCursors, TableNotice, ValueChunk,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
--- a/crates/cuminlb-peer/src/relay_api.rs
+++ b/crates/cuminlb-peer/src/relay_api.rs
@@ -2,9 +2,12 @@
 //!
 //! The order of its methods and of their parameters is part of the wire format.
 
+use cuminlb_routing::InFlightCount;
 use cuminlb_types::prelude::*;
 
-use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
+use crate::message::{
+    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+};
 
 /// The calls between nodes that follow a platform's store.
 #[tarpc::service]
@@ -16,6 +19,14 @@
     /// Returns those of the requested chunks that the called node has.
     async fn read_chunks(request: ChunkRequest) -> Vec<ValueChunk>;
 
+    /// Reports load and returns that of the other nodes: to a follower the sums over all other
+    /// nodes, to a relay those of the called one with its followers.
+    async fn exchange_loads(report: LoadReport) -> Vec<InFlightCount>;
+
+    /// Probes the members of a group whose head is silent, once for all nodes that ask at about the
+    /// same time, and notifies the leader if the group is unhealthy.
+    async fn check_group(notice: SuspicionNotice) -> GroupHealth;
+
     /// Notifies the leader that an instance has become silent.
     async fn suspect(notice: SuspicionNotice);
 }
--- a/crates/cuminlb-peer/src/relay_handler.rs
+++ b/crates/cuminlb-peer/src/relay_handler.rs
@@ -1,8 +1,11 @@
 //! The interface between the relay server and the node that handles its calls.
 
+use cuminlb_routing::InFlightCount;
 use cuminlb_types::prelude::*;
 
-use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
+use crate::message::{
+    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+};
 
 /// Handles the calls of `RelayApi`.
 pub trait RelayHandler: Clone + Send + Sync + 'static {
@@ -16,6 +19,12 @@
     /// Returns those of the requested chunks that this node has.
     fn read_chunks(&self, request: &ChunkRequest) -> Vec<ValueChunk>;
 
+    /// Records reported load and returns that of the other nodes.
+    fn exchange_loads(&self, report: LoadReport) -> Vec<InFlightCount>;
+
+    /// Probes the members of a group whose head is silent.
+    fn check_group(&self, notice: SuspicionNotice) -> impl Future<Output = GroupHealth> + Send;
+
     /// Handles the notice of a peer that an instance has become silent.
     fn suspect(&self, notice: SuspicionNotice);
 }
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
+use cuminlb_routing::InFlightCount;
 use cuminlb_types::prelude::*;
 use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
@@ -11,7 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
-use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
+use crate::message::{
+    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+};
 use crate::relay_api::RelayApiClient;
 use crate::transport::tarpc_transport;
 use crate::{PeerError, PeerToken, RelayPeer};
@@ -52,6 +55,35 @@
         self.address
     }
 
+    /// Reports load and returns that of the other nodes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no response was received.
+    pub async fn exchange_loads(
+        &self,
+        report: LoadReport,
+    ) -> Result<Vec<InFlightCount>, PeerError> {
+        let call_timeout_ms = self.timeout_ms;
+        self.call(call_timeout_ms, async |client, context| {
+            client.exchange_loads(context, report).await
+        })
+        .await
+    }
+
+    /// Asks the peer to probe the members of a group whose head is silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no response was received.
+    pub async fn check_group(&self, notice: SuspicionNotice) -> Result<GroupHealth, PeerError> {
+        let call_timeout_ms = self.timeout_ms;
+        self.call(call_timeout_ms, async |client, context| {
+            client.check_group(context, notice).await
+        })
+        .await
+    }
+
     /// Notifies the peer that an instance has become silent.
     ///
     /// # Errors
--- a/crates/cuminlb-peer/src/relay_server.rs
+++ b/crates/cuminlb-peer/src/relay_server.rs
@@ -1,5 +1,6 @@
 //! The server side of the calls between nodes that follow a platform's store.
 
+use cuminlb_routing::InFlightCount;
 use cuminlb_types::prelude::*;
 use futures_util::StreamExt;
 use tarpc::context::Context;
@@ -8,7 +9,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::accept_peers::accept_peers;
-use crate::message::{ChunkRequest, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk};
+use crate::message::{
+    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+};
 use crate::relay_api::RelayApi;
 use crate::transport::tarpc_transport;
 use crate::{PeerToken, RelayHandler};
@@ -56,6 +59,14 @@
         self.handler.read_chunks(&request)
     }
 
+    async fn exchange_loads(self, _: Context, report: LoadReport) -> Vec<InFlightCount> {
+        self.handler.exchange_loads(report)
+    }
+
+    async fn check_group(self, _: Context, notice: SuspicionNotice) -> GroupHealth {
+        self.handler.check_group(notice).await
+    }
+
     async fn suspect(self, _: Context, notice: SuspicionNotice) {
         self.handler.suspect(notice);
     }
--- a/crates/cuminlb-replica/src/follow_relay.rs
+++ b/crates/cuminlb-replica/src/follow_relay.rs
@@ -14,6 +14,9 @@
 /// How often a node that follows the store checks whether it still should.
 const ORIGIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
+/// The same before this node has first chosen, when callers may already wait.
+const UNDECIDED_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
 /// How long after its start a node decides whom to follow even if its own row is not listed.
 const MAX_UNDECIDED: Duration = Duration::from_millis(1_000);
 
@@ -43,7 +46,8 @@
                 ask_random_peer(follower).await;
                 sleep(FALLBACK_PERIOD).await;
             }
-            RowOrigin::Undecided | RowOrigin::Store => sleep(ORIGIN_CHECK_PERIOD).await,
+            RowOrigin::Undecided => sleep(UNDECIDED_CHECK_PERIOD).await,
+            RowOrigin::Store => sleep(ORIGIN_CHECK_PERIOD).await,
         }
     }
 }
--- a/crates/cuminlb-replica/src/follow_store.rs
+++ b/crates/cuminlb-replica/src/follow_store.rs
@@ -9,11 +9,15 @@
 
 use crate::{Follower, RowOrigin};
 
-/// Delay after a change of the instances on the leader, whose next order waits for the change.
-const LEADER_BATCH_DELAY: Duration = Duration::from_millis(20);
+/// Fraction of the usual delay after a change of the instances on the leader, whose next order waits
+/// for the change.
+const LEADER_DELAY_DIVISOR: u32 = 6;
 
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(350);
+/// Delay after a failed call; it doubles with each further one.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(350);
+
+/// Maximum delay after failed calls.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_400);
 
 /// Follows one table of the store whenever this node has chosen to.
 ///
@@ -22,6 +26,7 @@
     let mut origin = follower.origin.subscribe();
     let mut is_history_gone = false;
     let mut is_store_lost = false;
+    let mut retry_delay = FIRST_RETRY_DELAY;
     loop {
         let is_wanted = |origin: &RowOrigin| match origin {
             RowOrigin::Undecided => table == StoreTable::Nodes,
@@ -39,6 +44,7 @@
                     info!(table:% = table, version:% = changes.version; "store regained");
                 }
                 is_store_lost = false;
+                retry_delay = FIRST_RETRY_DELAY;
                 is_history_gone = false;
                 let is_unchanged = changes.rows.is_empty();
                 debug!(
@@ -64,7 +70,8 @@
                     warn!(table:% = table; "store lost: {error}");
                 }
                 is_store_lost = true;
-                sleep(RETRY_DELAY).await;
+                sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
         }
     }
@@ -87,7 +94,9 @@
 fn batch_delay(follower: &Follower, table: StoreTable) -> Duration {
     match table {
         StoreTable::Desired => Duration::ZERO,
-        StoreTable::Instances if follower.peers.membership().is_leader() => LEADER_BATCH_DELAY,
+        StoreTable::Instances if follower.peers.membership().is_leader() => {
+            follower.timing.batch_delay / LEADER_DELAY_DIVISOR
+        }
         StoreTable::Instances => follower.timing.batch_delay,
         StoreTable::Nodes => follower.timing.nodes_batch_delay,
     }
--- a/crates/cuminlb-replica/src/follower.rs
+++ b/crates/cuminlb-replica/src/follower.rs
@@ -13,7 +13,7 @@
 use crate::fetch_values::fetch_values;
 use crate::follow_relay::follow_relay;
 use crate::follow_store::follow_store;
-use crate::{FailedPeers, FollowTiming, RelayLane, RelayPeers, Replica, RowOrigin};
+use crate::{FailedPeers, FollowTiming, RelayLane, RelayPeers, RelayRanking, Replica, RowOrigin};
 
 /// Keeps a replica recent, and gives peers what it holds.
 pub struct Follower {
@@ -66,11 +66,30 @@
         }
     }
 
+    /// Returns where this node gets changes from.
+    pub fn origin(&self) -> RowOrigin {
+        self.origin.borrow().clone()
+    }
+
     /// Returns whether this node follows the store itself.
     pub fn follows_store(&self) -> bool {
         *self.origin.borrow() == RowOrigin::Store
     }
 
+    /// Returns the relays of all zones other than this node.
+    pub fn other_relays(&self, now: Instant) -> Vec<NodeId> {
+        let membership = self.peers.membership();
+        let failed_peers = self.failed_peers();
+        let rankings = RelayRanking::of_zones(&membership);
+        let relays = rankings
+            .iter()
+            .flat_map(|ranking| ranking.relays(|node| failed_peers.is_avoided(node, now)));
+        relays
+            .filter(|node| **node != membership.own_id)
+            .cloned()
+            .collect()
+    }
+
     /// Returns the rows that changed after `cursors`; waits up to `wait_ms` for such a row.
     pub async fn await_update(&self, cursors: TableCursors, wait_ms: Millis) -> RelayedUpdate {
         let mut newest = self.replica.newest();
--- a/crates/cuminlb-replica/src/relay_ranking.rs
+++ b/crates/cuminlb-replica/src/relay_ranking.rs
@@ -1,6 +1,6 @@
 //! The order in which the nodes of an availability zone serve as relays.
 
-use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cuminlb_types::prelude::*;
@@ -19,7 +19,7 @@
 /// All nodes of a zone that know the same rows compute the same order.
 #[derive(Clone, Debug, Default)]
 pub struct RelayRanking {
-    nodes: Option<Arc<std::collections::BTreeMap<NodeId, NodeRow>>>,
+    nodes: Option<Arc<BTreeMap<NodeId, NodeRow>>>,
     ranked: Vec<NodeId>,
 }
 
@@ -30,19 +30,23 @@
         if known.is_some_and(|known| Arc::ptr_eq(known, &membership.nodes)) {
             return false;
         }
-        let is_in_zone = |row: &NodeRow| row.zone == membership.zone;
-        let listed = membership.nodes.iter();
-        let mut in_zone: Vec<_> = listed.filter(|(_, row)| is_in_zone(row)).collect();
-        in_zone.sort_by(|(one, one_row), (other, other_row)| {
-            let by_strength = other_row.capacity.cmp_strength(&one_row.capacity);
-            let rank = |node| Reverse(rendezvous_rank(&RENDEZVOUS_KEY, node));
-            by_strength.then_with(|| rank(*one).cmp(&rank(*other)))
-        });
-        self.ranked = in_zone.into_iter().map(|(node, _)| node.clone()).collect();
+        self.ranked = rank_zone(&membership.nodes, &membership.zone);
         self.nodes = Some(Arc::clone(&membership.nodes));
         true
     }
 
+    /// Ranks the nodes of each zone.
+    pub fn of_zones(membership: &Membership) -> Vec<Self> {
+        let zones: BTreeSet<&ZoneId> = membership.nodes.values().map(|row| &row.zone).collect();
+        let zones = zones.into_iter();
+        zones
+            .map(|zone| Self {
+                nodes: Some(Arc::clone(&membership.nodes)),
+                ranked: rank_zone(&membership.nodes, zone),
+            })
+            .collect()
+    }
+
     /// Returns the nodes that serve as relays: the first ones of those that are not avoided.
     pub fn relays<'a>(
         &'a self,
@@ -53,3 +57,16 @@
         usable.take(count)
     }
 }
+
+/// Returns the nodes of a zone, the most suitable relays first.
+fn rank_zone(nodes: &BTreeMap<NodeId, NodeRow>, zone: &ZoneId) -> Vec<NodeId> {
+    let in_zone = nodes.iter().filter(|(_, row)| row.zone == *zone);
+    let mut in_zone: Vec<_> = in_zone
+        .map(|(node, row)| (row.capacity, rendezvous_rank(&RENDEZVOUS_KEY, node), node))
+        .collect();
+    in_zone.sort_by(|(capacity, rank, _), (other_capacity, other_rank, _)| {
+        let by_strength = other_capacity.cmp_strength(capacity);
+        by_strength.then_with(|| other_rank.cmp(rank))
+    });
+    in_zone.into_iter().map(|(.., node)| node.clone()).collect()
+}
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -20,7 +20,9 @@
     AdmissionControl, AdmissionLimits, AdmissionPermit, DrainRate, FairQueue, Priority,
     QueuePosition, RetryJitter, ServiceQueue, TeamRates, TokenBucket, Turn,
 };
-pub use crate::choice::{GroupCandidate, GroupChooser, LoadEstimates, PrefixKey};
+pub use crate::choice::{
+    GroupCandidate, GroupChooser, InFlightCount, LoadBoard, LoadEstimates, PrefixKey,
+};
 pub use crate::claim::{
     CLAIM_RETENTION_MS, DuplicateResolution, SettleStep, content_digest, next_settle_step,
     resolve_duplicate,
@@ -30,7 +32,7 @@
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
-pub use crate::retry::{FailedAttempt, MAX_ATTEMPTS, RetryBudget};
+pub use crate::retry::{FailedAttempt, MAX_ATTEMPTS, RetryBudget, WindowedBudget};
 pub use crate::slots::{
     HeldRange, LoadReport, ReleaseReason, SlotDenial, SlotHolder, SlotId, SlotLedger, SlotLoad,
     SlotRequestState, SlotTiming,
--- /dev/null
+++ b/crates/cuminlb-routing/tests/windowed_budget.rs
@@ -0,0 +1,86 @@
+//! A budget over a window serves a burst of failures and stays within its limit in any window.
+
+use std::time::Duration;
+
+use cuminlb_routing::WindowedBudget;
+use cuminlb_types::prelude::*;
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const WINDOW_MS: Millis = Millis(10_000);
+const RATIO: Ratio = Ratio(0.14);
+
+/// The extra allowance of one of 82 nodes.
+const EXTRA: f64 = 1.9;
+
+fn withdraw_all(budget: &mut WindowedBudget, now: Instant) -> usize {
+    (0..1_000)
+        .take_while(|_| budget.withdraw_retry(EXTRA, now))
+        .count()
+}
+
+#[test]
+fn a_node_without_failures_can_retry_a_burst_when_a_zone_is_lost() {
+    // Seven requests a second for ten seconds earn nine retries, which are all of use at once.
+    // A budget that saves up no more than the extra allowance has one.
+    let start = Instant::now();
+    let mut budget = WindowedBudget::new(RATIO, WINDOW_MS);
+    for number in 0..70_u32 {
+        budget.record_request(start + Duration::from_millis(140) * number);
+    }
+    let now = start + Duration::from_millis(9_900);
+    assert!(withdraw_all(&mut budget, now) >= 10);
+}
+
+#[test]
+fn what_was_earned_is_forgotten_after_the_window() {
+    let start = Instant::now();
+    let mut budget = WindowedBudget::new(RATIO, WINDOW_MS);
+    for _ in 0..100 {
+        budget.record_request(start);
+    }
+    let later = start + Duration::from_secs(11);
+    assert_eq!(withdraw_all(&mut budget, later), 1);
+}
+
+/// Returns the number of events in a window that ends at `end`.
+fn count(events: &[Instant], end: Instant) -> f64 {
+    let is_within = |at: &&Instant| **at <= end && end.duration_since(**at) <= WINDOW_MS.duration();
+    events.iter().filter(is_within).count() as f64
+}
+
+proptest! {
+    /// However the traffic changes, the retries of any window are within the platform's ratio of
+    /// the requests of that window, the one before it or the one half a window earlier.
+    #[test]
+    fn any_window_is_within_the_platform_limit(
+        phases in prop::collection::vec((0_u32..12, 1_u32..40, any::<bool>()), 1..12),
+    ) {
+        const PLATFORM_RATIO: f64 = 0.2;
+        const PLATFORM_EXTRA: f64 = EXTRA / 0.6;
+        let start = Instant::now() + WINDOW_MS.duration() * 2;
+        let mut now = start;
+        let mut budget = WindowedBudget::new(RATIO, WINDOW_MS);
+        let mut requests = Vec::new();
+        let mut retries = Vec::new();
+        for (requests_per_step, steps, is_failing) in phases {
+            for _ in 0..steps {
+                now += Duration::from_millis(250);
+                for _ in 0..requests_per_step {
+                    budget.record_request(now);
+                    requests.push(now);
+                }
+                while is_failing && budget.withdraw_retry(EXTRA, now) {
+                    retries.push(now);
+                }
+                let half = WINDOW_MS.duration() / 2;
+                let earlier = [now, now - half, now - half * 2];
+                let asked = earlier.map(|end| count(&requests, end));
+                let asked = asked.into_iter().fold(0.0, f64::max);
+                let sent = count(&retries, now);
+                let limit = PLATFORM_EXTRA + PLATFORM_RATIO * asked;
+                prop_assert!(sent <= limit, "{sent} retries for {asked} requests");
+            }
+        }
+    }
+}
