Count the members of groups once a plan

Cause: choosing a model to stage counted the members of all groups for each comparison, once for each instance without weights. Change: the members are counted by fabric domain and model when a plan begins.

--- a/crates/cuminlb-assembly/src/planning/formation.rs
+++ b/crates/cuminlb-assembly/src/planning/formation.rs
@@ -9,7 +9,7 @@
 
 use super::{DomainRank, FreeInstances, PlanBuilder};
 use crate::candidate::Candidate;
-use crate::{GroupTargets, GroupView, PlanStep};
+use crate::{GroupTargets, PlanStep};
 
 /// The number of loads that may be started beyond those that run at full speed.
 const EXTRA_LOADS: usize = 2;
@@ -252,15 +252,7 @@
 
     /// Counts the present members of a model's groups in one fabric domain.
     pub(super) fn members_in(&self, domain: Option<&FabricDomainId>, model: &ModelId) -> usize {
-        let groups = self.input.groups.iter();
-        let in_domain = |id: &&InstanceId| {
-            let entry = self.input.instances.get(*id);
-            entry.is_some_and(|entry| entry.domain.as_ref() == domain)
-        };
-        groups
-            .filter(|group| group.shape.id == *model)
-            .flat_map(GroupView::present)
-            .filter(in_domain)
-            .count()
+        let key = (domain.cloned(), model.clone());
+        self.present_members.get(&key).copied().unwrap_or(0)
     }
 }
--- a/crates/cuminlb-assembly/src/planning/mod.rs
+++ b/crates/cuminlb-assembly/src/planning/mod.rs
@@ -28,6 +28,7 @@
         orphans: Vec::new(),
         dissolving: BTreeSet::new(),
         planned_groups: BTreeMap::new(),
+        present_members: count_members(input),
         reserved_spares: BTreeMap::new(),
     };
     for forming in input.forming {
@@ -83,4 +84,20 @@
     reserved_spares: BTreeMap<Option<FabricDomainId>, usize>,
     /// The number of groups that this plan forms, by fabric domain and model.
     planned_groups: BTreeMap<(Option<FabricDomainId>, ModelId), usize>,
+    /// The number of present members of groups, by fabric domain and model.
+    present_members: BTreeMap<(Option<FabricDomainId>, ModelId), usize>,
+}
+
+/// Counts the present members of groups by fabric domain and model.
+fn count_members(input: &PlanInput<'_>) -> BTreeMap<(Option<FabricDomainId>, ModelId), usize> {
+    let mut counts: BTreeMap<(Option<FabricDomainId>, ModelId), usize> = BTreeMap::new();
+    for group in input.groups {
+        for id in group.present() {
+            if let Some(entry) = input.instances.get(id) {
+                let key = (entry.domain.clone(), group.shape.id.clone());
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+    }
+    counts
 }
