Let relays lead, and keep nodes without a relay from crowding the store

While the store refused 102 nodes, whole zones left their relays and polled the store as fast as a relay does; each of 590 starts wrote a row that stood already. A node with 0.12 cores led. Change: a node that follows the store only because it found no relay polls more slowly. A node reads the nodes before it writes its own row, skips a row that stands, and writes one that was lost. Relays acquire the lease first; other nodes wait. Relays of all zones are ranked once for each change. Ruled out: relays of other zones before the store (news took 3.4 s of 3.0 s allowed after the loss of all relays, tests/replica).

--- a/crates/cuminlb-gateway/src/knowledge/register_node.rs
+++ b/crates/cuminlb-gateway/src/knowledge/register_node.rs
@@ -6,20 +6,29 @@
 use cuminlb_replica::{NodeCapacity, NodeRow};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::Gateway;
 
+/// How often the task checks whether the nodes have been read.
+const READ_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
+/// How long the task waits for the nodes to be read.
+const MAX_READ_WAIT: Duration = Duration::from_millis(500);
+
 /// Delay after a failed attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// Writes the row of this node, so that the other nodes find it.
+/// How often a listed node checks that it is still listed.
+const LISTED_CHECK_PERIOD: Duration = Duration::from_millis(2_000);
+
+/// Keeps this node listed in the store, so that the other nodes find it, until `stop` is cancelled.
 pub(crate) async fn register_node(gateway: &Gateway, stop: CancellationToken) {
     let settings = &gateway.settings;
     let row = NodeRow {
         peer: settings.peer,
         zone: settings.zone.clone(),
-        incarnation: Incarnation(UnixMillis::now().get()),
         capacity: NodeCapacity {
             link_mbps: settings.machine.link_mbps,
             cpu_cores: settings.machine.cpu_cores,
@@ -29,27 +38,57 @@
         warn!("failed to encode the row of this node");
         return;
     };
-    let mut expected = RowVersion(0);
+    let keep_listed = async {
+        wait_for_nodes(gateway).await;
+        loop {
+            let known = gateway.replica.row(StoreTable::Nodes, &key);
+            if known.is_some_and(|known| known.value.as_ref() == Some(&value)) {
+                sleep(LISTED_CHECK_PERIOD).await;
+            } else {
+                write_row(gateway, &key, &value).await;
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = keep_listed => {}
+    }
+}
+
+/// Waits until the nodes have been read, because a row of an earlier start need not be written
+/// again.
+async fn wait_for_nodes(gateway: &Gateway) {
+    let started_at = Instant::now();
+    while gateway.replica.version(StoreTable::Nodes) == RowVersion(0)
+        && started_at.elapsed() < MAX_READ_WAIT
+    {
+        sleep(READ_CHECK_PERIOD).await;
+    }
+}
+
+/// Writes the row of this node.
+async fn write_row(gateway: &Gateway, key: &RowKey, value: &[u8]) {
+    let known = gateway.replica.row(StoreTable::Nodes, key);
+    let mut expected = known.map(|row| row.version).unwrap_or_default();
     loop {
         let store = &gateway.edges.store;
-        match store.write(StoreTable::Nodes, &key, expected, &value).await {
+        match store.write(StoreTable::Nodes, key, expected, value).await {
             Ok(WriteOutcome::Written { version }) => {
                 info!(row_version:% = version; "node listed");
                 return;
             }
             Ok(WriteOutcome::Conflict { found }) => {
-                let is_own = found.as_ref().and_then(|row| row.value.as_deref()) == Some(&value);
+                let is_own = found.as_ref().and_then(|row| row.value.as_deref()) == Some(value);
                 if is_own {
                     return;
                 }
                 expected = found.map(|row| row.version).unwrap_or_default();
-                continue;
             }
-            Err(error) => warn!("failed to register this node; retrying: {error}"),
-        }
-        tokio::select! {
-            () = stop.cancelled() => return,
-            () = tokio::time::sleep(RETRY_DELAY) => {}
+            Err(error) => {
+                warn!("failed to register this node; retrying: {error}");
+                return;
+            }
         }
     }
 }
--- a/crates/cuminlb-gateway/src/leading/keep_lease.rs
+++ b/crates/cuminlb-gateway/src/leading/keep_lease.rs
@@ -17,6 +17,10 @@
 /// How often a node that is not the leader checks the lease.
 const LEASE_CHECK_PERIOD: Duration = Duration::from_millis(150);
 
+/// Delay before a node that is no relay acquires the lease, which leaves it to one that has the news
+/// first and can bear the work, unless there is none.
+const OTHER_NODE_DELAY: Duration = Duration::from_millis(2_500);
+
 /// Upper bound of the random delay before acquiring a lease, which keeps the nodes from attempting
 /// it all at once.
 const MAX_ACQUIRE_JITTER_MS: u64 = 120;
@@ -31,20 +35,17 @@
 /// extends its own.
 pub(crate) async fn keep_lease(gateway: Arc<Gateway>, lease: SharedLease, stop: CancellationToken) {
     let mut state = LeaseState::new();
+    let mut acquirable_since = None;
     while !stop.is_cancelled() {
         if state.held().is_none() {
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = sleep(LEASE_CHECK_PERIOD) => {}
             }
-            if state.may_acquire(&gateway, Instant::now()) {
-                sleep(Duration::from_millis(rand::random_range(
-                    0..MAX_ACQUIRE_JITTER_MS,
-                )))
-                .await;
-                if state.may_acquire(&gateway, Instant::now()) {
-                    state.write(&gateway, LEASE_TIMING.length_ms).await;
-                }
+            if !state.may_acquire(&gateway, Instant::now()) {
+                acquirable_since = None;
+            } else if is_candidate(&gateway, &mut acquirable_since) {
+                acquire(&gateway, &mut state).await;
             }
             lease.send_replace(state.held().map(ActiveLease::new));
             continue;
@@ -64,3 +65,20 @@
         state.write(&gateway, Millis(0)).await;
     }
 }
+
+/// Returns whether this node should try to acquire a lease that nobody holds, which began to be so
+/// at `acquirable_since`.
+fn is_candidate(gateway: &Gateway, acquirable_since: &mut Option<Instant>) -> bool {
+    let now = Instant::now();
+    let since = *acquirable_since.get_or_insert(now);
+    gateway.follower.is_relay(now) || now.duration_since(since) >= OTHER_NODE_DELAY
+}
+
+/// Tries to acquire the lease.
+async fn acquire(gateway: &Gateway, state: &mut LeaseState) {
+    let jitter_ms = rand::random_range(0..MAX_ACQUIRE_JITTER_MS);
+    sleep(Duration::from_millis(jitter_ms)).await;
+    if state.may_acquire(gateway, Instant::now()) {
+        state.write(gateway, LEASE_TIMING.length_ms).await;
+    }
+}
--- a/crates/cuminlb-replica/src/follow_relay.rs
+++ b/crates/cuminlb-replica/src/follow_relay.rs
@@ -9,7 +9,7 @@
 use log::{debug, info, warn};
 use tokio::time::{Instant, sleep};
 
-use crate::{Follower, RelayLane, RelayRanking, RowOrigin};
+use crate::{Follower, RelayLane, RowOrigin};
 
 /// How often a node that follows the store checks whether it still should.
 const ORIGIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -26,9 +26,8 @@
 /// Decides whom this node follows, and follows a relay while it is to.
 pub(crate) async fn follow_relay(follower: &Follower) {
     let started_at = Instant::now();
-    let mut ranking = RelayRanking::default();
     loop {
-        let origin = choose_origin(follower, &mut ranking, started_at);
+        let origin = choose_origin(follower, started_at);
         follower.origin.send_if_modified(|known| {
             let is_changed = *known != origin;
             if is_changed {
@@ -52,11 +51,7 @@
     }
 }
 
-fn choose_origin(
-    follower: &Follower,
-    ranking: &mut RelayRanking,
-    started_at: Instant,
-) -> RowOrigin {
+fn choose_origin(follower: &Follower, started_at: Instant) -> RowOrigin {
     let now = Instant::now();
     let membership = follower.peers.membership();
     let is_listed = membership.nodes.contains_key(&membership.own_id);
@@ -64,10 +59,11 @@
         return RowOrigin::Undecided;
     }
     let mut failed_peers = follower.failed_peers();
+    let mut ranking = follower.ranking();
     if ranking.update(&membership) {
         failed_peers.retain(|node| membership.nodes.contains_key(node));
     }
-    RowOrigin::choose(&membership, ranking, &failed_peers, now)
+    RowOrigin::choose(&membership, &ranking, &failed_peers, now)
 }
 
 /// Waits for changes from a relay.
--- a/crates/cuminlb-replica/src/follow_store.rs
+++ b/crates/cuminlb-replica/src/follow_store.rs
@@ -92,8 +92,12 @@
 
 /// Returns how long to wait after a change, so that the next call returns several at once.
 fn batch_delay(follower: &Follower, table: StoreTable) -> Duration {
+    let now = Instant::now();
     match table {
         StoreTable::Desired => Duration::ZERO,
+        _ if !follower.peers.membership().is_leader() && !follower.is_relay(now) => {
+            follower.timing.fallback_batch_delay
+        }
         StoreTable::Instances if follower.peers.membership().is_leader() => {
             follower.timing.batch_delay / LEADER_DELAY_DIVISOR
         }
--- a/crates/cuminlb-replica/src/follow_timing.rs
+++ b/crates/cuminlb-replica/src/follow_timing.rs
@@ -19,6 +19,9 @@
 /// Fraction of the bound between two reads of the nodes, whose changes are rarely urgent.
 const NODES_BATCH_FRACTION: f64 = 0.2;
 
+/// Fraction of the bound between two reads by a node that found no relay.
+const FALLBACK_BATCH_FRACTION: f64 = 0.25;
+
 /// Throughput that a transfer of a large value is given time for, in bytes per millisecond.
 const MIN_BYTES_PER_MS: u64 = 250;
 
@@ -39,6 +42,9 @@
     pub batch_delay: Duration,
     /// Delay after a change of the nodes.
     pub nodes_batch_delay: Duration,
+    /// Delay after a change on a node that follows the store only because it found no relay. There
+    /// may be many of them.
+    pub fallback_batch_delay: Duration,
 }
 
 impl FollowTiming {
@@ -51,6 +57,7 @@
             peer_wait_ms: fraction(PEER_WAIT_FRACTION).into(),
             batch_delay: fraction(BATCH_FRACTION),
             nodes_batch_delay: fraction(NODES_BATCH_FRACTION),
+            fallback_batch_delay: fraction(FALLBACK_BATCH_FRACTION),
         }
     }
 
--- a/crates/cuminlb-replica/src/follower.rs
+++ b/crates/cuminlb-replica/src/follower.rs
@@ -1,6 +1,6 @@
 //! The tasks that keep a replica recent.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cuminlb_catalog::{RowStore, StoreTable};
 use cuminlb_peer::{RelayPeer, RelayedUpdate, StoreContact, TableCursors};
@@ -22,7 +22,8 @@
     pub(crate) peers: Arc<dyn RelayPeers>,
     pub(crate) timing: FollowTiming,
     pub(crate) origin: watch::Sender<RowOrigin>,
-    pub(crate) failed_peers: Mutex<FailedPeers>,
+    failed_peers: Mutex<FailedPeers>,
+    ranking: Mutex<RelayRanking>,
 }
 
 impl std::fmt::Debug for Follower {
@@ -46,6 +47,7 @@
             timing,
             origin: watch::Sender::new(RowOrigin::Undecided),
             failed_peers: Mutex::default(),
+            ranking: Mutex::default(),
         }
     }
 
@@ -78,16 +80,22 @@
 
     /// Returns the relays of all zones other than this node.
     pub fn other_relays(&self, now: Instant) -> Vec<NodeId> {
+        let own_id = self.peers.membership().own_id;
+        let failed_peers = self.failed_peers();
+        let ranking = self.ranking();
+        let relays = ranking.relays(|node| failed_peers.is_avoided(node, now));
+        relays.filter(|node| **node != own_id).cloned().collect()
+    }
+
+    /// Returns whether this node is one of the relays of its zone.
+    pub fn is_relay(&self, now: Instant) -> bool {
         let membership = self.peers.membership();
+        let own_id = &membership.own_id;
         let failed_peers = self.failed_peers();
-        let rankings = RelayRanking::of_zones(&membership);
-        let relays = rankings
-            .iter()
-            .flat_map(|ranking| ranking.relays(|node| failed_peers.is_avoided(node, now)));
-        relays
-            .filter(|node| **node != membership.own_id)
-            .cloned()
-            .collect()
+        let is_avoided = |node: &NodeId| node != own_id && failed_peers.is_avoided(node, now);
+        let ranking = self.ranking();
+        let mut relays = ranking.relays_of(&membership.zone, is_avoided);
+        relays.any(|node| node == own_id)
     }
 
     /// Returns the rows that changed after `cursors`; waits up to `wait_ms` for such a row.
@@ -117,7 +125,11 @@
         Some((node, link))
     }
 
-    pub(crate) fn failed_peers(&self) -> std::sync::MutexGuard<'_, FailedPeers> {
+    pub(crate) fn ranking(&self) -> MutexGuard<'_, RelayRanking> {
+        self.ranking.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn failed_peers(&self) -> MutexGuard<'_, FailedPeers> {
         self.failed_peers
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/cuminlb-replica/src/node_row.rs
+++ b/crates/cuminlb-replica/src/node_row.rs
@@ -18,8 +18,6 @@
     pub peer: SocketAddr,
     /// The availability zone.
     pub zone: ZoneId,
-    /// Distinguishes successive starts of the process.
-    pub incarnation: Incarnation,
     /// The capacity of the machine.
     #[serde(default)]
     pub capacity: NodeCapacity,
--- a/crates/cuminlb-replica/src/relay_ranking.rs
+++ b/crates/cuminlb-replica/src/relay_ranking.rs
@@ -1,6 +1,6 @@
-//! The order in which the nodes of an availability zone serve as relays.
+//! The order in which the nodes of each availability zone serve as relays.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cuminlb_types::prelude::*;
@@ -14,13 +14,13 @@
 /// Key by which rendezvous hashing orders nodes of the same capacity.
 const RENDEZVOUS_KEY: &str = "relays";
 
-/// The nodes of this node's zone, the most suitable relays first.
+/// The nodes of each zone, the most suitable relays first.
 ///
-/// All nodes of a zone that know the same rows compute the same order.
+/// All nodes that know the same rows compute the same order.
 #[derive(Clone, Debug, Default)]
 pub struct RelayRanking {
     nodes: Option<Arc<BTreeMap<NodeId, NodeRow>>>,
-    ranked: Vec<NodeId>,
+    zones: BTreeMap<ZoneId, Vec<NodeId>>,
 }
 
 impl RelayRanking {
@@ -30,43 +30,47 @@
         if known.is_some_and(|known| Arc::ptr_eq(known, &membership.nodes)) {
             return false;
         }
-        self.ranked = rank_zone(&membership.nodes, &membership.zone);
+        self.zones = rank_by_zone(&membership.nodes);
         self.nodes = Some(Arc::clone(&membership.nodes));
         true
     }
 
-    /// Ranks the nodes of each zone.
-    pub fn of_zones(membership: &Membership) -> Vec<Self> {
-        let zones: BTreeSet<&ZoneId> = membership.nodes.values().map(|row| &row.zone).collect();
-        let zones = zones.into_iter();
-        zones
-            .map(|zone| Self {
-                nodes: Some(Arc::clone(&membership.nodes)),
-                ranked: rank_zone(&membership.nodes, zone),
-            })
-            .collect()
+    /// Returns the relays of a zone: the first of its nodes that are not avoided.
+    pub fn relays_of<'a>(
+        &'a self,
+        zone: &ZoneId,
+        is_avoided: impl Fn(&NodeId) -> bool + 'a,
+    ) -> impl Iterator<Item = &'a NodeId> {
+        let ranked = self.zones.get(zone).map_or(&[][..], Vec::as_slice);
+        let count = ranked.len().div_ceil(NODES_PER_RELAY);
+        let usable = ranked.iter().filter(move |node| !is_avoided(node));
+        usable.take(count)
     }
 
-    /// Returns the nodes that serve as relays: the first ones of those that are not avoided.
+    /// Returns the relays of all zones.
     pub fn relays<'a>(
         &'a self,
-        is_avoided: impl Fn(&NodeId) -> bool + 'a,
+        is_avoided: impl Fn(&NodeId) -> bool + Copy + 'a,
     ) -> impl Iterator<Item = &'a NodeId> {
-        let count = self.ranked.len().div_ceil(NODES_PER_RELAY);
-        let usable = self.ranked.iter().filter(move |node| !is_avoided(node));
-        usable.take(count)
+        let zones = self.zones.keys();
+        zones.flat_map(move |zone| self.relays_of(zone, is_avoided))
     }
 }
 
-/// Returns the nodes of a zone, the most suitable relays first.
-fn rank_zone(nodes: &BTreeMap<NodeId, NodeRow>, zone: &ZoneId) -> Vec<NodeId> {
-    let in_zone = nodes.iter().filter(|(_, row)| row.zone == *zone);
-    let mut in_zone: Vec<_> = in_zone
-        .map(|(node, row)| (row.capacity, rendezvous_rank(&RENDEZVOUS_KEY, node), node))
+/// Returns the nodes of each zone, the most suitable relays first.
+fn rank_by_zone(nodes: &BTreeMap<NodeId, NodeRow>) -> BTreeMap<ZoneId, Vec<NodeId>> {
+    let mut ranked: Vec<_> = nodes
+        .iter()
+        .map(|(node, row)| (row, rendezvous_rank(&RENDEZVOUS_KEY, node), node))
         .collect();
-    in_zone.sort_by(|(capacity, rank, _), (other_capacity, other_rank, _)| {
-        let by_strength = other_capacity.cmp_strength(capacity);
+    ranked.sort_by(|(row, rank, _), (other, other_rank, _)| {
+        let by_strength = other.capacity.cmp_strength(&row.capacity);
         by_strength.then_with(|| other_rank.cmp(rank))
     });
-    in_zone.into_iter().map(|(.., node)| node.clone()).collect()
+    let mut zones: BTreeMap<ZoneId, Vec<NodeId>> = BTreeMap::new();
+    for (row, _, node) in ranked {
+        let in_zone = zones.entry(row.zone.clone()).or_default();
+        in_zone.push(node.clone());
+    }
+    zones
 }
--- a/crates/cuminlb-replica/src/row_origin.rs
+++ b/crates/cuminlb-replica/src/row_origin.rs
@@ -27,9 +27,9 @@
 }
 
 impl RowOrigin {
-    /// Chooses where a node gets changes from. The leader and a few nodes of each zone follow the
-    /// store. The others follow one of these few; if none is usable, or several have just failed,
-    /// they follow the store too.
+    /// Chooses where a node gets changes from. The leader and a few nodes of each zone, the relays,
+    /// follow the store. The others follow a relay of their zone; if none is usable, or several have
+    /// just failed, they follow the store too.
     pub fn choose(
         membership: &Membership,
         ranking: &RelayRanking,
@@ -44,7 +44,7 @@
             return Self::Store;
         }
         let is_avoided = |node: &NodeId| node != own_id && failed_peers.is_avoided(node, now);
-        let relays: Vec<&NodeId> = ranking.relays(is_avoided).collect();
+        let relays: Vec<&NodeId> = ranking.relays_of(&membership.zone, is_avoided).collect();
         if relays.contains(&own_id) {
             return Self::Store;
         }
--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -178,7 +178,6 @@
     NodeRow {
         peer: "127.0.0.1:1".parse().unwrap(),
         zone: zone.parse().unwrap(),
-        incarnation: Incarnation(1),
         capacity: NodeCapacity {
             link_mbps: if number < fast { FAST_LINK } else { SLOW_LINK },
             cpu_cores: CoreShare(0.1),
