Keep suspects of different nodes apart, and read an empty store once

Cause: two faults. Change: (1) the owner of a group grants a slot to a suspect only while no other suspect may run there (a call of its own at the end of the peer interface, so that older nodes still understand the rest); denials by it are counted as suspect_running. (2) a table that was read once is followed; a node that has written its row waits before it looks for it. Ruled out: (1) a wait at the node alone, which knows nothing of the others' suspects.

--- a/crates/cuminlb-events/src/denial_cause.rs
+++ b/crates/cuminlb-events/src/denial_cause.rs
@@ -21,17 +21,20 @@
     EpochChanged,
     /// The owner did not respond.
     NoAnswer,
+    /// Another request that is suspected of crashing groups may run at the group.
+    SuspectRunning,
 }
 
 impl DenialCause {
     /// Every cause.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Full,
         Self::NotServing,
         Self::Recovering,
         Self::NotOwner,
         Self::EpochChanged,
         Self::NoAnswer,
+        Self::SuspectRunning,
     ];
 }
 
@@ -44,6 +47,7 @@
             Self::NotOwner => "not_owner",
             Self::EpochChanged => "epoch_changed",
             Self::NoAnswer => "no_answer",
+            Self::SuspectRunning => "suspect_running",
         })
     }
 }
--- a/crates/cuminlb-gateway/src/knowledge/register_node.rs
+++ b/crates/cuminlb-gateway/src/knowledge/register_node.rs
@@ -42,10 +42,11 @@
         wait_for_nodes(gateway).await;
         loop {
             let known = gateway.replica.row(StoreTable::Nodes, &key);
-            if known.is_some_and(|known| known.value.as_ref() == Some(&value)) {
+            let is_listed = known.is_some_and(|known| known.value.as_ref() == Some(&value));
+            // A row that was just written takes a while to come back with the other rows.
+            if is_listed || write_row(gateway, &key, &value).await {
                 sleep(LISTED_CHECK_PERIOD).await;
             } else {
-                write_row(gateway, &key, &value).await;
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -60,15 +61,17 @@
 /// again.
 async fn wait_for_nodes(gateway: &Gateway) {
     let started_at = Instant::now();
-    while gateway.replica.version(StoreTable::Nodes) == RowVersion(0)
-        && started_at.elapsed() < MAX_READ_WAIT
-    {
+    let has_read = || {
+        let age_ms = gateway.replica.heard_age(StoreTable::Nodes, Instant::now());
+        age_ms.is_some()
+    };
+    while !has_read() && started_at.elapsed() < MAX_READ_WAIT {
         sleep(READ_CHECK_PERIOD).await;
     }
 }
 
-/// Writes the row of this node.
-async fn write_row(gateway: &Gateway, key: &RowKey, value: &[u8]) {
+/// Writes the row of this node; returns whether it stands in the store.
+async fn write_row(gateway: &Gateway, key: &RowKey, value: &[u8]) -> bool {
     let known = gateway.replica.row(StoreTable::Nodes, key);
     let mut expected = known.map(|row| row.version).unwrap_or_default();
     loop {
@@ -76,18 +79,18 @@
         match store.write(StoreTable::Nodes, key, expected, value).await {
             Ok(WriteOutcome::Written { version }) => {
                 info!(row_version:% = version; "node listed");
-                return;
+                return true;
             }
             Ok(WriteOutcome::Conflict { found }) => {
                 let is_own = found.as_ref().and_then(|row| row.value.as_deref()) == Some(value);
                 if is_own {
-                    return;
+                    return true;
                 }
                 expected = found.map(|row| row.version).unwrap_or_default();
             }
             Err(error) => {
                 warn!("failed to register this node; retrying: {error}");
-                return;
+                return false;
             }
         }
     }
--- a/crates/cuminlb-peer/src/peer_api.rs
+++ b/crates/cuminlb-peer/src/peer_api.rs
@@ -35,4 +35,8 @@
 
     /// Returns the report of the called node on its own state.
     async fn report() -> NodeReport;
+
+    /// Requests a slot for a request that is suspected of crashing groups. The owner grants it only
+    /// while no other suspect runs at the group.
+    async fn acquire_suspect_slot(request: SlotRequest) -> SlotResponse;
 }
--- a/crates/cuminlb-peer/src/peer_handler.rs
+++ b/crates/cuminlb-peer/src/peer_handler.rs
@@ -24,6 +24,13 @@
     /// Grants a slot, or returns the reason why it is denied.
     fn acquire_slot(&self, request: SlotRequest) -> impl Future<Output = SlotResponse> + Send;
 
+    /// Grants a slot for a request that is suspected of crashing groups, or returns the reason why
+    /// it is denied.
+    fn acquire_suspect_slot(
+        &self,
+        request: SlotRequest,
+    ) -> impl Future<Output = SlotResponse> + Send;
+
     /// Handles the release of slots that a peer held.
     fn release_slots(&self, release: SlotRelease);
 
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -105,6 +105,23 @@
         .await
     }
 
+    /// Requests a slot of a group that the peer owns, for a request that is suspected of crashing
+    /// groups.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no response was received; the slot may still have been granted.
+    pub async fn acquire_suspect_slot(
+        &self,
+        request: SlotRequest,
+    ) -> Result<SlotResponse, PeerError> {
+        let wait_ms = request.wait_ms;
+        self.call(wait_ms, async |client, context| {
+            client.acquire_suspect_slot(context, request).await
+        })
+        .await
+    }
+
     /// Releases slots of groups that the peer owns.
     ///
     /// # Errors
--- a/crates/cuminlb-peer/src/peer_server.rs
+++ b/crates/cuminlb-peer/src/peer_server.rs
@@ -84,4 +84,9 @@
         self.handler.record_received("report");
         self.handler.report()
     }
+
+    async fn acquire_suspect_slot(self, _: Context, request: SlotRequest) -> SlotResponse {
+        self.handler.record_received("acquire_suspect_slot");
+        self.handler.acquire_suspect_slot(request).await
+    }
 }
--- a/crates/cuminlb-peer/tests/links.rs
+++ b/crates/cuminlb-peer/tests/links.rs
@@ -45,6 +45,10 @@
         panic!("unexpected slot request")
     }
 
+    async fn acquire_suspect_slot(&self, _: SlotRequest) -> SlotResponse {
+        panic!("unexpected slot request")
+    }
+
     fn release_slots(&self, _: SlotRelease) {}
 
     fn renew_slots(&self, _: SlotRenewal) -> RenewalResponse {
--- a/crates/cuminlb-replica/src/follow_store.rs
+++ b/crates/cuminlb-replica/src/follow_store.rs
@@ -24,6 +24,7 @@
 /// The rows of the nodes are read before that choice, because it depends on them.
 pub(crate) async fn follow_store(follower: &Follower, table: StoreTable) {
     let mut origin = follower.origin.subscribe();
+    let mut has_read = false;
     let mut is_history_gone = false;
     let mut is_store_lost = false;
     let mut retry_delay = FIRST_RETRY_DELAY;
@@ -36,13 +37,15 @@
         if origin.wait_for(is_wanted).await.is_err() {
             return;
         }
-        // A table that a relay has provided is followed from there on.
-        let is_unknown = follower.replica.version(table) == RowVersion(0);
-        match read_changes(follower, table, is_unknown || is_history_gone).await {
+        // A table that a relay has provided is followed from there on, and so is an empty table of a
+        // new store, whose version is zero.
+        let is_unread = !has_read && follower.replica.version(table) == RowVersion(0);
+        match read_changes(follower, table, is_unread || is_history_gone).await {
             Ok(changes) => {
                 if is_store_lost {
                     info!(table:% = table, version:% = changes.version; "store regained");
                 }
+                has_read = true;
                 is_store_lost = false;
                 retry_delay = FIRST_RETRY_DELAY;
                 is_history_gone = false;
--- a/crates/cuminlb-replica/tests/replica/spreading.rs
+++ b/crates/cuminlb-replica/tests/replica/spreading.rs
@@ -165,3 +165,11 @@
     }
     assert!(calls[1] <= calls[0], "{calls:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_empty_store_is_not_read_again_and_again() {
+    let fleet = SimulatedFleet::start(30, 0, BOUND_MS).await;
+    // Each node reads the nodes once; the relays of three zones then wait for changes for a second.
+    let calls = fleet.rows.calls.load(Ordering::Relaxed);
+    assert!(calls < 200, "{calls} calls in five seconds");
+}
--- a/crates/cuminlb-routing/src/slots/orphaned_slots.rs
+++ b/crates/cuminlb-routing/src/slots/orphaned_slots.rs
@@ -35,6 +35,11 @@
         self.slots.extend(std::iter::repeat_n(unknown, running));
     }
 
+    /// Returns whether a slot is among these.
+    pub(super) fn contains(&self, id: &SlotId) -> bool {
+        self.slots.iter().any(|slot| slot.id.as_ref() == Some(id))
+    }
+
     /// Removes one slot, because its holder accounts for it again or its request has ended.
     pub(super) fn remove(&mut self, id: &SlotId) {
         self.slots.retain(|slot| slot.id.as_ref() != Some(id));
--- a/crates/cuminlb-routing/src/slots/slot_denial.rs
+++ b/crates/cuminlb-routing/src/slots/slot_denial.rs
@@ -34,4 +34,7 @@
         /// The load of the group.
         load: SlotLoad,
     },
+    /// Another request that is suspected of crashing groups may run at the group.
+    #[error("another suspect runs at the group")]
+    SuspectRunning,
 }
--- a/src/cuminlb/node/owned_group.rs
+++ b/src/cuminlb/node/owned_group.rs
@@ -143,6 +143,7 @@
         spec: &ServiceSpec,
         slot: &SlotId,
         epoch: Epoch,
+        is_suspect: bool,
         proof_max_age_ms: Millis,
     ) -> Result<SlotLoad, SlotDenial> {
         let mut ledger = lock(&self.ledger);
@@ -154,6 +155,9 @@
             return Err(SlotDenial::NotServing);
         }
         let limit = spec.slots(self.is_warm());
+        if is_suspect {
+            return ledger.grant_suspect(slot, epoch, limit, now);
+        }
         ledger.grant(slot, epoch, limit, now)
     }
 
--- a/src/cuminlb/observing/denials.rs
+++ b/src/cuminlb/observing/denials.rs
@@ -35,5 +35,6 @@
         Some(SlotDenial::EpochChanged { .. }) => DenialCause::EpochChanged,
         Some(SlotDenial::Full { .. }) => DenialCause::Full,
         Some(SlotDenial::Recovering) => DenialCause::Recovering,
+        Some(SlotDenial::SuspectRunning) => DenialCause::SuspectRunning,
     }
 }
--- a/src/cuminlb/serving/peer_service.rs
+++ b/src/cuminlb/serving/peer_service.rs
@@ -47,7 +47,11 @@
     }
 
     async fn acquire_slot(&self, request: SlotRequest) -> SlotResponse {
-        self.node.grant_slot(&request).await
+        self.node.grant_slot(&request, false).await
+    }
+
+    async fn acquire_suspect_slot(&self, request: SlotRequest) -> SlotResponse {
+        self.node.grant_slot(&request, true).await
     }
 
     fn release_slots(&self, release: SlotRelease) {
@@ -79,13 +83,14 @@
 }
 
 impl Node {
-    /// Grants a slot of a group that this node owns, after waiting for a free one if necessary.
+    /// Grants a slot of a group that this node owns, after waiting for a free one if necessary. A
+    /// request that is suspected of crashing groups gets one only while no other suspect runs there.
     ///
     /// # Errors
     ///
     /// Returns [`SlotDenial`] if this node does not own the group, the group does not serve, or no
     /// slot became free in time.
-    pub async fn grant_slot(&self, request: &SlotRequest) -> SlotResponse {
+    pub async fn grant_slot(&self, request: &SlotRequest, is_suspect: bool) -> SlotResponse {
         let deadline = Instant::now() + request.wait_ms.duration();
         loop {
             let Some(owned) = self.owned.get(&request.group) else {
@@ -94,7 +99,7 @@
                 return Err(SlotDenial::NotOwner { owner });
             };
             let changed = owned.changed.notified();
-            let denial = match self.try_grant(&owned, request) {
+            let denial = match self.try_grant(&owned, request, is_suspect) {
                 Ok(grant) => return Ok(grant),
                 Err(denial) => denial,
             };
@@ -105,7 +110,12 @@
         }
     }
 
-    fn try_grant(&self, owned: &crate::node::OwnedGroup, request: &SlotRequest) -> SlotResponse {
+    fn try_grant(
+        &self,
+        owned: &crate::node::OwnedGroup,
+        request: &SlotRequest,
+        is_suspect: bool,
+    ) -> SlotResponse {
         let view = self.view.borrow();
         let Some(spec) = view.service(&owned.service) else {
             return Err(SlotDenial::NotServing);
@@ -122,7 +132,8 @@
             return Err(SlotDenial::NotServing);
         };
         let max_age_ms = self.settings.control.proof_max_age_ms;
-        let load = owned.grant(spec, &request.slot, request.epoch, max_age_ms)?;
+        let SlotRequest { slot, epoch, .. } = request;
+        let load = owned.grant(spec, slot, *epoch, is_suspect, max_age_ms)?;
         Ok(SlotGrant {
             epoch: owned.record.epoch,
             leader: leader.address,
--- a/src/cuminlb/serving/request_run.rs
+++ b/src/cuminlb/serving/request_run.rs
@@ -143,7 +143,8 @@
         }
     }
 
-    /// Acquires a slot; a suspect gets it at a group where no other suspect of this node runs.
+    /// Acquires a slot; a suspect gets it at a group where no other suspect runs. This node keeps its
+    /// own suspects apart, and the owner of the group those of different nodes.
     async fn acquire_isolated_slot(
         &self,
     ) -> Result<(HeldSlot, Option<IsolationGuard>), AttemptFailure> {
@@ -184,6 +185,7 @@
             caller: &self.caller,
             prefix: PrefixKey::from_body(&self.request.body),
             service: &self.destination.service.id,
+            is_suspect: self.quarantine.is_suspect(),
             avoided,
         };
         let deadline = (Instant::now() + max_wait).min(self.bounds.deadline());
--- a/src/cuminlb/serving/slot_client.rs
+++ b/src/cuminlb/serving/slot_client.rs
@@ -27,6 +27,8 @@
     pub(super) caller: &'a CallerContext,
     pub(super) prefix: PrefixKey,
     pub(super) service: &'a ServiceId,
+    /// Whether the request is suspected of crashing groups.
+    pub(super) is_suspect: bool,
     /// The groups that are used only if there is no other.
     pub(super) avoided: &'a [GroupId],
 }
@@ -161,10 +163,15 @@
             wait_ms: Millis::from(remaining).min(MAX_WAIT_AT_OWNER_MS),
         };
         let response = if owner == self.node.id() {
-            self.node.grant_slot(&request).await
+            self.node.grant_slot(&request, self.is_suspect).await
         } else {
             let link = self.node.peers.get(owner)?;
-            match link.acquire_slot(request).await {
+            let response = if self.is_suspect {
+                link.acquire_suspect_slot(request).await
+            } else {
+                link.acquire_slot(request).await
+            };
+            match response {
                 Ok(response) => response,
                 Err(error) => {
                     debug!(
