--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -229,6 +229,10 @@
         }
     }
 
+    fn peer_lost_store(&self, now: Instant) {
+        self.state().instances.record_store_failure(now);
+    }
+
     fn peer_asked(&self) {
         self.metrics.peer_fetches.inc();
     }
--- a/crates/cuminlb-replica/src/replica.rs
+++ b/crates/cuminlb-replica/src/replica.rs
@@ -87,6 +87,9 @@
 
     /// Applies what a peer relayed, which it heard from the store at the times that it states.
     pub fn apply_update(&self, update: RelayedUpdate, from: &NodeId, now: Instant) {
+        if update.contact == StoreContact::Lost {
+            self.sink.peer_lost_store(now);
+        }
         for relayed in update.tables {
             let table = relayed.table;
             let mut state = self.state();
@@ -94,9 +97,6 @@
                 state.record_heard(table, heard_at);
             }
             let new_rows = state.mirror(table).apply_relayed(relayed, from);
-            if update.contact == StoreContact::Lost {
-                self.sink.store_called(table, false, now);
-            }
             self.publish(state, table, &new_rows, RowSource::Peer, now);
         }
     }
--- a/crates/cuminlb-replica/src/row_sink.rs
+++ b/crates/cuminlb-replica/src/row_sink.rs
@@ -10,9 +10,12 @@
     /// Handles new rows of a table, in the order in which the node applies them.
     fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], source: RowSource, now: Instant);
 
-    /// Handles the outcome of a call to the store, by this node or by the relay that it follows.
+    /// Handles the outcome of a call of this node to the store.
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant);
 
+    /// Handles the news that the store does not serve a peer that this node got rows from.
+    fn peer_lost_store(&self, now: Instant);
+
     /// Handles a request to a peer for rows that the store did not provide.
     fn peer_asked(&self);
 }
--- a/crates/cuminlb-replica/tests/replica/simulated_sink.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_sink.rs
@@ -35,5 +35,7 @@
 
     fn store_called(&self, _: StoreTable, _: bool, _: Instant) {}
 
+    fn peer_lost_store(&self, _: Instant) {}
+
     fn peer_asked(&self) {}
 }
--- a/crates/cuminlb-routing/src/slots/slot_ledger.rs
+++ b/crates/cuminlb-routing/src/slots/slot_ledger/mod.rs
@@ -1,5 +1,7 @@
 //! The accounting of slots at the owner of a group.
 
+mod suspects;
+
 use std::collections::{HashMap, HashSet};
 
 use cuminlb_types::prelude::*;
@@ -112,30 +114,6 @@
         Ok(SlotLoad { taken, limit })
     }
 
-    /// Grants a slot to a request that is suspected of crashing groups, like [`Self::grant`], but
-    /// only while no other suspect may be running: a crash then identifies its cause.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`SlotDenial::SuspectRunning`] while another suspect may run, and otherwise the same
-    /// as [`Self::grant`].
-    pub fn grant_suspect(
-        &mut self,
-        slot: &SlotId,
-        epoch: Epoch,
-        limit: SlotCount,
-        now: Instant,
-    ) -> Result<SlotLoad, SlotDenial> {
-        self.expire(now);
-        self.remove_ended_suspects();
-        if self.suspects.iter().any(|other| other != slot) {
-            return Err(SlotDenial::SuspectRunning);
-        }
-        let load = self.grant(slot, epoch, limit, now)?;
-        self.suspects.insert(slot.clone());
-        Ok(load)
-    }
-
     /// Releases a slot; does nothing if the slot is unknown.
     pub fn release(&mut self, slot: &SlotId, reason: ReleaseReason, now: Instant) {
         let Some(granted_at) = self.remove_held(slot) else {
@@ -292,16 +270,6 @@
         }
     }
 
-    /// Forgets the suspects whose requests have certainly ended.
-    fn remove_ended_suspects(&mut self) {
-        let (holders, orphaned) = (&self.holders, &self.orphaned);
-        self.suspects.retain(|slot| {
-            let holder = holders.get(&slot.holder);
-            let is_held = holder.is_some_and(|holder| holder.slots.contains_key(&slot.ticket));
-            is_held || orphaned.contains(slot)
-        });
-    }
-
     /// Adds a held slot, which is no longer orphaned.
     fn insert_held(&mut self, slot: &SlotId, granted_at: Instant) {
         self.orphaned.remove(slot);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod latency;
 mod memory_table;
 mod metrics;
+mod native_catalog;
 mod native_feeds;
 mod native_groups;
 mod native_operation;
