Keep a relay that has just started from removing values it never had

Cause: a node that knows a large value only by its announcement stated that its table was complete up to the version before. If it had no earlier version of that value, it gave a node that was behind a whole table without it, and that node removed the catalog which it had. Callers are still served by the catalog in force there, but the node can no longer give the catalog to others nor build the next one on it, so that the next change takes the transfer of the whole. Class: a version that is heard of before its body is there. Change: such a table is complete up to no version until the value has arrived. Evidence: a_relay_that_started_while_a_value_was_announced_removes_no_known_value failed before (a tombstone of `config` at version 5) and passes now. The check of 4 in a_large_value_is_announced_and_completes_the_table_when_it_arrives was wrong: that node had never read versions 1 to 4. It is 0 now, and a test of its own keeps the bound of 4 for a node that has an earlier version. Not the cause of the first matter: found while looking for its class.

--- a/crates/cuminlb-replica/src/table_mirror.rs
+++ b/crates/cuminlb-replica/src/table_mirror.rs
@@ -51,12 +51,17 @@
     }
 
     /// Returns the version up to which every change has arrived.
+    ///
+    /// It is zero while a value is announced of which no earlier version has arrived: the table may
+    /// have held one at any version.
     pub fn complete_version(&self) -> RowVersion {
-        let first_pending = self.pending.values().map(|it| it.version).min();
-        first_pending.map_or(self.version, |version| {
-            self.version
-                .min(RowVersion(version.get().saturating_sub(1)))
-        })
+        let complete = self.pending.iter().map(|(key, announced)| {
+            let is_known = self.rows.contains_key(key);
+            let before = announced.version.get().saturating_sub(1);
+            RowVersion(if is_known { before } else { 0 })
+        });
+        let first_incomplete = complete.min().unwrap_or(self.version);
+        self.version.min(first_incomplete)
     }
 
     /// Returns the version of the newest row that peers can be given.
--- a/crates/cuminlb-replica/tests/replica/mirrors.rs
+++ b/crates/cuminlb-replica/tests/replica/mirrors.rs
@@ -47,7 +47,7 @@
     let keys: Vec<&str> = new_rows.iter().map(|row| row.key.as_str()).collect();
     assert_eq!(keys, ["zone"], "small rows are not delayed");
     assert_eq!(node.version(), RowVersion(9));
-    assert_eq!(node.complete_version(), RowVersion(4));
+    assert_eq!(node.complete_version(), RowVersion(0));
     assert!(node.next_pending(StoreTable::Desired).is_some());
     let new_rows = node.apply_row(row("config", 5, Some(100_000)));
     assert_eq!(new_rows.len(), 1);
@@ -55,6 +55,17 @@
     assert!(node.next_pending(StoreTable::Desired).is_none());
 }
 
+#[test]
+fn a_table_is_complete_up_to_an_announced_value_whose_earlier_version_is_known() {
+    let mut relay = TableMirror::default();
+    relay.apply(changes(vec![row("config", 5, Some(100_000))], 9, true));
+    let mut node = TableMirror::default();
+    node.apply(changes(vec![row("config", 2, Some(100_000))], 3, true));
+    node.apply_relayed(relayed(&mut relay, 3), &node_id(1));
+    assert_eq!(node.version(), RowVersion(9));
+    assert_eq!(node.complete_version(), RowVersion(4));
+}
+
 #[test]
 fn a_newer_row_replaces_an_announced_value() {
     let mut relay = TableMirror::default();
@@ -97,3 +108,18 @@
     node.apply_relayed(table, &node_id(1));
     assert!(node.next_pending(StoreTable::Desired).is_none());
 }
+
+#[test]
+fn a_relay_that_started_while_a_value_was_announced_removes_no_known_value() {
+    let mut source = TableMirror::default();
+    source.apply(changes(vec![row("config", 6, Some(60_000))], 9, true));
+    // The relay has just started and knows the value only by its announcement.
+    let mut relay = TableMirror::default();
+    relay.apply_relayed(relayed(&mut source, 0), &node_id(1));
+    assert!(relay.next_pending(StoreTable::Desired).is_some());
+    let mut node = TableMirror::default();
+    node.apply(changes(vec![row("config", 2, Some(50_000))], 3, true));
+    let new_rows = node.apply_relayed(relayed(&mut relay, 0), &node_id(2));
+    assert_eq!(new_rows, []);
+    assert!(node.row(&key("config")).is_some());
+}
