Forget an announced value that the store no longer lists

Cause: a large value that was announced and then removed before it arrived stayed announced for ever at a node that read the whole table meanwhile. It was fetched again and again, values announced after it in the order of keys waited for it, and the table counted as incomplete, so that peers got nothing newer. Change: reading a whole table drops the announcements that are older and not listed. Evidence: an_announced_value_that_the_store_no_longer_lists_is_not_awaited failed before and passes now.

--- a/crates/cuminlb-replica/src/table_mirror.rs
+++ b/crates/cuminlb-replica/src/table_mirror.rs
@@ -206,6 +206,7 @@
             self.complete_from = changes.version;
         }
         if changes.is_whole {
+            self.remove_unlisted_announcements(&changes, announced);
             new_rows = self.removed_rows(&changes, announced);
         }
         new_rows.extend(changes.rows.into_iter().filter(|row| {
@@ -224,6 +225,19 @@
         new_rows
     }
 
+    /// Forgets the announced values that a complete table no longer lists.
+    fn remove_unlisted_announcements(
+        &mut self,
+        changes: &RowChangeSet,
+        announced: &BTreeSet<RowKey>,
+    ) {
+        let listed: BTreeSet<&RowKey> = changes.rows.iter().map(|row| &row.key).collect();
+        self.pending.retain(|key, announcement| {
+            let is_listed = listed.contains(key) || announced.contains(key);
+            is_listed || announcement.version > changes.version
+        });
+    }
+
     /// Returns tombstones of the rows that a complete table no longer lists.
     fn removed_rows(&self, changes: &RowChangeSet, announced: &BTreeSet<RowKey>) -> Vec<SharedRow> {
         let listed: BTreeSet<&RowKey> = changes.rows.iter().map(|row| &row.key).collect();
--- a/crates/cuminlb-replica/tests/replica/mirrors.rs
+++ b/crates/cuminlb-replica/tests/replica/mirrors.rs
@@ -123,3 +123,14 @@
     assert_eq!(new_rows, []);
     assert!(node.row(&key("config")).is_some());
 }
+
+#[test]
+fn an_announced_value_that_the_store_no_longer_lists_is_not_awaited() {
+    let mut relay = TableMirror::default();
+    relay.apply(changes(vec![row("config", 5, Some(100_000))], 5, true));
+    let mut node = TableMirror::default();
+    node.apply_relayed(relayed(&mut relay, 0), &node_id(1));
+    node.apply(changes(vec![], 9, true));
+    assert!(node.next_pending(StoreTable::Desired).is_none());
+    assert_eq!(node.complete_version(), RowVersion(9));
+}
