Show that changes arrive while nodes restart, are paused or are lost

Cause: the tests of spreading let nodes vanish between changes only. Change: nodes of the simulated fleet can restart and be paused; tests/replica/restarts.rs plays the loss, the restart and the pause of all relays 10 to 200 ms after a catalog of 1,200 routes, with a bound of 2 s and links of 20 Mbit/s, and small rows of every table beside it. That no version goes back is checked by the sink of every node.

--- a/crates/cuminlb-replica/tests/replica/main.rs
+++ b/crates/cuminlb-replica/tests/replica/main.rs
@@ -10,10 +10,13 @@
 
 mod chunks;
 mod following;
+mod large_catalog;
 mod mirrors;
+mod restarts;
 mod simulated_fleet;
 mod simulated_link;
 mod simulated_peer;
+mod simulated_process;
 mod simulated_sink;
 mod simulated_store;
 mod spreading;
--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -2,21 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cuminlb_catalog::StoreTable;
 use cuminlb_peer::RelayPeer;
-use cuminlb_replica::{
-    FollowTiming, Follower, Membership, NodeCapacity, NodeRow, RelayLane, RelayPeers, Replica,
-};
+use cuminlb_replica::{Membership, NodeCapacity, NodeRow, RelayLane, RelayPeers};
 use cuminlb_types::prelude::*;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
-use tokio_util::sync::CancellationToken;
 
 use crate::simulated_link::SimulatedLink;
 use crate::simulated_peer::SimulatedPeer;
-use crate::simulated_sink::SimulatedSink;
+use crate::simulated_process::SimulatedProcess;
 use crate::simulated_store::{SimulatedRows, SimulatedStore};
 
 /// The availability zones, to which the nodes belong in turn.
@@ -30,37 +28,50 @@
 /// One node of the fleet.
 #[derive(Debug)]
 pub struct SimulatedNode {
-    pub replica: Arc<Replica>,
-    pub sink: Arc<SimulatedSink>,
     pub store: Arc<SimulatedStore>,
     pub link: Arc<SimulatedLink>,
-    follower: OnceLock<Follower>,
+    process: Mutex<Arc<SimulatedProcess>>,
     is_lost: AtomicBool,
+    is_paused: watch::Sender<bool>,
 }
 
 impl SimulatedNode {
-    pub fn follower(&self) -> &Follower {
-        self.follower.get().unwrap()
+    /// Returns the process that runs on the node.
+    pub fn process(&self) -> Arc<SimulatedProcess> {
+        Arc::clone(&self.process.lock().unwrap())
     }
 
     pub fn is_lost(&self) -> bool {
         self.is_lost.load(Ordering::Relaxed)
     }
+
+    /// Waits until the node is paused.
+    pub async fn wait_paused(&self) {
+        let mut is_paused = self.is_paused.subscribe();
+        is_paused.wait_for(|is_paused| *is_paused).await.unwrap();
+    }
+
+    /// Waits while the node is paused.
+    pub async fn wait_running(&self) {
+        let mut is_paused = self.is_paused.subscribe();
+        is_paused.wait_for(|is_paused| !is_paused).await.unwrap();
+    }
 }
 
 /// Nodes that follow one store.
 #[derive(Debug)]
 pub struct SimulatedFleet {
     pub rows: Arc<SimulatedRows>,
-    pub nodes: BTreeMap<NodeId, Arc<SimulatedNode>>,
-    stops: BTreeMap<NodeId, CancellationToken>,
+    pub nodes: Arc<BTreeMap<NodeId, Arc<SimulatedNode>>>,
+    listed: Arc<BTreeMap<NodeId, NodeRow>>,
+    bound_ms: Millis,
 }
 
 /// The fleet as one of its nodes sees it.
 struct FleetPeers {
     own_id: NodeId,
     listed: Arc<BTreeMap<NodeId, NodeRow>>,
-    nodes: Arc<OnceLock<BTreeMap<NodeId, Arc<SimulatedNode>>>>,
+    nodes: Arc<BTreeMap<NodeId, Arc<SimulatedNode>>>,
 }
 
 impl RelayPeers for FleetPeers {
@@ -74,10 +85,9 @@
     }
 
     fn link(&self, node: &NodeId, _: RelayLane) -> Option<Arc<dyn RelayPeer>> {
-        let nodes = self.nodes.get()?;
         Some(Arc::new(SimulatedPeer {
-            target: Arc::clone(nodes.get(node)?),
-            link: Arc::clone(&nodes[&self.own_id].link),
+            target: Arc::clone(self.nodes.get(node)?),
+            own: Arc::clone(&self.nodes[&self.own_id]),
         }))
     }
 }
@@ -89,38 +99,57 @@
         let listed: BTreeMap<NodeId, NodeRow> = (0..count)
             .map(|number| (node_id(number), node_row(number, fast)))
             .collect();
-        let listed = Arc::new(listed);
-        let shared = Arc::new(OnceLock::new());
-        let mut nodes = BTreeMap::new();
-        let mut stops = BTreeMap::new();
-        for (id, row) in listed.iter() {
-            let peers = FleetPeers {
-                own_id: id.clone(),
-                listed: Arc::clone(&listed),
-                nodes: Arc::clone(&shared),
-            };
-            let node = start_node(&rows, row, peers, bound_ms);
-            stops.insert(id.clone(), CancellationToken::new());
-            nodes.insert(id.clone(), node);
-        }
-        shared.set(nodes.clone()).unwrap();
-        for (id, node) in &nodes {
-            let (node, stop) = (Arc::clone(node), stops[id].clone());
-            tokio::spawn(async move { node.follower().run(stop).await });
+        let nodes = listed.iter().map(|(id, row)| {
+            let node = new_node(&rows, row);
+            (id.clone(), Arc::new(node))
+        });
+        let fleet = Self {
+            nodes: Arc::new(nodes.collect()),
+            listed: Arc::new(listed),
+            rows,
+            bound_ms,
+        };
+        for id in fleet.nodes.keys() {
+            fleet.start_process(id);
         }
         sleep(Duration::from_secs(5)).await;
-        Self { rows, nodes, stops }
+        fleet
     }
 
     /// Ends a node without notice.
     pub fn lose(&self, id: &NodeId) {
         self.nodes[id].is_lost.store(true, Ordering::Relaxed);
-        self.stops[id].cancel();
+        self.nodes[id].process().stop.cancel();
+    }
+
+    /// Ends the process of a node and starts another one, which knows nothing.
+    pub fn restart(&self, id: &NodeId) {
+        self.lose(id);
+        self.start_process(id);
+        self.nodes[id].is_lost.store(false, Ordering::Relaxed);
+    }
+
+    /// Suspends or resumes a node. What reaches it meanwhile waits.
+    pub fn set_paused(&self, id: &NodeId, is_paused: bool) {
+        self.nodes[id].is_paused.send_replace(is_paused);
+    }
+
+    fn start_process(&self, id: &NodeId) {
+        let peers = FleetPeers {
+            own_id: id.clone(),
+            listed: Arc::clone(&self.listed),
+            nodes: Arc::clone(&self.nodes),
+        };
+        let node = Arc::clone(&self.nodes[id]);
+        let store = Arc::clone(&node.store);
+        let process = SimulatedProcess::new(store, peers, self.bound_ms);
+        *node.process.lock().unwrap() = Arc::clone(&process);
+        tokio::spawn(async move { process.run(&node).await });
     }
 
     /// Makes the store refuse or serve some nodes.
     pub fn refuse_store(&self, is_refused: impl Fn(&NodeId) -> bool) {
-        for (id, node) in &self.nodes {
+        for (id, node) in self.nodes.iter() {
             let refused = &node.store.is_refused;
             refused.store(is_refused(id), Ordering::Relaxed);
         }
@@ -130,7 +159,7 @@
     pub fn store_followers(&self) -> Vec<NodeId> {
         let running = self.running();
         running
-            .filter(|(_, node)| node.follower().follows_store())
+            .filter(|(_, node)| node.process().follows_store())
             .map(|(id, _)| id.clone())
             .collect()
     }
@@ -148,7 +177,7 @@
         loop {
             let arrivals = self
                 .running()
-                .map(|(_, node)| node.sink.arrival(table, row_key, version));
+                .map(|(_, node)| node.process().sink.arrival(table, row_key, version));
             let arrivals: Option<Vec<Instant>> = arrivals.collect();
             if let Some(last) = arrivals.and_then(|arrivals| arrivals.into_iter().max()) {
                 return last.duration_since(start);
@@ -184,32 +213,17 @@
     }
 }
 
-fn start_node(
-    rows: &Arc<SimulatedRows>,
-    row: &NodeRow,
-    peers: FleetPeers,
-    bound_ms: Millis,
-) -> Arc<SimulatedNode> {
+fn new_node(rows: &Arc<SimulatedRows>, row: &NodeRow) -> SimulatedNode {
     let link = Arc::new(SimulatedLink::new(row.capacity.link_mbps));
-    let store = Arc::new(SimulatedStore {
-        rows: Arc::clone(rows),
-        link: Arc::clone(&link),
-        is_refused: AtomicBool::new(false),
-    });
-    let sink = Arc::new(SimulatedSink::default());
-    let replica = Arc::new(Replica::new(Arc::clone(&sink) as Arc<_>));
-    let follower = Follower::new(
-        Arc::clone(&replica),
-        Arc::clone(&store) as Arc<_>,
-        Arc::new(peers),
-        FollowTiming::new(bound_ms),
-    );
-    Arc::new(SimulatedNode {
-        replica,
-        sink,
-        store,
+    SimulatedNode {
+        store: Arc::new(SimulatedStore {
+            rows: Arc::clone(rows),
+            link: Arc::clone(&link),
+            is_refused: AtomicBool::new(false),
+        }),
         link,
-        follower: OnceLock::from(follower),
+        process: Mutex::default(),
         is_lost: AtomicBool::new(false),
-    })
+        is_paused: watch::Sender::new(false),
+    }
 }
--- a/crates/cuminlb-replica/tests/replica/simulated_peer.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_peer.rs
@@ -11,7 +11,6 @@
 use tokio::time::{sleep, timeout};
 
 use crate::simulated_fleet::SimulatedNode;
-use crate::simulated_link::SimulatedLink;
 
 /// The one-way latency between nodes.
 const LATENCY: Duration = Duration::from_millis(1);
@@ -27,8 +26,8 @@
 #[derive(Debug)]
 pub struct SimulatedPeer {
     pub target: Arc<SimulatedNode>,
-    /// The link of the calling node.
-    pub link: Arc<SimulatedLink>,
+    /// The calling node.
+    pub own: Arc<SimulatedNode>,
 }
 
 impl SimulatedPeer {
@@ -40,9 +39,10 @@
         length: impl Fn(&T) -> usize + Send + 'static,
     ) -> Result<T, PeerError> {
         let target = Arc::clone(&self.target);
-        let link = Arc::clone(&self.link);
+        let link = Arc::clone(&self.own.link);
         let response = tokio::spawn(async move {
             sleep(LATENCY).await;
+            target.wait_running().await;
             let response = respond.await;
             let length = ByteCount(length(&response) as u64);
             target.link.transfer(length).await;
@@ -73,14 +73,17 @@
         wait_ms: Millis,
     ) -> Result<RelayedUpdate, PeerError> {
         let target = Arc::clone(&self.target);
-        let respond = async move { target.follower().await_update(cursors, wait_ms).await };
+        let respond = async move {
+            let process = target.process();
+            process.follower().await_update(cursors, wait_ms).await
+        };
         self.call(CALL_TIMEOUT_MS + wait_ms, respond, update_length)
             .await
     }
 
     async fn read_chunks(&self, request: ChunkRequest) -> Result<Vec<ValueChunk>, PeerError> {
         let target = Arc::clone(&self.target);
-        let respond = async move { target.replica.read_chunks(&request) };
+        let respond = async move { target.process().replica().read_chunks(&request) };
         let length = |chunks: &Vec<ValueChunk>| chunks.iter().map(|it| it.bytes.len()).sum();
         self.call(CALL_TIMEOUT_MS, respond, length).await
     }
--- a/crates/cuminlb-replica/tests/replica/spreading.rs
+++ b/crates/cuminlb-replica/tests/replica/spreading.rs
@@ -7,6 +7,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::{Instant, sleep};
 
+use crate::large_catalog::large_catalog;
 use crate::simulated_fleet::{SimulatedFleet, key, node_id};
 
 /// The time within which a change must be known everywhere while the store serves.
@@ -18,24 +19,6 @@
 /// The bound of the target, in which 370 nodes have a change of the configuration.
 const TARGET_BOUND_MS: Millis = Millis(5_000);
 
-/// Returns a catalog of many routes, which only repeats itself in its structure.
-fn large_catalog(seed: u64, routes: usize) -> Vec<u8> {
-    let mut state = seed;
-    let mut text = String::new();
-    for _ in 0..routes {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        text.push_str(&format!(
-            "{{\"name\":\"r{state:016x}\",\"host\":\"desk.example\",\"prefix\":\"/p{:x}/\",\
-             \"kind\":\"idempotent\",\"timeoutMs\":8000,\"targetLatencyMs\":500,\
-             \"priority\":1,\"service\":\"desk\",\"maxAttempts\":2,\"allowedRegions\":[]}},",
-            state >> 20
-        ));
-    }
-    text.into_bytes()
-}
-
 #[tokio::test(start_paused = true)]
 async fn a_large_catalog_reaches_all_nodes_in_time_and_does_not_delay_news() {
     let fleet = SimulatedFleet::start(82, 0, BOUND_MS).await;
