Check a head at once when a connection to it is lost

Cause: only silence made a node doubt a head. The leader heard of the crash by the entry only. Class: a belief (the entry) that is kept although the node's own connections contradict it. Change: a connection that breaks or can't be opened leads to one probe of the head for each node. A head that does not answer, or has forgotten its group, gets no more requests, and the leader is told at once. New counters: connections_refused, heads_lost. Lost and refused connections are failures of their own. Stand-ins can crash: connections break, new ones are refused, the seat is forgotten.

--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::{Suspicions, current_leader};
 use crate::metrics::{GatewayMetrics, RequestLabels};
-use crate::serving::{GroupChecks, LoadTracker, RetryBudgets};
+use crate::serving::{GroupChecks, HeadChecks, LoadTracker, RetryBudgets};
 use crate::upstream::ConnectionPool;
 
 /// The state that the tasks of a node share.
@@ -32,6 +32,7 @@
     pub(crate) peers: Arc<PeerLinks>,
     pub(crate) suspicions: Suspicions,
     pub(crate) group_checks: GroupChecks,
+    pub(crate) head_checks: HeadChecks,
     pub(crate) loads: LoadTracker,
     /// The load of the other nodes.
     pub(crate) load_board: LoadBoard,
@@ -73,10 +74,15 @@
             peers,
             suspicions: Suspicions::default(),
             group_checks: GroupChecks::default(),
+            head_checks: HeadChecks::default(),
             loads: LoadTracker::default(),
             load_board: LoadBoard::default(),
             budgets: RetryBudgets::default(),
-            pool: ConnectionPool::new(background_tasks.clone(), metrics.connections.clone()),
+            pool: ConnectionPool::new(
+                background_tasks.clone(),
+                metrics.connections.clone(),
+                metrics.connections_refused.clone(),
+            ),
             metrics,
             background_tasks,
             is_draining: AtomicBool::new(false),
--- a/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
+++ b/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
@@ -23,8 +23,12 @@
     pub(crate) stream_moves: Counter,
     /// Group heads that fell silent.
     pub(crate) suspicions: Counter,
+    /// Group heads that were found lost after a connection to them broke.
+    pub(crate) heads_lost: Counter,
     /// Connections opened to instances.
     pub(crate) connections: Counter,
+    /// Connections to instances that could not be opened.
+    pub(crate) connections_refused: Counter,
     /// Orders sent to instances.
     pub(crate) orders: Counter,
     /// Calls to the store by table and outcome.
@@ -71,7 +75,9 @@
             retries_denied: Counter::default(),
             stream_moves: Counter::default(),
             suspicions: Counter::default(),
+            heads_lost: Counter::default(),
             connections: Counter::default(),
+            connections_refused: Counter::default(),
             orders: Counter::default(),
             store_calls: Family::default(),
             peer_fetches: Counter::default(),
@@ -109,8 +115,18 @@
             "Group heads that fell silent",
             self.suspicions.clone(),
         );
+        registry.register(
+            "heads_lost",
+            "Group heads found lost after a connection broke",
+            self.heads_lost.clone(),
+        );
         let connections = "Connections opened to instances";
         registry.register("connections", connections, self.connections.clone());
+        registry.register(
+            "connections_refused",
+            "Connections to instances that could not be opened",
+            self.connections_refused.clone(),
+        );
         registry.register("orders", "Orders to instances", self.orders.clone());
         registry.register(
             "store_calls",
--- a/crates/cuminlb-gateway/src/serving/attempt_failure.rs
+++ b/crates/cuminlb-gateway/src/serving/attempt_failure.rs
@@ -14,6 +14,18 @@
         /// Whether the request reached the instance.
         has_reached_instance: bool,
     },
+    /// No connection to the instance could be opened, so the request has not run.
+    #[error("not run: {reason}")]
+    NotConnected {
+        /// The error of the attempt to connect.
+        reason: SmolStr,
+    },
+    /// The connection was lost before the response began. The request may have run.
+    #[error("unknown: {reason}")]
+    ConnectionLost {
+        /// The error that the connection reported.
+        reason: SmolStr,
+    },
     /// The request may have run.
     #[error("unknown: {reason}")]
     Unknown {
@@ -26,6 +38,31 @@
 }
 
 impl AttemptFailure {
+    /// Returns whether the request has not run and never will.
+    pub(super) const fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun { .. } | Self::NotConnected { .. })
+    }
+
+    /// Returns whether the request has reached the instance, or may have.
+    pub(super) const fn has_reached_instance(&self) -> bool {
+        match self {
+            Self::NotRun {
+                has_reached_instance,
+                ..
+            } => *has_reached_instance,
+            Self::NotConnected { .. } => false,
+            Self::ConnectionLost { .. } | Self::Unknown { .. } | Self::Silent => true,
+        }
+    }
+
+    /// Returns whether the connection to the instance failed.
+    pub(super) const fn is_connection_failure(&self) -> bool {
+        matches!(
+            self,
+            Self::NotConnected { .. } | Self::ConnectionLost { .. }
+        )
+    }
+
     pub(super) fn unknown(reason: impl Into<SmolStr>) -> Self {
         Self::Unknown {
             reason: reason.into(),
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -12,6 +12,7 @@
 mod choose_target;
 mod group_checks;
 mod handle_request;
+mod head_checks;
 mod in_flight_guard;
 mod instance_load;
 mod load_tracker;
@@ -34,6 +35,7 @@
 mod target;
 
 pub(crate) use self::group_checks::GroupChecks;
+pub(crate) use self::head_checks::HeadChecks;
 pub(crate) use self::load_tracker::LoadTracker;
 pub(crate) use self::retry_budgets::RetryBudgets;
 pub(crate) use self::serve_callers::serve_callers;
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -102,10 +102,13 @@
 /// Converts a failed send into the failure of an attempt, by whether the request may have run.
 pub(super) fn from_send_failure(failure: SendFailure) -> AttemptFailure {
     match failure {
+        SendFailure::NotConnected { reason } => AttemptFailure::NotConnected { reason },
         SendFailure::NotSent { reason } => AttemptFailure::NotRun {
             reason,
             has_reached_instance: false,
         },
-        SendFailure::NoResponse { .. } => AttemptFailure::unknown(failure.to_smolstr()),
+        SendFailure::NoResponse { .. } => AttemptFailure::ConnectionLost {
+            reason: failure.to_smolstr(),
+        },
     }
 }
--- a/crates/cuminlb-gateway/src/serving/probe_group.rs
+++ b/crates/cuminlb-gateway/src/serving/probe_group.rs
@@ -23,17 +23,12 @@
         return GroupHealth::MemberLost;
     };
     let members = view.present().filter_map(|id| directory.find_instance(id));
-    let is_intact_member = |report: InstanceReport| {
-        report.seat.is_some_and(|seat| {
-            seat.group == *group && seat.epoch == epoch && seat.state != SeatState::Broken
-        })
-    };
     let reports = join_all(members.map(|entry| probe_member(gateway, entry))).await;
     let is_slow = |report: &InstanceReport| report.slowdown >= STRAGGLER_SLOWDOWN;
     let has_straggler = reports.iter().flatten().any(is_slow);
     let mut intact = reports
         .into_iter()
-        .map(|it| it.is_some_and(is_intact_member));
+        .map(|it| it.is_some_and(|report| holds_seat(&report, group, epoch)));
     if intact.next() != Some(true) {
         GroupHealth::HeadLost
     } else if !intact.all(|it| it) {
@@ -45,6 +40,14 @@
     }
 }
 
+/// Returns whether an instance reports an intact seat in a group and epoch.
+pub(super) fn holds_seat(report: &InstanceReport, group: &GroupId, epoch: Epoch) -> bool {
+    let seat = report.seat.as_ref();
+    seat.is_some_and(|seat| {
+        seat.group == *group && seat.epoch == epoch && seat.state != SeatState::Broken
+    })
+}
+
 /// Probes a member; `None` if it does not respond.
 pub(super) async fn probe_member(
     gateway: &Gateway,
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -84,17 +84,13 @@
                 runs += 1;
                 failed_response = Some(response);
             }
-            Err(AttemptFailure::NotRun {
-                reason: failure_reason,
-                has_reached_instance: reached,
-            }) => {
-                has_reached_instance |= reached;
-                reason = Some(failure_reason);
-            }
-            Err(failure @ (AttemptFailure::Unknown { .. } | AttemptFailure::Silent)) => {
-                has_reached_instance = true;
-                runs += 1;
+            Err(failure) => {
+                has_reached_instance |= failure.has_reached_instance();
                 reason = Some(failure.to_smolstr());
+                if failure.is_not_run() {
+                    continue;
+                }
+                runs += 1;
                 if !may_retry || is_last_attempt {
                     break;
                 }
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -10,7 +10,6 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::admitted_request::AdmittedRequest;
-use super::attempt_failure::AttemptFailure;
 use super::choose_target::choose_target;
 use super::open_stream::OpenedResponse;
 use super::response_body::ResponseBody;
@@ -50,10 +49,7 @@
             Ok(OpenedResponse::Other(response)) => return Ok(response),
             Err(failure) => {
                 reason = smol_str::ToSmolStr::to_smolstr(&failure);
-                if matches!(failure, AttemptFailure::NotRun { .. }) {
-                    continue;
-                }
-                if !attempts.may_run_again() {
+                if !failure.is_not_run() && !attempts.may_run_again() {
                     break;
                 }
             }
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -79,15 +79,13 @@
             self.is_last_attempt(),
         )
         .await;
-        match &open_result {
-            Ok(_) | Err(AttemptFailure::Unknown { .. } | AttemptFailure::Silent) => {
-                self.has_reached_instance = true;
-                self.runs += 1;
-            }
-            Err(AttemptFailure::NotRun {
-                has_reached_instance,
-                ..
-            }) => self.has_reached_instance |= has_reached_instance,
+        let failure = open_result.as_ref().err();
+        self.has_reached_instance |= failure.is_none_or(AttemptFailure::has_reached_instance);
+        if failure.is_none_or(|failure| !failure.is_not_run()) {
+            self.runs += 1;
+        }
+        if failure.is_some_and(AttemptFailure::is_connection_failure) {
+            gateway.check_head(request, &target);
         }
         let outcome = match &open_result {
             Ok(OpenedResponse::Stream(..)) => "stream".into(),
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -117,6 +117,7 @@
                     }
                 }
                 StreamUpdate::Broken(reason) => {
+                    self.gateway.check_head(&self.request, &source.target);
                     self.source = None;
                     if !self.fail_over(&reason).await {
                         return Some(Err(self.abort(reason)));
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -31,6 +31,7 @@
 pub(crate) struct ConnectionPool {
     tasks: TaskTracker,
     opened: Counter,
+    refused: Counter,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -41,10 +42,13 @@
 }
 
 impl ConnectionPool {
-    pub(crate) fn new(tasks: TaskTracker, opened: Counter) -> Self {
+    /// Creates an empty pool that counts the connections that it `opened` and those that were
+    /// `refused`.
+    pub(crate) fn new(tasks: TaskTracker, opened: Counter, refused: Counter) -> Self {
         Self {
             tasks,
             opened,
+            refused,
             idle: Mutex::default(),
         }
     }
@@ -54,13 +58,12 @@
         if let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
-        match timeout(CONNECT_TIMEOUT, self.open(address)).await {
-            Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(reason)) => Err(SendFailure::NotSent { reason }),
-            Err(_elapsed) => Err(SendFailure::NotSent {
-                reason: "timed out while connecting".into(),
-            }),
-        }
+        let opened = timeout(CONNECT_TIMEOUT, self.open(address)).await;
+        let opened = opened.unwrap_or_else(|_elapsed| Err("timed out while connecting".into()));
+        opened.map_err(|reason| {
+            self.refused.inc();
+            SendFailure::NotConnected { reason }
+        })
     }
 
     /// Returns a connection to the pool after its response has been read completely.
--- a/crates/cuminlb-gateway/src/upstream/send_failure.rs
+++ b/crates/cuminlb-gateway/src/upstream/send_failure.rs
@@ -6,6 +6,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub(crate) enum SendFailure {
+    /// No connection could be opened.
+    #[error("not connected: {reason}")]
+    NotConnected {
+        /// The error of the attempt to connect.
+        reason: SmolStr,
+    },
     /// No byte of the request has left this node.
     #[error("not sent: {reason}")]
     NotSent {
--- a/crates/cuminlb-standins/src/fault/fault_kind.rs
+++ b/crates/cuminlb-standins/src/fault/fault_kind.rs
@@ -25,6 +25,8 @@
     WriteAnswerLost,
     /// Every call is delayed until the fault ends, and then takes effect.
     Paused,
+    /// All connections are closed and new ones are refused, as after a crash of the process.
+    Crashed,
     /// Streams are reset after a number of chunks, as if the process had crashed.
     BreakStreams {
         /// The number of chunks that are still sent.
--- a/crates/cuminlb-standins/src/fault/fault_state.rs
+++ b/crates/cuminlb-standins/src/fault/fault_state.rs
@@ -29,11 +29,16 @@
         *self.fault.borrow()
     }
 
-    /// Waits until the stand-in is no longer paused, then for the delay of [`Fault::Slow`].
-    pub(crate) async fn apply_delay(&self) {
+    /// Waits until the current fault fulfills a condition.
+    pub(crate) async fn wait_for(&self, condition: impl FnMut(&Fault) -> bool) {
         let mut fault = self.fault.subscribe();
         // `wait_for` fails only if the sender has been dropped, and `self` owns the sender.
-        let _ = fault.wait_for(|fault| *fault != Fault::Paused).await;
+        let _ = fault.wait_for(condition).await;
+    }
+
+    /// Waits until the stand-in is no longer paused, then for the delay of [`Fault::Slow`].
+    pub(crate) async fn apply_delay(&self) {
+        self.wait_for(|fault| *fault != Fault::Paused).await;
         let delay = match self.get() {
             Fault::Slow { delay_ms } => delay_ms.duration(),
             _ => return,
--- a/crates/cuminlb-standins/src/http_server.rs
+++ b/crates/cuminlb-standins/src/http_server.rs
@@ -86,13 +86,13 @@
 }
 
 async fn accept<A: RequestHandler>(
-    listener: TcpListener,
+    mut listener: TcpListener,
     fault: FaultState,
     handler: Arc<A>,
     stop: CancellationToken,
 ) {
     let endpoint = Arc::new(Endpoint {
-        fault,
+        fault: fault.clone(),
         traffic: Arc::default(),
         handler,
     });
@@ -101,6 +101,13 @@
         tokio::select! {
             () = stop.cancelled() => break,
             Some(_) = connections.join_next() => {}
+            () = fault.wait_for(|fault| *fault == Fault::Crashed) => {
+                connections.shutdown().await;
+                match listen_after_crash(listener, &fault, &stop).await {
+                    Some(new_listener) => listener = new_listener,
+                    None => return,
+                }
+            }
             accepted = listener.accept() => if let Ok((stream, _)) = accepted {
                 connections.spawn(serve(stream, Arc::clone(&endpoint), stop.clone()));
             },
@@ -109,6 +116,21 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Closes the listener until the crash is over; `None` if the stand-in is stopped, or if its address
+/// can't be listened on again.
+async fn listen_after_crash(
+    listener: TcpListener,
+    fault: &FaultState,
+    stop: &CancellationToken,
+) -> Option<TcpListener> {
+    let address = listener.local_addr().ok()?;
+    drop(listener);
+    tokio::select! {
+        () = stop.cancelled() => None,
+        () = fault.wait_for(|fault| *fault != Fault::Crashed) => TcpListener::bind(address).await.ok(),
+    }
+}
+
 async fn serve<A: RequestHandler>(
     stream: TcpStream,
     endpoint: Arc<Endpoint<A>>,
--- a/tests/testsuite/native_feeds.rs
+++ b/tests/testsuite/native_feeds.rs
@@ -20,17 +20,10 @@
 const CATALOG_BOUND: Duration = Duration::from_secs(2);
 
 /// Returns the number of store calls of each node.
-async fn store_calls(site: &NativeSite) -> Vec<f64> {
+async fn store_calls(site: &NativeSite) -> Vec<u64> {
     let mut calls = Vec::new();
-    for node in &site.nodes {
-        let url = node.metrics_url();
-        let response = site.client.call(Method::GET, &url, &[], "").await.unwrap();
-        let text = response.text();
-        let lines = text
-            .lines()
-            .filter(|line| line.starts_with("cuminlb_store_calls_total"));
-        let values = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
-        calls.push(values.sum());
+    for node in 0..site.nodes.len() {
+        calls.push(site.metric(node, "cuminlb_store_calls_total").await);
     }
     calls
 }
