Quarantine what crashes instances, on all nodes together

Cause: no node remembered what ran at a head that crashed, and none told the others. Each request with the part took its two tries at a head each, and its caller's retry two more. Class: knowledge about requests that stays at one node and one request. Change: cuminlb-routing has the decision (`crashes`): a crash is recorded with the parts of the prompts and the requests that had begun without any content; what is a candidate of three crashes and has not run in between is quarantined. The candidate of most crashes explains all of them, so that what only came with it stays free. Any response to a cause clears it. One node at a time lets a request through as a probe, 4 s after the last crash and ever more rarely. Nodes exchange crashes by relays at once, and each second while any is known (`exchange_crashes`, last in RelayApi). A quarantined request that has not run is refused at once with 503, `crash_suspected`, `not_run` and the time of the next probe; one that has run is not sent again. All nodes report their load, because a relay knows its followers by that. Ruled out: memory at each node alone (nine nodes would take three crashes each); counting requests only (no two of them are alike); blaming all that shared a head (the first part is in every request).

--- a/crates/cuminlb-catalog/src/request_head.rs
+++ b/crates/cuminlb-catalog/src/request_head.rs
@@ -20,8 +20,19 @@
     pub model: Option<ModelId>,
     /// The size of the prompt and the limit for the response.
     pub size: Option<PromptSize>,
+    /// The parts of the prompt in order.
+    pub prompt_parts: Vec<PromptPartId>,
     /// The caller's estimate of the number of tokens of the response.
     pub response_length_hint: Option<TokenCount>,
     /// The last event that the caller has received.
     pub resume_after: Option<EventId>,
 }
+
+impl RequestHead {
+    /// Returns the parts of the prompt that other requests may share, that is, all but the last one,
+    /// which belongs to the request itself or to its session.
+    pub fn shared_prompt_parts(&self) -> &[PromptPartId] {
+        let parts = self.prompt_parts.split_last();
+        parts.map_or(&[], |(_last, shared)| shared)
+    }
+}
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use cuminlb_catalog::StoreTable;
 use cuminlb_config::GatewaySettings;
 use cuminlb_replica::{FollowTiming, Follower, Replica, RowSink};
-use cuminlb_routing::LoadBoard;
+use cuminlb_routing::{CrashBoard, LoadBoard};
 use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -36,6 +36,8 @@
     pub(crate) loads: LoadTracker,
     /// The load of the other nodes.
     pub(crate) load_board: LoadBoard,
+    /// The crashes of instances that all nodes have seen.
+    pub(crate) crash_board: CrashBoard,
     pub(crate) budgets: RetryBudgets,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
@@ -77,6 +79,7 @@
             head_checks: HeadChecks::default(),
             loads: LoadTracker::default(),
             load_board: LoadBoard::default(),
+            crash_board: CrashBoard::default(),
             budgets: RetryBudgets::default(),
             pool: ConnectionPool::new(
                 background_tasks.clone(),
@@ -136,6 +139,10 @@
         self.metrics
             .catalog
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        let quarantined = self.crash_board.quarantined().len();
+        self.metrics
+            .quarantined_causes
+            .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let directory = self.knowledge.directory();
         let groups = directory.groups.values().flatten();
         let serving = groups.filter(|group| group.is_serving()).count();
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -6,7 +6,7 @@
     ChunkRequest, GroupHealth, LoadReport, LoadScope, RelayHandler, RelayedUpdate, SuspicionNotice,
     TableCursors, ValueChunk,
 };
-use cuminlb_routing::InFlightCount;
+use cuminlb_routing::{CrashReport, InFlightCount};
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
@@ -56,4 +56,11 @@
     fn suspect(&self, notice: SuspicionNotice) {
         self.gateway.suspicions.add(notice);
     }
+
+    fn exchange_crashes(&self, report: &CrashReport) -> CrashReport {
+        let board = &self.gateway.crash_board;
+        let now = Instant::now();
+        board.merge(report, now);
+        board.report(now)
+    }
 }
--- a/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
+++ b/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
@@ -25,6 +25,10 @@
     pub(crate) suspicions: Counter,
     /// Group heads that were found lost after a connection to them broke.
     pub(crate) heads_lost: Counter,
+    /// Requests that were not sent because they contain what crashes instances.
+    pub(crate) quarantine_refusals: Counter,
+    /// What is quarantined because it crashes instances.
+    pub(crate) quarantined_causes: Gauge,
     /// Connections opened to instances.
     pub(crate) connections: Counter,
     /// Connections to instances that could not be opened.
@@ -76,6 +80,8 @@
             stream_moves: Counter::default(),
             suspicions: Counter::default(),
             heads_lost: Counter::default(),
+            quarantine_refusals: Counter::default(),
+            quarantined_causes: Gauge::default(),
             connections: Counter::default(),
             connections_refused: Counter::default(),
             orders: Counter::default(),
@@ -120,6 +126,16 @@
             "Group heads found lost after a connection broke",
             self.heads_lost.clone(),
         );
+        registry.register(
+            "quarantine_refusals",
+            "Requests not sent because they contain what crashes instances",
+            self.quarantine_refusals.clone(),
+        );
+        registry.register(
+            "quarantined_causes",
+            "What is quarantined because it crashes instances",
+            self.quarantined_causes.clone(),
+        );
         let connections = "Connections opened to instances";
         registry.register("connections", connections, self.connections.clone());
         registry.register(
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -18,7 +18,7 @@
 use crate::knowledge::{RelayService, register_node};
 use crate::leading::{SharedLease, keep_lease, lead};
 use crate::metrics::serve_metrics;
-use crate::serving::{serve_callers, serve_ready, share_loads};
+use crate::serving::{serve_callers, serve_ready, share_crashes, share_loads};
 use crate::{Edges, GatewayError};
 
 /// How long a node that was asked to stop continues to accept callers, because the load balancer
@@ -79,6 +79,7 @@
         background_stop.clone(),
     ));
     background.spawn(share_loads(Arc::clone(&gateway), background_stop.clone()));
+    background.spawn(share_crashes(Arc::clone(&gateway), background_stop.clone()));
     background.spawn(clean_up(Arc::clone(&gateway), background_stop.clone()));
     let mut leading_tasks = JoinSet::new();
     let lease = SharedLease::new(None);
@@ -147,6 +148,7 @@
         let now = Instant::now();
         gateway.knowledge.remove_expired(now);
         gateway.pool.close_expired(now);
+        gateway.crash_board.remove_expired(now);
         let directory = gateway.knowledge.directory();
         gateway
             .loads
--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::admitted_request::AdmittedRequest;
+use super::crash_causes::crash_causes;
 use crate::gateway::Gateway;
 
 /// Timeout of a request whose headers state none.
@@ -64,7 +65,11 @@
         return Err(refuse(RefusalKind::UnknownService { name }));
     };
     let route = std::sync::Arc::clone(route);
+    let secret = &gateway.settings.peer_token;
+    let crash_causes = crash_causes(secret, &head, team.as_ref(), &service, path, &body);
     Ok(AdmittedRequest {
+        crash_causes,
+        is_probe: false,
         parts,
         head,
         body,
--- a/crates/cuminlb-gateway/src/serving/admitted_request.rs
+++ b/crates/cuminlb-gateway/src/serving/admitted_request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cuminlb_catalog::{RequestHead, Route, Team};
+use cuminlb_routing::CrashCause;
 use cuminlb_types::prelude::*;
 use http::request;
 use tokio::time::Instant;
@@ -23,6 +24,10 @@
     pub(super) service: ServiceId,
     /// The team that owns the caller's key.
     pub(super) team: Option<Team>,
+    /// What the request contains that could crash an instance.
+    pub(super) crash_causes: Vec<CrashCause>,
+    /// Whether the request is let through although it contains a quarantined cause.
+    pub(super) is_probe: bool,
     /// When the request head was received.
     pub(super) received_at: Instant,
     /// When the caller must have its response.
--- a/crates/cuminlb-gateway/src/serving/attempt_failure.rs
+++ b/crates/cuminlb-gateway/src/serving/attempt_failure.rs
@@ -2,6 +2,8 @@
 
 use smol_str::SmolStr;
 
+use super::request_stage::RequestStage;
+
 /// Why an attempt ended without a response for the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -55,12 +57,13 @@
         }
     }
 
-    /// Returns whether the connection to the instance failed.
-    pub(super) const fn is_connection_failure(&self) -> bool {
-        matches!(
-            self,
-            Self::NotConnected { .. } | Self::ConnectionLost { .. }
-        )
+    /// Returns how far the request had come, if the connection to the instance failed.
+    pub(super) const fn stage_of_lost_connection(&self) -> Option<RequestStage> {
+        match self {
+            Self::NotConnected { .. } => Some(RequestStage::NotSent),
+            Self::ConnectionLost { .. } => Some(RequestStage::Waiting),
+            Self::NotRun { .. } | Self::Unknown { .. } | Self::Silent => None,
+        }
     }
 
     pub(super) fn unknown(reason: impl Into<SmolStr>) -> Self {
--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -64,6 +64,9 @@
                 biased;
                 result = timeout(SILENCE_CHECK_PERIOD, response.as_mut()) => match result {
                     Ok(result) => break result.map_err(from_send_failure)?,
+                    Err(_elapsed) if !request.is_probe && gateway.is_quarantined(request) => {
+                        return Err(AttemptFailure::unknown("quarantined"));
+                    }
                     Err(_elapsed) => match watch.check(&in_flight, sent_at, limit, target.epoch()) {
                         Silence::Normal => {}
                         Silence::Suspicious => gateway.suspect(request, &target, sent_at),
@@ -115,7 +118,7 @@
             connection,
             decoder: EventDecoder::default(),
             last_seen_at: sent_at,
-            has_started: false,
+            event_count: 0,
             has_ended: false,
             watch: SilenceWatch::default(),
         };
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/share_crashes.rs
@@ -0,0 +1,84 @@
+//! The task that tells the other nodes the crashes that this one has seen, and learns theirs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminlb_replica::{RelayLane, RowOrigin};
+use cuminlb_routing::CrashReport;
+use cuminlb_types::prelude::*;
+use futures_util::future::join_all;
+use log::debug;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::Gateway;
+use crate::leading::current_leader;
+
+/// The minimum time between two exchanges, so that what is seen at about the same time is told at once.
+const MIN_PERIOD: Duration = Duration::from_millis(60);
+
+/// The time after which an exchange is repeated although there is no news, while any crash is known. It
+/// informs nodes that have restarted or were cut off.
+const REPEAT_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Tells the relay of this node, or as a relay the other nodes, about crashes until `stop` is cancelled.
+pub(crate) async fn share_crashes(gateway: Arc<Gateway>, stop: CancellationToken) {
+    let share = async {
+        let mut changes = gateway.crash_board.changes();
+        loop {
+            // After a timeout, the exchange is repeated.
+            let _ = timeout(REPEAT_PERIOD, changes.changed()).await;
+            changes.mark_unchanged();
+            if gateway.crash_board.has_crashes() {
+                exchange_with_peers(&gateway).await;
+            }
+            sleep(MIN_PERIOD).await;
+        }
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = share => {}
+    }
+}
+
+/// Reports the known crashes to all peers of this node, and records those that they know of.
+async fn exchange_with_peers(gateway: &Gateway) {
+    let report = gateway.crash_board.report(Instant::now());
+    let exchanges = peers(gateway).into_iter().map(|peer| {
+        let report = report.clone();
+        async move {
+            if let Some(told) = exchange(gateway, &peer, report).await {
+                gateway.crash_board.merge(&told, Instant::now());
+            }
+        }
+    });
+    join_all(exchanges).await;
+}
+
+/// Returns the nodes that this one tells about crashes: its relay, or else the other relays, the nodes
+/// that follow it and the leader.
+fn peers(gateway: &Gateway) -> Vec<NodeId> {
+    if let RowOrigin::Relay(relay) = gateway.follower.origin() {
+        return vec![relay];
+    }
+    let now = Instant::now();
+    let mut peers = gateway.follower.other_relays(now);
+    peers.extend(gateway.load_board.followers(now));
+    peers.extend(current_leader(&gateway.replica));
+    peers.sort();
+    peers.dedup();
+    peers.retain(|peer| *peer != gateway.settings.id);
+    peers
+}
+
+async fn exchange(gateway: &Gateway, peer: &NodeId, report: CrashReport) -> Option<CrashReport> {
+    let directory = gateway.knowledge.directory();
+    let link = gateway.peers.link(&directory, peer, RelayLane::News)?;
+    match link.exchange_crashes(report).await {
+        Ok(told) => Some(told),
+        Err(error) => {
+            debug!(node:% = peer; "failed to exchange crashes: {error}");
+            None
+        }
+    }
+}
--- a/crates/cuminlb-gateway/src/serving/share_loads.rs
+++ b/crates/cuminlb-gateway/src/serving/share_loads.rs
@@ -18,14 +18,11 @@
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(300);
 
 /// Exchanges load with the relay that this node follows, or as a relay with the others, until
-/// `stop` is cancelled.
+/// `stop` is cancelled. Nodes without callers do so too, because a relay knows its followers by it.
 pub(crate) async fn share_loads(gateway: Arc<Gateway>, stop: CancellationToken) {
     let exchange = async {
         loop {
             sleep(EXCHANGE_PERIOD).await;
-            if !gateway.has_callers() {
-                continue;
-            }
             match gateway.follower.origin() {
                 RowOrigin::Relay(relay) => exchange_with_relay(&gateway, &relay).await,
                 RowOrigin::Store => exchange_among_relays(&gateway).await,
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -84,8 +84,8 @@
         if failure.is_none_or(|failure| !failure.is_not_run()) {
             self.runs += 1;
         }
-        if failure.is_some_and(AttemptFailure::is_connection_failure) {
-            gateway.check_head(request, &target);
+        if let Some(stage) = failure.and_then(AttemptFailure::stage_of_lost_connection) {
+            gateway.check_head(request, &target, stage);
         }
         let outcome = match &open_result {
             Ok(OpenedResponse::Stream(..)) => "stream".into(),
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -17,9 +17,10 @@
 use super::admitted_request::AdmittedRequest;
 use super::choose_target::choose_target;
 use super::open_stream::OpenedResponse;
+use super::request_stage::RequestStage;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
-use super::stream_source::{StreamSource, StreamUpdate};
+use super::stream_source::{RESPONDING_EVENTS, StreamSource, StreamUpdate};
 use crate::gateway::Gateway;
 use crate::metrics::RouteLabels;
 
@@ -93,11 +94,17 @@
             };
             match source.next(&self.request).await {
                 StreamUpdate::Event(event) => {
+                    if source.event_count == RESPONDING_EVENTS {
+                        self.gateway.record_success(&self.request);
+                    }
                     if let Some(chunk) = self.relay_event(&event) {
                         return Some(Ok(chunk));
                     }
                 }
                 StreamUpdate::End => {
+                    if source.stage() == RequestStage::Begun {
+                        self.gateway.record_success(&self.request);
+                    }
                     if let Some(source) = self.source.take() {
                         source.release_connection(&self.gateway);
                     }
@@ -117,7 +124,9 @@
                     }
                 }
                 StreamUpdate::Broken(reason) => {
-                    self.gateway.check_head(&self.request, &source.target);
+                    let stage = source.stage();
+                    self.gateway
+                        .check_head(&self.request, &source.target, stage);
                     self.source = None;
                     if !self.fail_over(&reason).await {
                         return Some(Err(self.abort(reason)));
@@ -151,6 +160,9 @@
     async fn fail_over(&mut self, reason: &str) -> bool {
         let gateway = Arc::clone(&self.gateway);
         while self.attempts.may_run_again() && Instant::now() < self.request.deadline {
+            if gateway.is_quarantined(&self.request) {
+                return false;
+            }
             let Some(target) = choose_target(&gateway, &self.request, self.attempts.instances())
             else {
                 return false;
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -12,6 +12,7 @@
 
 use super::admitted_request::AdmittedRequest;
 use super::in_flight_guard::InFlightGuard;
+use super::request_stage::RequestStage;
 use super::silence_watch::{Silence, SilenceWatch};
 use super::target::Target;
 use crate::gateway::Gateway;
@@ -29,6 +30,9 @@
 /// Acceptable pause between two events if the route states none.
 const DEFAULT_MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// The number of events from which on a crash of the instance is not attributed to the stream.
+pub(super) const RESPONDING_EVENTS: u64 = 2;
+
 /// A stream of events from an instance.
 #[derive(Debug)]
 pub(super) struct StreamSource {
@@ -40,8 +44,8 @@
     pub(super) decoder: EventDecoder,
     /// When something was last received, or when the request was sent.
     pub(super) last_seen_at: Instant,
-    /// Whether an event has been received.
-    pub(super) has_started: bool,
+    /// The number of events that have been received.
+    pub(super) event_count: u64,
     pub(super) has_ended: bool,
     /// Evaluates how long nothing has been received.
     pub(super) watch: SilenceWatch,
@@ -70,7 +74,7 @@
         loop {
             match self.decoder.next_event() {
                 Ok(Some(event)) => {
-                    self.has_started = true;
+                    self.event_count += 1;
                     return StreamUpdate::Event(event);
                 }
                 Ok(None) => {}
@@ -83,7 +87,7 @@
                     StreamUpdate::Broken("the stream ended in the middle of an event".into())
                 };
             }
-            let limit = silence_limit(request, self.has_started);
+            let limit = silence_limit(request, self.event_count > 0);
             tokio::select! {
                 biased;
                 frame = timeout(SILENCE_CHECK_PERIOD, self.body.frame()) => match frame {
@@ -113,6 +117,15 @@
         }
     }
 
+    /// Returns how far the instance has come with the request.
+    pub(super) const fn stage(&self) -> RequestStage {
+        if self.event_count < RESPONDING_EVENTS {
+            RequestStage::Begun
+        } else {
+            RequestStage::Responding
+        }
+    }
+
     /// Returns the connection to the pool if the stream has ended.
     pub(super) fn release_connection(self, gateway: &Gateway) {
         if self.has_ended && !self.head.closes {
--- a/crates/cuminlb-peer/src/relay_api.rs
+++ b/crates/cuminlb-peer/src/relay_api.rs
@@ -2,7 +2,7 @@
 //!
 //! The order of its methods and of their parameters is part of the wire format.
 
-use cuminlb_routing::InFlightCount;
+use cuminlb_routing::{CrashReport, InFlightCount};
 use cuminlb_types::prelude::*;
 
 use crate::message::{
@@ -29,4 +29,7 @@
 
     /// Notifies the leader that an instance has become silent.
     async fn suspect(notice: SuspicionNotice);
+
+    /// Reports crashes and returns those that the called node knows of.
+    async fn exchange_crashes(report: CrashReport) -> CrashReport;
 }
--- a/crates/cuminlb-peer/src/relay_handler.rs
+++ b/crates/cuminlb-peer/src/relay_handler.rs
@@ -1,6 +1,6 @@
 //! The interface between the relay server and the node that handles its calls.
 
-use cuminlb_routing::InFlightCount;
+use cuminlb_routing::{CrashReport, InFlightCount};
 use cuminlb_types::prelude::*;
 
 use crate::message::{
@@ -27,4 +27,7 @@
 
     /// Handles the notice of a peer that an instance has become silent.
     fn suspect(&self, notice: SuspicionNotice);
+
+    /// Records reported crashes and returns those that this node knows of.
+    fn exchange_crashes(&self, report: &CrashReport) -> CrashReport;
 }
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
-use cuminlb_routing::InFlightCount;
+use cuminlb_routing::{CrashReport, InFlightCount};
 use cuminlb_types::prelude::*;
 use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
@@ -97,6 +97,19 @@
         .await
     }
 
+    /// Reports crashes and returns those that the peer knows of.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no response was received.
+    pub async fn exchange_crashes(&self, report: CrashReport) -> Result<CrashReport, PeerError> {
+        let call_timeout_ms = self.timeout_ms;
+        self.call(call_timeout_ms, async |client, context| {
+            client.exchange_crashes(context, report).await
+        })
+        .await
+    }
+
     /// Runs one call. If the link has to connect first, that has a timeout of its own, the one given
     /// to [`Self::new`], which is not part of `call_timeout_ms`.
     async fn call<T>(
--- a/crates/cuminlb-peer/src/relay_server.rs
+++ b/crates/cuminlb-peer/src/relay_server.rs
@@ -1,6 +1,6 @@
 //! The server side of the calls between nodes that follow a platform's store.
 
-use cuminlb_routing::InFlightCount;
+use cuminlb_routing::{CrashReport, InFlightCount};
 use cuminlb_types::prelude::*;
 use futures_util::StreamExt;
 use tarpc::context::Context;
@@ -70,4 +70,8 @@
     async fn suspect(self, _: Context, notice: SuspicionNotice) {
         self.handler.suspect(notice);
     }
+
+    async fn exchange_crashes(self, _: Context, report: CrashReport) -> CrashReport {
+        self.handler.exchange_crashes(&report)
+    }
 }
--- a/crates/cuminlb-routing/src/choice/load_board.rs
+++ b/crates/cuminlb-routing/src/choice/load_board.rs
@@ -111,6 +111,16 @@
         state.update_others();
     }
 
+    /// Returns the nodes that follow this one and have reported recently.
+    pub fn followers(&self, now: Instant) -> Vec<NodeId> {
+        let state = self.state();
+        let recent = state
+            .followers
+            .iter()
+            .filter(|(_, report)| report.is_recent(now));
+        recent.map(|(node, _)| node.clone()).collect()
+    }
+
     /// Returns the sums of this node's counts and those of its followers.
     pub fn own_sums(&self, own: &[InFlightCount], now: Instant) -> Vec<InFlightCount> {
         let mut state = self.state();
--- /dev/null
+++ b/crates/cuminlb-routing/src/crashes/crash_board.rs
@@ -0,0 +1,283 @@
+//! The crashes that nodes report to each other, and what they conclude from them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cuminlb_types::prelude::*;
+use log::info;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::{
+    CauseReport, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
+    ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
+};
+
+/// How long a crash counts.
+const CRASH_VALIDITY: Duration = Duration::from_secs(600);
+
+/// The maximum number of crashes that are kept; the oldest are removed first.
+const MAX_CRASHES: usize = 48;
+
+/// Crashes of one instance within this time are one crash that several nodes report.
+const SAME_CRASH_WINDOW: Duration = Duration::from_millis(2_000);
+
+/// The maximum number of causes whose last success is kept.
+const MAX_SUCCESSES: usize = 8_192;
+
+/// The crashes known to a node: its own and those reported by its peers.
+///
+/// Copies at different nodes are merged by union, so that the result does not depend on the order in
+/// which nodes exchange them.
+#[derive(Debug)]
+pub struct CrashBoard {
+    state: Mutex<State>,
+    /// The number of changes that peers should be told.
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    records: Vec<CrashRecord>,
+    /// When each cause last ran without a crash.
+    successes: HashMap<CrashCause, Instant>,
+    quarantined: Vec<QuarantinedCause>,
+    /// The turn in which this node last sent a probe of a cause.
+    probed: HashMap<CrashCause, u64>,
+}
+
+impl Default for CrashBoard {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            changes: watch::Sender::new(0),
+        }
+    }
+}
+
+impl CrashBoard {
+    /// Records that an instance crashed at a time, and what may have caused it.
+    pub fn record_crash(&self, instance: &InstanceId, candidates: &CrashCandidates, at: Instant) {
+        if candidates.is_empty() {
+            return;
+        }
+        let mut state = self.state();
+        if state.add_crash(instance, candidates, at) {
+            state.conclude();
+            self.notify(state);
+        }
+    }
+
+    /// Records that an instance responds to a request with these causes.
+    pub fn record_success(&self, causes: &[CrashCause], now: Instant) {
+        let mut state = self.state();
+        let mut is_news = false;
+        for cause in causes {
+            is_news |= state.is_suspect(cause, now);
+            state.successes.insert(cause.clone(), now);
+        }
+        state.prune_successes();
+        if is_news {
+            state.conclude();
+            self.notify(state);
+        }
+    }
+
+    /// Returns whether any crash is known.
+    pub fn has_crashes(&self) -> bool {
+        !self.state().records.is_empty()
+    }
+
+    /// Returns the causes that must not be sent.
+    pub fn quarantined(&self) -> Vec<QuarantinedCause> {
+        self.state().quarantined.clone()
+    }
+
+    /// Decides whether a request with these causes may be sent by node `own_id`. Of all `nodes`, one
+    /// at a time lets a request with a quarantined cause through.
+    pub fn verdict<'a>(
+        &self,
+        causes: &[CrashCause],
+        own_id: &NodeId,
+        nodes: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+    ) -> CrashVerdict {
+        let mut state = self.state();
+        let is_contained = |it: &&QuarantinedCause| causes.contains(&it.cause);
+        let Some(quarantined) = state.quarantined.iter().find(is_contained) else {
+            return CrashVerdict::Allowed;
+        };
+        let cause = quarantined.cause.clone();
+        let schedule = ProbeSchedule::new(quarantined);
+        let turn = schedule.turn(now).filter(|turn| {
+            let is_unused = state.probed.get(&cause).is_none_or(|used| used != turn);
+            is_unused && ProbeSchedule::is_turn_of(&cause, *turn, own_id, nodes)
+        });
+        match turn {
+            Some(turn) => {
+                state.probed.insert(cause.clone(), turn);
+                CrashVerdict::Probe { cause }
+            }
+            None => CrashVerdict::Quarantined {
+                cause,
+                retry_after_ms: schedule.wait_ms(now),
+            },
+        }
+    }
+
+    /// Returns whether a request with these causes must not be sent, not even as a probe.
+    pub fn is_quarantined(&self, causes: &[CrashCause]) -> bool {
+        let state = self.state();
+        let mut quarantined = state.quarantined.iter();
+        quarantined.any(|it| causes.contains(&it.cause))
+    }
+
+    /// Returns what this node knows, for its peers.
+    pub fn report(&self, now: Instant) -> CrashReport {
+        let state = self.state();
+        let age_ms = |at: Instant| Millis::from(now.duration_since(at));
+        let crashes = state.records.iter().map(|record| ReportedCrash {
+            instance: record.instance.clone(),
+            age_ms: age_ms(record.at),
+            candidates: record.candidates.clone(),
+        });
+        let suspects = state.records.iter();
+        let suspects = suspects.flat_map(|record| record.candidates.suspects());
+        let suspects: BTreeSet<&CrashCause> = suspects.collect();
+        let causes = suspects.into_iter().filter_map(|cause| {
+            Some(CauseReport {
+                cause: cause.clone(),
+                success_age_ms: age_ms(*state.successes.get(cause)?),
+            })
+        });
+        CrashReport {
+            crashes: crashes.collect(),
+            causes: causes.collect(),
+        }
+    }
+
+    /// Adds what a peer reports.
+    pub fn merge(&self, report: &CrashReport, now: Instant) {
+        let mut state = self.state();
+        let mut is_news = false;
+        let time = |age_ms: Millis| now.checked_sub(age_ms.duration());
+        for crash in &report.crashes {
+            if let Some(at) = time(crash.age_ms) {
+                is_news |= state.add_crash(&crash.instance, &crash.candidates, at);
+            }
+        }
+        for CauseReport {
+            cause,
+            success_age_ms,
+        } in &report.causes
+        {
+            let Some(at) = time(*success_age_ms) else {
+                continue;
+            };
+            let known = state.successes.get(cause);
+            if known.is_none_or(|known| *known < at) {
+                is_news |= state.is_suspect(cause, at);
+                state.successes.insert(cause.clone(), at);
+            }
+        }
+        state.prune_successes();
+        if is_news {
+            state.conclude();
+            self.notify(state);
+        }
+    }
+
+    /// Forgets the crashes that no longer count.
+    pub fn remove_expired(&self, now: Instant) {
+        let mut state = self.state();
+        let is_valid = |record: &CrashRecord| now.duration_since(record.at) < CRASH_VALIDITY;
+        if !state.records.iter().all(is_valid) {
+            state.records.retain(is_valid);
+            state.conclude();
+        }
+    }
+
+    /// Returns a receiver that is notified when there is something to tell the peers.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn notify(&self, state: MutexGuard<'_, State>) {
+        drop(state);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Adds a crash, or the candidates of another node to a known one; returns whether that is news.
+    fn add_crash(
+        &mut self,
+        instance: &InstanceId,
+        candidates: &CrashCandidates,
+        at: Instant,
+    ) -> bool {
+        let is_same = |record: &&mut CrashRecord| {
+            let distance = at.max(record.at).duration_since(at.min(record.at));
+            record.instance == *instance && distance < SAME_CRASH_WINDOW
+        };
+        if let Some(record) = self.records.iter_mut().find(is_same) {
+            record.at = record.at.min(at);
+            return record.candidates.merge(candidates);
+        }
+        self.records.push(CrashRecord {
+            instance: instance.clone(),
+            at,
+            candidates: candidates.clone(),
+        });
+        self.records.sort_by_key(|record| record.at);
+        let excess = self.records.len().saturating_sub(MAX_CRASHES);
+        self.records.drain(..excess);
+        true
+    }
+
+    /// Returns whether a success at a time would clear a cause of a crash.
+    fn is_suspect(&self, cause: &CrashCause, success_at: Instant) -> bool {
+        let known = self.successes.get(cause).copied();
+        self.records.iter().any(|record| {
+            let is_counted = known.is_none_or(|known| known <= record.at);
+            is_counted && record.at < success_at && record.candidates.suspects().contains(cause)
+        })
+    }
+
+    /// Draws the conclusions from the crashes again.
+    fn conclude(&mut self) {
+        let successes = &self.successes;
+        let quarantined = attribute_crashes(&self.records, |cause| successes.get(cause).copied());
+        let contains = |list: &[QuarantinedCause], cause: &CrashCause| {
+            list.iter().any(|it| it.cause == *cause)
+        };
+        for it in &quarantined {
+            if !contains(&self.quarantined, &it.cause) {
+                info!(cause:% = it.cause, crashes = self.records.len(); "cause quarantined");
+            }
+        }
+        for it in &self.quarantined {
+            if !contains(&quarantined, &it.cause) {
+                info!(cause:% = it.cause; "cause released");
+            }
+        }
+        self.probed.retain(|cause, _| contains(&quarantined, cause));
+        self.quarantined = quarantined;
+    }
+
+    fn prune_successes(&mut self) {
+        if self.successes.len() <= MAX_SUCCESSES {
+            return;
+        }
+        let mut times: Vec<Instant> = self.successes.values().copied().collect();
+        times.sort_unstable();
+        if let Some(&median) = times.get(times.len() / 2) {
+            self.successes.retain(|_, at| *at > median);
+        }
+    }
+}
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod claim;
 mod cold_allowance;
+mod crashes;
 mod quarantine;
 mod refusal;
 mod retry;
@@ -28,6 +29,10 @@
     resolve_duplicate,
 };
 pub use crate::cold_allowance::cold_allowance;
+pub use crate::crashes::{
+    CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
+    ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
+};
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
--- a/crates/cuminlb-routing/src/refusal/refusal_kind.rs
+++ b/crates/cuminlb-routing/src/refusal/refusal_kind.rs
@@ -3,6 +3,8 @@
 use cuminlb_types::prelude::*;
 use smol_str::SmolStr;
 
+use crate::crashes::CrashCause;
+
 /// The reason for a refusal.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(thiserror::Error)]
@@ -122,6 +124,12 @@
         /// The fingerprint by which operators release the request.
         fingerprint: RequestFingerprint,
     },
+    /// The request contains what crashed several instances that responded to it.
+    #[error("instances crashed while they responded to {cause}, so the request is not sent")]
+    CrashSuspected {
+        /// What crashes instances.
+        cause: CrashCause,
+    },
 }
 
 impl RefusalKind {
@@ -145,7 +153,8 @@
             | Self::NoGroup { .. }
             | Self::ClaimUnavailable
             | Self::Draining
-            | Self::ConfigUnconfirmed => 503,
+            | Self::ConfigUnconfirmed
+            | Self::CrashSuspected { .. } => 503,
         }
     }
 
@@ -173,6 +182,7 @@
             Self::Draining => "draining",
             Self::ConfigUnconfirmed => "config_unconfirmed",
             Self::Quarantined { .. } => "quarantined",
+            Self::CrashSuspected { .. } => "crash_suspected",
         }
     }
 }
--- /dev/null
+++ b/crates/cuminlb-routing/tests/crashes/exchange.rs
@@ -0,0 +1,125 @@
+//! Nodes that tell each other what they have seen agree, in whatever order they hear of it.
+
+use std::time::Duration;
+
+use cuminlb_routing::{CrashBoard, CrashCause};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+use crate::support::{begun, instance, part, waiting};
+
+fn quarantined(board: &CrashBoard) -> Vec<CrashCause> {
+    let quarantined = board.quarantined();
+    let mut causes: Vec<CrashCause> = quarantined.into_iter().map(|it| it.cause).collect();
+    causes.sort();
+    causes
+}
+
+#[test]
+fn a_node_that_saw_nothing_keeps_back_what_others_found() {
+    let start = Instant::now();
+    let (one, other, third) = (
+        CrashBoard::default(),
+        CrashBoard::default(),
+        CrashBoard::default(),
+    );
+    one.record_crash(&instance("i1"), &begun(&[part("deadly"), part("a")]), start);
+    let second = start + Duration::from_millis(700);
+    one.record_crash(&instance("i2"), &begun(&[part("deadly")]), second);
+    let third_at = start + Duration::from_millis(1_400);
+    other.record_crash(
+        &instance("i3"),
+        &begun(&[part("deadly"), part("b")]),
+        third_at,
+    );
+    let now = start + Duration::from_millis(1_500);
+    third.merge(&one.report(now), now);
+    assert_eq!(quarantined(&third), []);
+    third.merge(&other.report(now), now);
+    assert_eq!(quarantined(&third), [part("deadly")]);
+}
+
+#[test]
+fn a_success_anywhere_releases_a_cause_everywhere() {
+    let start = Instant::now();
+    let (one, other) = (CrashBoard::default(), CrashBoard::default());
+    for crash in 0..3 {
+        let at = start + Duration::from_millis(crash * 500);
+        one.record_crash(
+            &instance(&format!("i{crash}")),
+            &begun(&[part("shared")]),
+            at,
+        );
+    }
+    let now = start + Duration::from_secs(2);
+    other.merge(&one.report(now), now);
+    assert_eq!(quarantined(&other), [part("shared")]);
+    other.record_success(&[part("shared")], now + Duration::from_millis(100));
+    let later = now + Duration::from_millis(200);
+    one.merge(&other.report(later), later);
+    assert_eq!(quarantined(&one), []);
+}
+
+#[test]
+fn a_crash_that_several_nodes_report_is_one_crash() {
+    let start = Instant::now();
+    let boards = [(); 3].map(|()| CrashBoard::default());
+    for (number, board) in boards.iter().enumerate() {
+        let at = start + Duration::from_millis(number as u64 * 150);
+        board.record_crash(&instance("i1"), &begun(&[part("shared")]), at);
+    }
+    let now = start + Duration::from_secs(1);
+    boards[0].merge(&boards[1].report(now), now);
+    boards[0].merge(&boards[2].report(now), now);
+    assert_eq!(boards[0].report(now).crashes.len(), 1);
+    assert_eq!(quarantined(&boards[0]), []);
+}
+
+#[test]
+fn a_change_is_announced_once_and_repeated_news_are_not() {
+    let start = Instant::now();
+    let (one, other) = (CrashBoard::default(), CrashBoard::default());
+    one.record_crash(&instance("i1"), &waiting(&[part("a")]), start);
+    let mut changes = other.changes();
+    let now = start + Duration::from_millis(10);
+    other.merge(&one.report(now), now);
+    assert!(changes.has_changed().unwrap());
+    changes.mark_unchanged();
+    other.merge(&one.report(now), now);
+    one.merge(&other.report(now), now);
+    other.merge(&one.report(now), now);
+    assert!(!changes.has_changed().unwrap());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn boards_that_have_exchanged_everything_agree(
+        crashes in prop::collection::vec((0..3_usize, 0..6_usize, 0..5_usize, 0..10_u64), 0..20),
+        successes in prop::collection::vec((0..3_usize, 0..5_usize, 0..10_u64), 0..10),
+    ) {
+        let start = Instant::now();
+        let time = |step: u64| start + Duration::from_millis(step * 3_000);
+        let boards = [(); 3].map(|()| CrashBoard::default());
+        for (board, crashed, cause, step) in crashes {
+            let causes = [part(&format!("p{cause}"))];
+            boards[board].record_crash(&instance(&format!("i{crashed}")), &begun(&causes), time(step));
+        }
+        for (board, cause, step) in successes {
+            let at = time(step) + Duration::from_millis(500);
+            boards[board].record_success(&[part(&format!("p{cause}"))], at);
+        }
+        let now = time(20);
+        for _ in 0..2 {
+            for from in 0..3 {
+                for to in 0..3 {
+                    let report = boards[from].report(now);
+                    boards[to].merge(&report, now);
+                }
+            }
+        }
+        prop_assert_eq!(quarantined(&boards[0]), quarantined(&boards[1]));
+        prop_assert_eq!(quarantined(&boards[1]), quarantined(&boards[2]));
+    }
+}
--- a/tests/testsuite/native_crashes.rs
+++ b/tests/testsuite/native_crashes.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use cuminlb_test_support::wait_until;
-use http::StatusCode;
+use cuminlb_test_support::{HttpResponse, SiteError, wait_until};
+use http::{Method, StatusCode};
 use tokio::time::{Instant, sleep};
 
-use crate::native_site::{NativeSite, event_ids};
+use crate::native_site::{MODEL, NativeSite, STREAM_PATH, event_ids};
 
 /// The processing time of a plain request, on which no test here depends.
 const SHORT_WORK: Duration = Duration::from_millis(5);
@@ -55,3 +55,87 @@
     assert!((1..=4).contains(&refused), "{refused} refused connections");
     site.assert_no_violations();
 }
+
+/// The part of prompts that crashes engines.
+const DEADLY_PART: &str = "dead01";
+
+/// Requests a stream of three events for a prompt whose last part is of its own.
+async fn stream_of(
+    site: &NativeSite,
+    node: usize,
+    id: &str,
+    shared_parts: &str,
+) -> Result<HttpResponse, SiteError> {
+    let parts = format!("{shared_parts},{id}:100");
+    let headers = [
+        ("x-model", MODEL),
+        ("x-token-count", "1000,20"),
+        ("x-prompt-prefix", parts.as_str()),
+    ];
+    site.send(node, Method::POST, STREAM_PATH, id, &headers, "3")
+        .await
+}
+
+/// Returns whether a request for such a prompt is served.
+async fn is_served(site: &NativeSite, node: usize, id: &str, shared_parts: &str) -> bool {
+    let response = stream_of(site, node, id, shared_parts).await;
+    response.is_ok_and(|response| response.status == StatusCode::OK)
+}
+
+/// Sends requests with the deadly part to the first node until it is refused.
+async fn crash_until_refused(site: &NativeSite) {
+    for number in 0..20 {
+        let parts = format!("first:800,{DEADLY_PART}:200");
+        let response = stream_of(site, 0, &format!("a{number}"), &parts).await;
+        if response.is_ok_and(|response| response.text().contains("crash_suspected")) {
+            return;
+        }
+        sleep(Duration::from_millis(150)).await;
+    }
+    panic!("{} engines crashed", site.fleet.crashes.count());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_part_that_crashes_instances_is_kept_back_by_all_nodes() {
+    let site = NativeSite::start(3, 10, SHORT_WORK).await;
+    site.wait_serving().await;
+    site.wait_open_groups(3).await;
+    site.fleet.crashes.set_deadly_part(Some(DEADLY_PART));
+    assert!(is_served(&site, 0, "sound", "first:800").await);
+    crash_until_refused(&site).await;
+    sleep(Duration::from_millis(500)).await;
+    let crashes = site.fleet.crashes.count();
+    assert!(crashes <= 6, "{crashes} engines crashed");
+    for number in 0..12 {
+        let id = format!("b{number}");
+        let parts = format!("first:800,{DEADLY_PART}:200,other{number}:50");
+        let response = stream_of(&site, number % 3, &id, &parts).await.unwrap();
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.text().contains("not_run"), "{}", response.text());
+        assert_eq!(site.fleet.runs.workers_of(&id), [] as [String; 0]);
+    }
+    assert_eq!(site.fleet.crashes.count(), crashes);
+    wait_until(
+        "requests that share the first part are served",
+        async || is_served(&site, 1, "sound-again", "first:800").await,
+    )
+    .await
+    .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_part_that_no_longer_crashes_instances_is_served_again() {
+    let site = NativeSite::start(2, 8, SHORT_WORK).await;
+    site.wait_serving().await;
+    site.fleet.crashes.set_deadly_part(Some(DEADLY_PART));
+    crash_until_refused(&site).await;
+    site.fleet.crashes.set_deadly_part(None);
+    let parts = format!("first:800,{DEADLY_PART}:200");
+    for node in [0, 1] {
+        wait_until("requests with the part are served", async || {
+            is_served(&site, node, "after", &parts).await
+        })
+        .await
+        .unwrap();
+    }
+}
