Quarantine plain requests that crash instances too

Callers saw: a plain request that crashes what runs it was tried twice at each node, for as long as it came, and each try took an instance of a small service away for seconds. Cause: the same as with prompts: no memory beyond one request. Change: the check after a lost connection is one for all instances (`instance_checks`): a head must hold its seat, another instance must accept a connection, which is kept for use. What it was running is recorded, any proved answer clears it, and a quarantined request is refused or not tried again.

--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::{Suspicions, current_leader};
 use crate::metrics::{GatewayMetrics, RequestLabels};
-use crate::serving::{GroupChecks, HeadChecks, LoadTracker, RetryBudgets};
+use crate::serving::{GroupChecks, InstanceChecks, LoadTracker, RetryBudgets};
 use crate::upstream::ConnectionPool;
 
 /// The state that the tasks of a node share.
@@ -32,7 +32,7 @@
     pub(crate) peers: Arc<PeerLinks>,
     pub(crate) suspicions: Suspicions,
     pub(crate) group_checks: GroupChecks,
-    pub(crate) head_checks: HeadChecks,
+    pub(crate) instance_checks: InstanceChecks,
     pub(crate) loads: LoadTracker,
     /// The load of the other nodes.
     pub(crate) load_board: LoadBoard,
@@ -76,7 +76,7 @@
             peers,
             suspicions: Suspicions::default(),
             group_checks: GroupChecks::default(),
-            head_checks: HeadChecks::default(),
+            instance_checks: InstanceChecks::default(),
             loads: LoadTracker::default(),
             load_board: LoadBoard::default(),
             crash_board: CrashBoard::default(),
--- a/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
+++ b/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
@@ -23,8 +23,8 @@
     pub(crate) stream_moves: Counter,
     /// Group heads that fell silent.
     pub(crate) suspicions: Counter,
-    /// Group heads that were found lost after a connection to them broke.
-    pub(crate) heads_lost: Counter,
+    /// Instances that were found to have crashed after a connection to them broke.
+    pub(crate) crashes: Counter,
     /// Requests that were not sent because they contain what crashes instances.
     pub(crate) quarantine_refusals: Counter,
     /// What is quarantined because it crashes instances.
@@ -79,7 +79,7 @@
             retries_denied: Counter::default(),
             stream_moves: Counter::default(),
             suspicions: Counter::default(),
-            heads_lost: Counter::default(),
+            crashes: Counter::default(),
             quarantine_refusals: Counter::default(),
             quarantined_causes: Gauge::default(),
             connections: Counter::default(),
@@ -122,9 +122,9 @@
             self.suspicions.clone(),
         );
         registry.register(
-            "heads_lost",
-            "Group heads found lost after a connection broke",
-            self.heads_lost.clone(),
+            "instance_crashes",
+            "Instances found to have crashed after a connection broke",
+            self.crashes.clone(),
         );
         registry.register(
             "quarantine_refusals",
--- a/crates/cuminlb-gateway/src/serving/head_checks.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_checks.rs
@@ -1,4 +1,4 @@
-//! Checks whether the head of a group has crashed, after a connection to it was lost.
+//! Checks whether an instance has crashed, after a connection to it was lost.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,10 +15,10 @@
 use super::target::Target;
 use crate::gateway::Gateway;
 
-/// The heads that are being checked, so that the requests which a crash breaks off at the same time
-/// lead to one probe.
+/// The instances that are being checked, so that the requests which a crash breaks off at the same time
+/// lead to one check.
 #[derive(Debug, Default)]
-pub(crate) struct HeadChecks {
+pub(crate) struct InstanceChecks {
     running: Mutex<HashMap<(InstanceId, Epoch), RunningCheck>>,
 }
 
@@ -27,7 +27,7 @@
 struct RunningCheck {
     /// When the first connection was lost.
     lost_at: Instant,
-    /// What the head was running, as far as this node knows.
+    /// What the instance was running, as far as this node knows.
     candidates: CrashCandidates,
 }
 
@@ -49,28 +49,25 @@
     }
 }
 
-impl HeadChecks {
+impl InstanceChecks {
     fn running(&self) -> MutexGuard<'_, HashMap<(InstanceId, Epoch), RunningCheck>> {
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Gateway {
-    /// Checks the head of a group after a connection to it was lost. A single connection may break,
-    /// but a process that has crashed forgets its group: such a head gets no more requests, and the
-    /// leader is notified, long before its entry is gone. What the head was running is recorded as
-    /// possible causes of the crash.
-    pub(super) fn check_head(
+    /// Checks an instance after a connection to it was lost. A single connection may break, but a
+    /// process that has crashed refuses connections, or has forgotten its group: it gets no more
+    /// requests long before its entry is gone, and the leader is notified if it was the head of a group.
+    /// What it was running is recorded as possible causes of the crash.
+    pub(super) fn check_instance(
         self: &Arc<Self>,
         request: &AdmittedRequest,
         target: &Target,
         stage: RequestStage,
     ) {
-        let Some((group, epoch)) = target.group.clone() else {
-            return;
-        };
-        let key = (target.instance.clone(), epoch);
-        let mut running = self.head_checks.running();
+        let key = (target.instance.clone(), target.epoch());
+        let mut running = self.instance_checks.running();
         let is_running = running.contains_key(&key);
         let check = running
             .entry(key.clone())
@@ -80,54 +77,72 @@
         if is_running {
             return;
         }
-        let notice = SuspicionNotice {
-            node: self.settings.id.clone(),
-            head: target.instance.clone(),
-            group,
-            epoch,
-            silent_ms: Millis(0),
-        };
         info!(
-            request:% = request.head.id, instance:% = notice.head, group:% = notice.group,
-            epoch:% = epoch;
-            "connection to a head lost"
+            request:% = request.head.id, instance:% = target.instance, epoch:% = target.epoch();
+            "connection to an instance lost"
         );
         let gateway = Arc::clone(self);
+        let target = target.clone();
         self.background_tasks.spawn(async move {
-            let is_alive = gateway.holds_group(&notice).await;
-            let check = gateway.head_checks.running().remove(&key);
+            let is_alive = gateway.is_alive(&target).await;
+            let check = gateway.instance_checks.running().remove(&key);
             if let Some(check) = check.filter(|_| !is_alive) {
-                gateway.handle_lost_head(notice, check).await;
+                gateway.handle_crash(&target, check).await;
             }
         });
     }
 
-    async fn handle_lost_head(&self, notice: SuspicionNotice, check: RunningCheck) {
-        self.metrics.heads_lost.inc();
-        let suspects = check.candidates.suspects();
-        info!(
-            instance:% = notice.head, group:% = notice.group, epoch:% = notice.epoch,
-            suspects = suspects.len();
-            "head lost"
-        );
-        let load = self.loads.load(&notice.head);
-        load.record_group_health(notice.epoch, GroupHealth::HeadLost, Instant::now());
+    /// Returns whether an instance accepts connections and, if it is the head of a group, still holds
+    /// its seat.
+    async fn is_alive(&self, target: &Target) -> bool {
+        let Some((group, epoch)) = &target.group else {
+            return self.accepts_connections(target).await;
+        };
+        let directory = self.knowledge.directory();
+        let Some(head) = directory.find_instance(&target.instance) else {
+            return false;
+        };
+        let report = probe_member(self, head).await;
+        report.is_some_and(|report| holds_seat(&report, group, *epoch))
+    }
+
+    /// Opens a connection, which later requests can use.
+    async fn accepts_connections(&self, target: &Target) -> bool {
+        let connection = self.pool.connect_new(target.address).await;
+        let is_open = connection.is_ok();
+        if let Ok(connection) = connection {
+            self.pool.release(connection, None);
+        }
+        is_open
+    }
+
+    async fn handle_crash(&self, target: &Target, check: RunningCheck) {
+        self.metrics.crashes.inc();
         let RunningCheck {
             lost_at,
             candidates,
         } = check;
+        info!(
+            instance:% = target.instance, epoch:% = target.epoch(),
+            suspects = candidates.suspects().len();
+            "instance has crashed"
+        );
         self.crash_board
-            .record_crash(&notice.head, &candidates, lost_at);
-        self.notify_leader(notice).await;
-    }
-
-    /// Returns whether the head responds and still holds its seat in the group.
-    async fn holds_group(&self, notice: &SuspicionNotice) -> bool {
-        let directory = self.knowledge.directory();
-        let Some(head) = directory.find_instance(&notice.head) else {
-            return false;
+            .record_crash(&target.instance, &candidates, lost_at);
+        let load = self.loads.load(&target.instance);
+        let now = Instant::now();
+        let Some((group, epoch)) = target.group.clone() else {
+            load.suspect(target.epoch(), now);
+            return;
         };
-        let report = probe_member(self, head).await;
-        report.is_some_and(|report| holds_seat(&report, &notice.group, notice.epoch))
+        load.record_group_health(epoch, GroupHealth::HeadLost, now);
+        let notice = SuspicionNotice {
+            node: self.settings.id.clone(),
+            head: target.instance.clone(),
+            group,
+            epoch,
+            silent_ms: now.duration_since(lost_at).into(),
+        };
+        self.notify_leader(notice).await;
     }
 }
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -13,8 +13,8 @@
 mod crash_causes;
 mod group_checks;
 mod handle_request;
-mod head_checks;
 mod in_flight_guard;
+mod instance_checks;
 mod instance_load;
 mod load_tracker;
 mod open_stream;
@@ -39,7 +39,7 @@
 mod target;
 
 pub(crate) use self::group_checks::GroupChecks;
-pub(crate) use self::head_checks::HeadChecks;
+pub(crate) use self::instance_checks::InstanceChecks;
 pub(crate) use self::load_tracker::LoadTracker;
 pub(crate) use self::retry_budgets::RetryBudgets;
 pub(crate) use self::serve_callers::serve_callers;
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -1,5 +1,6 @@
 //! Runs a request whose response is not a stream, with retries on other instances.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminlb_catalog::RouteKind;
@@ -28,9 +29,10 @@
 
 /// Runs a request whose response is not a stream.
 pub(super) async fn run_plain(
-    gateway: &Gateway,
-    request: AdmittedRequest,
+    gateway: &Arc<Gateway>,
+    mut request: AdmittedRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    gateway.allow_or_refuse(&mut request)?;
     let may_retry = request.route.kind == RouteKind::Idempotent;
     let deadline = request.deadline - TIMEOUT_RESPONSE_MARGIN;
     let mut tried: Vec<InstanceId> = Vec::new();
@@ -46,6 +48,9 @@
         let Some(target) = choose_target(gateway, &request, &tried) else {
             break;
         };
+        if runs > 0 && gateway.is_quarantined(&request) {
+            break;
+        }
         if has_reached_instance && !gateway.acquire_retry(&request.service) {
             break;
         }
@@ -73,10 +78,15 @@
                 .map_or_else(ToSmolStr::to_smolstr, |(head, _)| head.status.to_smolstr());
             "request sent"
         );
+        let failure = outcome.as_ref().err();
+        if let Some(stage) = failure.and_then(AttemptFailure::stage_of_lost_connection) {
+            gateway.check_instance(&request, &target, stage);
+        }
         tried.push(target.instance);
         match outcome {
             Ok((head, response)) => {
                 has_reached_instance = true;
+                gateway.record_success(&request);
                 let should_retry = head.status >= 500 && may_retry && !is_last_attempt;
                 if !should_retry {
                     return Ok(response);
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -85,7 +85,7 @@
             self.runs += 1;
         }
         if let Some(stage) = failure.and_then(AttemptFailure::stage_of_lost_connection) {
-            gateway.check_head(request, &target, stage);
+            gateway.check_instance(request, &target, stage);
         }
         let outcome = match &open_result {
             Ok(OpenedResponse::Stream(..)) => "stream".into(),
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -126,7 +126,7 @@
                 StreamUpdate::Broken(reason) => {
                     let stage = source.stage();
                     self.gateway
-                        .check_head(&self.request, &source.target, stage);
+                        .check_instance(&self.request, &source.target, stage);
                     self.source = None;
                     if !self.fail_over(&reason).await {
                         return Some(Err(self.abort(reason)));
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -55,9 +55,14 @@
 
     /// Returns an idle connection, or opens a new one.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
-        if let Some(connection) = self.take_idle(address) {
-            return Ok(connection);
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => self.connect_new(address).await,
         }
+    }
+
+    /// Opens a new connection, which shows that an instance accepts some.
+    pub(crate) async fn connect_new(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
         let opened = timeout(CONNECT_TIMEOUT, self.open(address)).await;
         let opened = opened.unwrap_or_else(|_elapsed| Err("timed out while connecting".into()));
         opened.map_err(|reason| {
--- a/crates/cuminlb-routing/src/crashes/crash_board.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_board.rs
@@ -21,7 +21,7 @@
 const MAX_CRASHES: usize = 48;
 
 /// Crashes of one instance within this time are one crash that several nodes report.
-const SAME_CRASH_WINDOW: Duration = Duration::from_millis(2_000);
+const SAME_CRASH_WINDOW: Duration = Duration::from_millis(1_000);
 
 /// The maximum number of causes whose last success is kept.
 const MAX_SUCCESSES: usize = 8_192;
--- a/tests/testsuite/native_crashes.rs
+++ b/tests/testsuite/native_crashes.rs
@@ -6,7 +6,7 @@
 use http::{Method, StatusCode};
 use tokio::time::{Instant, sleep};
 
-use crate::native_site::{MODEL, NativeSite, STREAM_PATH, event_ids};
+use crate::native_site::{LOOKUP_PATH, MODEL, NativeSite, STREAM_PATH, event_ids};
 
 /// The processing time of a plain request, on which no test here depends.
 const SHORT_WORK: Duration = Duration::from_millis(5);
@@ -139,3 +139,32 @@
         .unwrap();
     }
 }
+
+/// Two workers and two tries: until the third crash and three seconds longer a request may crash both
+/// of them four times, and later in three tries.
+const MAX_PLAIN_CRASHES: usize = 11;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_request_that_crashes_instances_is_kept_back_by_all_nodes() {
+    let site = NativeSite::start(3, 2, SHORT_WORK).await;
+    site.wait_serving().await;
+    let deadly_path = format!("{LOOKUP_PATH}bad");
+    let sound_path = format!("{LOOKUP_PATH}good");
+    site.fleet.crashes.set_deadly_path(Some(&deadly_path));
+    for number in 0..10 {
+        let node = number % 3;
+        let id = format!("d{number}");
+        let response = site.send(node, Method::GET, &deadly_path, &id, &[], "");
+        assert!(!response.await.unwrap().status.is_success());
+        // The workers are back after a second.
+        sleep(Duration::from_millis(1_300)).await;
+        let id = format!("s{number}");
+        let response = site.send(node, Method::GET, &sound_path, &id, &[], "");
+        assert_eq!(response.await.unwrap().status, StatusCode::OK);
+    }
+    let crashes = site.fleet.crashes.count();
+    assert!(
+        (3..=MAX_PLAIN_CRASHES).contains(&crashes),
+        "{crashes} workers crashed"
+    );
+}
