End a stream at its deadline although the caller does not read

An instance that sends events without end kept its request beyond the deadline for as long as the caller was slower than the instance. Cause: the deadline was looked at only when the caller's connection asked for more. A caller that reads slowly, or not at all, stops that, and an instance that always has bytes ready leaves the timer no turn. Class: a limit that is checked only where something else makes progress. Change: a stream's connection has a deadline of its own, which closes it whatever is read; the relay looks at the deadline before each event.

--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -115,6 +115,7 @@
             head,
             in_flight,
             body,
+            deadline: connection.close_at(request.deadline),
             connection,
             decoder: EventDecoder::default(),
             last_seen_at: sent_at,
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -16,7 +16,7 @@
 use super::silence_watch::{Silence, SilenceWatch};
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::upstream::Connection;
+use crate::upstream::{Connection, ConnectionDeadline};
 
 /// How often a stream that receives nothing checks the silence of its instance.
 const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(30);
@@ -41,6 +41,8 @@
     pub(super) in_flight: InFlightGuard,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
+    /// Ends the stream at the deadline of the request, even if the caller does not read.
+    pub(super) deadline: ConnectionDeadline,
     pub(super) decoder: EventDecoder,
     /// When something was last received, or when the request was sent.
     pub(super) last_seen_at: Instant,
@@ -72,6 +74,10 @@
     /// Waits for the next update.
     pub(super) async fn next(&mut self, request: &AdmittedRequest) -> StreamUpdate {
         loop {
+            // An instance that sends without pause would never let the deadline below have its turn.
+            if Instant::now() >= request.deadline {
+                return StreamUpdate::TimedOut;
+            }
             match self.decoder.next_event() {
                 Ok(Some(event)) => {
                     self.event_count += 1;
@@ -128,6 +134,7 @@
 
     /// Returns the connection to the pool if the stream has ended.
     pub(super) fn release_connection(self, gateway: &Gateway) {
+        drop(self.deadline);
         if self.has_ended && !self.head.closes {
             gateway
                 .pool
--- a/crates/cuminlb-gateway/src/upstream/connection.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection.rs
@@ -8,17 +8,34 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use smol_str::ToSmolStr;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::task::TaskTracker;
 
-use super::SendFailure;
+use super::{ConnectionDeadline, SendFailure};
 
 /// A connection to an instance without a request in flight.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(super) address: SocketAddr,
     pub(super) sender: SendRequest<Full<Bytes>>,
+    /// The task that reads and writes, and the tracker that it belongs to.
+    pub(super) driver: AbortHandle,
+    pub(super) tasks: TaskTracker,
 }
 
 impl Connection {
+    /// Closes the connection at a time, whatever is received by then, unless the result is dropped
+    /// before.
+    pub(crate) fn close_at(&self, deadline: Instant) -> ConnectionDeadline {
+        let driver = self.driver.clone();
+        let timer = self.tasks.spawn(async move {
+            sleep_until(deadline).await;
+            driver.abort();
+        });
+        ConnectionDeadline::new(timer.abort_handle())
+    }
+
     /// Sends a request and returns the head of the response.
     ///
     /// Dropping the response before its end closes the connection, which tells the instance that
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -123,12 +123,17 @@
             .await
             .map_err(|error| error.to_smolstr())?;
         self.opened.inc();
-        self.tasks.spawn(async move {
+        let driver = self.tasks.spawn(async move {
             if let Err(error) = driver.await {
                 debug!(address:% = address; "connection to an instance failed: {error}");
             }
         });
         sender.ready().await.map_err(|error| error.to_smolstr())?;
-        Ok(Connection { address, sender })
+        Ok(Connection {
+            address,
+            sender,
+            driver: driver.abort_handle(),
+            tasks: self.tasks.clone(),
+        })
     }
 }
