Notice a second silent relay at once

Callers saw: a confirmed change in force at the margin of its bound or later, at nodes whose relay and the next one in its zone had both fallen silent, as machines that freeze do (CONFIG, late). Cause: a follower gave each relay the time to wait for a change, 0.4 s, before its timeout of 0.4 s began, also one from which it had never heard. Two silent relays took 1.6 s and the connection to the second one 0.4 s more, of 2 s. Change: the first call to a relay asks for an answer at once. How recent the answer is counts from the second call on, when the relay had time to read the store.

--- a/crates/cuminlb-replica/src/follow_relay.rs
+++ b/crates/cuminlb-replica/src/follow_relay.rs
@@ -26,6 +26,7 @@
 /// Decides whom this node follows, and follows a relay while it is to.
 pub(crate) async fn follow_relay(follower: &Follower) {
     let started_at = Instant::now();
+    let mut responding: Option<NodeId> = None;
     loop {
         let origin = choose_origin(follower, started_at);
         follower.origin.send_if_modified(|known| {
@@ -38,7 +39,18 @@
         });
         match origin {
             RowOrigin::Relay(node) => match follower.peers.link(&node, RelayLane::News) {
-                Some(link) => follow_once(follower, node, link).await,
+                Some(link) => {
+                    // A node that has not responded yet may be silent too: it is not given the time
+                    // to wait for a change.
+                    let is_proved = responding.as_ref() == Some(&node);
+                    let wait_ms = if is_proved {
+                        follower.timing.peer_wait_ms
+                    } else {
+                        Millis(0)
+                    };
+                    let has_responded = follow_once(follower, &node, link, wait_ms).await;
+                    responding = has_responded.then_some(node);
+                }
                 None => sleep(ORIGIN_CHECK_PERIOD).await,
             },
             RowOrigin::Undecided | RowOrigin::Store if follower.replica.has_failed_table() => {
@@ -66,27 +78,38 @@
     RowOrigin::choose(&membership, &ranking, &failed_peers, now)
 }
 
-/// Waits for changes from a relay.
-async fn follow_once(follower: &Follower, node: NodeId, link: Arc<dyn RelayPeer>) {
+/// Waits for changes from a relay; returns whether it responded. How recent its rows are counts only if
+/// it had time to wait for newer ones.
+async fn follow_once(
+    follower: &Follower,
+    node: &NodeId,
+    link: Arc<dyn RelayPeer>,
+    wait_ms: Millis,
+) -> bool {
     let cursors = follower.replica.cursors();
-    let wait_ms = follower.timing.peer_wait_ms;
     match link.await_update(cursors, wait_ms).await {
         Ok(update) => {
             let age_ms = oldest_age(&update);
-            let has_rows = apply(follower, &node, update);
+            let has_rows = apply(follower, node, update);
             if age_ms <= follower.timing.max_peer_age_ms {
-                follower.failed_peers().record_success(&node);
-            } else {
+                follower.failed_peers().record_success(node);
+            } else if wait_ms > Millis(0) {
                 info!(node:% = node, heard_ms = age_ms.get(); "the peer's news are too old");
-                follower.failed_peers().record_failure(node, Instant::now());
+                follower
+                    .failed_peers()
+                    .record_failure(node.clone(), Instant::now());
             }
             if has_rows {
                 sleep(follower.timing.batch_delay).await;
             }
+            true
         }
         Err(error) => {
             warn!(node:% = node; "peer lost: {error}");
-            follower.failed_peers().record_failure(node, Instant::now());
+            follower
+                .failed_peers()
+                .record_failure(node.clone(), Instant::now());
+            false
         }
     }
 }
--- a/crates/cuminlb-replica/tests/replica/restarts.rs
+++ b/crates/cuminlb-replica/tests/replica/restarts.rs
@@ -122,6 +122,34 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_change_arrives_in_time_while_the_two_best_relays_of_every_zone_are_paused() {
+    for seed in 0..4 {
+        let fleet = SimulatedFleet::start(NODES, 0, BOUND_MS).await;
+        let (first, start) = put_catalog(&fleet, seed).await;
+        slowest(&fleet, first, start).await;
+        sleep(Duration::from_millis(2_000 + seed * 130)).await;
+        let paused = fleet.best_relays(2);
+        for node in &paused {
+            fleet.set_paused(node, true);
+        }
+        let (version, start) = put_catalog(&fleet, seed + 10).await;
+        sleep(BOUND_MS.duration()).await;
+        let late: Vec<&NodeId> = fleet
+            .nodes
+            .iter()
+            .filter(|(id, _)| !paused.contains(id))
+            .filter(|(_, node)| {
+                let sink = &node.process().sink;
+                let arrival = sink.arrival(StoreTable::Desired, &key("config"), version);
+                arrival.is_none_or(|at| at.duration_since(start) > BOUND_MS.duration())
+            })
+            .map(|(id, _)| id)
+            .collect();
+        assert!(late.is_empty(), "seed {seed}: {late:?}");
+    }
+}
+
 /// Drains, zones that are out, and rows of nodes travel as small rows, beside a large value.
 #[tokio::test(start_paused = true)]
 async fn small_rows_of_every_table_arrive_in_time_while_relays_restart() {
--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -7,7 +7,7 @@
 
 use cuminlb_catalog::StoreTable;
 use cuminlb_peer::RelayPeer;
-use cuminlb_replica::{Membership, NodeCapacity, NodeRow, RelayLane, RelayPeers};
+use cuminlb_replica::{Membership, NodeCapacity, NodeRow, RelayLane, RelayPeers, RelayRanking};
 use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -155,6 +155,25 @@
         }
     }
 
+    /// Returns the first nodes of each zone in the order in which they serve as relays.
+    pub fn best_relays(&self, count: usize) -> Vec<NodeId> {
+        let mut ranking = RelayRanking::default();
+        let own_id = node_id(0);
+        ranking.update(&Membership {
+            zone: self.listed[&own_id].zone.clone(),
+            own_id,
+            leader: None,
+            nodes: Arc::clone(&self.listed),
+        });
+        let mut best: Vec<NodeId> = Vec::new();
+        for _ in 0..count {
+            let next = ranking.relays(|node| best.contains(node)).cloned();
+            let next: Vec<NodeId> = next.collect();
+            best.extend(next);
+        }
+        best
+    }
+
     /// Returns the nodes that follow the store.
     pub fn store_followers(&self) -> Vec<NodeId> {
         let running = self.running();
