Take a broken connection to an engine for no answer, not for a crash

Callers saw: possibly a request that was quarantined, or a batch suspected, after a crash that was none. Cause: every error of a call to an engine but its own timeout counted as unreachable, also a connection that broke after the request was sent, and a connect timeout. Unreachable is read as a refused connection: the quarantine counts it as a crash, and the monitor of a group as a member that is gone. Change: unreachable is only that no connection could be opened, for another reason than a timeout; all else is no answer.

--- a/crates/cuminlb-upstream/src/http_engine_control.rs
+++ b/crates/cuminlb-upstream/src/http_engine_control.rs
@@ -1,5 +1,7 @@
 //! The implementation of [`EngineControl`] over HTTP.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
@@ -58,8 +60,13 @@
             })?;
         let exchange = async {
             let response = self.client.request(request).await;
-            let response = response.map_err(|error| OrderError::Unreachable {
-                reason: error.to_smolstr(),
+            let response = response.map_err(|error| {
+                if is_connection_refused(&error) {
+                    let reason = error.to_smolstr();
+                    OrderError::Unreachable { reason }
+                } else {
+                    no_response()
+                }
             })?;
             let status = response.status();
             let body = Limited::new(response.into_body(), MAX_RESPONSE_LEN_BYTES);
@@ -102,3 +109,16 @@
             .await
     }
 }
+
+/// Returns whether no connection could be opened, for another reason than a timeout. Only this shows
+/// that the process is gone; a connection that breaks later may have transmitted the request.
+fn is_connection_refused(error: &hyper_util::client::legacy::Error) -> bool {
+    let mut source = error.source();
+    while let Some(inner) = source {
+        if let Some(io) = inner.downcast_ref::<io::Error>() {
+            return error.is_connect() && io.kind() != io::ErrorKind::TimedOut;
+        }
+        source = inner.source();
+    }
+    error.is_connect()
+}
--- a/crates/cuminlb-upstream/src/order/order_error.rs
+++ b/crates/cuminlb-upstream/src/order/order_error.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum OrderError {
-    /// The call to the instance failed before a response was received.
+    /// No connection to the instance could be opened, so nothing was sent.
     #[error("the instance is unreachable: {reason}")]
     Unreachable {
         /// The error of the connection.
