Ask a silent leader again before a crash is denied

Change: a call without an answer is repeated, twice at most; only a refused connection or a leader without its group counts as a crash. The test prints what the nodes logged about crashes.

--- a/src/cuminlb/serving/request_quarantine.rs
+++ b/src/cuminlb/serving/request_quarantine.rs
@@ -15,6 +15,9 @@
 use super::suspect_isolation::SuspectIsolation;
 use crate::node::Node;
 
+/// The maximum number of calls by which a node finds out whether the leader of a group has crashed.
+const MAX_REPORT_CALLS: u32 = 3;
+
 /// Whether one request is suspected of crashing the groups that run it, or is quarantined for
 /// that.
 pub(super) struct RequestQuarantine {
@@ -111,11 +114,19 @@
     }
 
     /// Returns whether the leader can't be reached, or has lost its group because it restarted.
+    ///
+    /// A call that gets no response may have used a connection from before the crash, so it is
+    /// repeated.
     async fn has_crashed(&self, slot: &HeldSlot) -> bool {
-        match self.node.engines.report(slot.leader).await {
-            Ok(report) => self.is_model && report.membership.is_none(),
-            Err(error) => matches!(error, OrderError::Unreachable { .. }),
+        for _ in 0..MAX_REPORT_CALLS {
+            match self.node.engines.report(slot.leader).await {
+                Ok(report) => return self.is_model && report.membership.is_none(),
+                Err(OrderError::Unreachable { .. }) => return true,
+                Err(OrderError::NoResponse { .. }) => {}
+                Err(_) => return false,
+            }
         }
+        false
     }
 
     /// Notifies the peers before the caller can retry the request at one of them.
--- a/tests/testsuite/quarantine.rs
+++ b/tests/testsuite/quarantine.rs
@@ -53,6 +53,16 @@
         .count()
 }
 
+/// Returns what the nodes logged about crashes.
+fn crash_lines(site: &Site) -> Vec<String> {
+    let logs = site.nodes.iter().map(|node| node.process.log());
+    let lines: Vec<String> = logs
+        .flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>())
+        .collect();
+    let is_about_crashes = |line: &String| line.contains("crashed") || line.contains("went");
+    lines.into_iter().filter(is_about_crashes).collect()
+}
+
 fn code(response: &HttpResponse) -> String {
     response.json()["error"]["code"]
         .as_str()
@@ -92,7 +102,8 @@
     assert_eq!(
         crashed_engines(&mut site),
         2,
-        "the request must crash two groups and not reach a third"
+        "the request must crash two groups and not reach a third; {:#?}",
+        crash_lines(&site)
     );
     site.shut_down().await;
 }
