Tell the crashes of heads apart by their epoch

Cause: crashes were told apart by instance and time. A node that was paused takes a crash to be younger than it is, since its clock stood still, so that its report counted as another crash of the same head. Change: a head crashes once in an epoch, whatever its age; only instances without a group are told apart by time. The condition under which a request is kept back reads straight down in run_stream. Evidence: a_crash_that_a_node_reports_after_a_pause_is_still_the_same_crash found two crashes without the epoch, and passes now.

--- a/crates/cuminlb-gateway/src/serving/check_instance.rs
+++ b/crates/cuminlb-gateway/src/serving/check_instance.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cuminlb_peer::{GroupHealth, SuspicionNotice};
+use cuminlb_routing::CrashRecord;
 use log::info;
 use tokio::time::Instant;
 
@@ -85,8 +86,12 @@
             suspects = candidates.suspects().len();
             "instance has crashed"
         );
-        self.crash_board
-            .record_crash(&target.instance, &candidates, lost_at);
+        self.crash_board.record_crash(CrashRecord {
+            instance: target.instance.clone(),
+            epoch: target.epoch(),
+            at: lost_at,
+            candidates,
+        });
         let load = self.loads.load(&target.instance);
         let now = Instant::now();
         let Some((group, epoch)) = target.group.clone() else {
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -34,12 +34,14 @@
         StreamAttempts::new(request.route.max_attempts, request.route.kind.may_retry());
     let mut reason: SmolStr = "no group is serving".into();
     while let Some(target) = wait_for_target(gateway, &request, &attempts).await {
-        let is_kept_back = gateway.is_quarantined(&request) && !request.is_probe;
-        if is_kept_back && !attempts.may_have_run() {
-            gateway.allow_or_refuse(&mut request)?;
-        } else if attempts.may_have_run() && gateway.is_quarantined(&request) {
-            reason = "instances crashed while they responded to it".into();
-            break;
+        if gateway.is_quarantined(&request) {
+            if attempts.may_have_run() {
+                reason = "instances crashed while they responded to it".into();
+                break;
+            }
+            if !request.is_probe {
+                gateway.allow_or_refuse(&mut request)?;
+            }
         }
         if attempts.has_reached_instance() && !gateway.acquire_retry(&request.service) {
             reason = "retry budget exhausted".into();
--- a/crates/cuminlb-routing/src/crashes/crash_board.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_board.rs
@@ -10,8 +10,8 @@
 
 use super::crash_state::CrashState;
 use super::{
-    CauseReport, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
-    ProbeSchedule, QuarantinedCause, ReportedCrash,
+    CauseReport, CrashCause, CrashRecord, CrashReport, CrashVerdict, ProbeSchedule,
+    QuarantinedCause, ReportedCrash,
 };
 
 /// How long a crash counts.
@@ -38,13 +38,13 @@
 }
 
 impl CrashBoard {
-    /// Records that an instance crashed at a time, and what may have caused it.
-    pub fn record_crash(&self, instance: &InstanceId, candidates: &CrashCandidates, at: Instant) {
-        if candidates.is_empty() {
+    /// Records that an instance crashed, and what may have caused it.
+    pub fn record_crash(&self, crash: CrashRecord) {
+        if crash.candidates.is_empty() {
             return;
         }
         let mut state = self.state();
-        if state.add_crash(instance, candidates, at) {
+        if state.add_crash(crash) {
             state.conclude();
             self.notify(state);
         }
@@ -120,6 +120,7 @@
         let age_ms = |at: Instant| Millis::from(now.duration_since(at));
         let crashes = state.records.iter().map(|record| ReportedCrash {
             instance: record.instance.clone(),
+            epoch: record.epoch,
             age_ms: age_ms(record.at),
             candidates: record.candidates.clone(),
         });
@@ -145,7 +146,12 @@
         let time = |age_ms: Millis| now.checked_sub(age_ms.duration());
         for crash in &report.crashes {
             if let Some(at) = time(crash.age_ms) {
-                is_news |= state.add_crash(&crash.instance, &crash.candidates, at);
+                is_news |= state.add_crash(CrashRecord {
+                    instance: crash.instance.clone(),
+                    epoch: crash.epoch,
+                    at,
+                    candidates: crash.candidates.clone(),
+                });
             }
         }
         for CauseReport {
--- a/crates/cuminlb-routing/src/crashes/crash_record.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_record.rs
@@ -10,6 +10,8 @@
 pub struct CrashRecord {
     /// The instance.
     pub instance: InstanceId,
+    /// The epoch of the group of which it was the head; zero if it served without a group.
+    pub epoch: Epoch,
     /// When the first node lost its connection.
     pub at: Instant,
     /// What may have caused it.
--- a/crates/cuminlb-routing/src/crashes/crash_state.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_state.rs
@@ -7,12 +7,15 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::{CrashCandidates, CrashCause, CrashRecord, QuarantinedCause, attribute_crashes};
+use super::{CrashCause, CrashRecord, QuarantinedCause, attribute_crashes};
 
 /// The maximum number of crashes that are kept; the oldest are removed first.
 const MAX_CRASHES: usize = 48;
 
-/// Crashes of one instance within this time are one crash that several nodes report.
+/// The epoch of an instance that serves without a group.
+const NO_GROUP: Epoch = Epoch(0);
+
+/// Crashes of an instance without a group within this time are one crash that several nodes report.
 const SAME_CRASH_WINDOW: Duration = Duration::from_millis(1_000);
 
 /// The maximum number of causes whose last success is kept.
@@ -31,25 +34,13 @@
 
 impl CrashState {
     /// Adds a crash, or the candidates of another node to a known one; returns whether that is news.
-    pub(super) fn add_crash(
-        &mut self,
-        instance: &InstanceId,
-        candidates: &CrashCandidates,
-        at: Instant,
-    ) -> bool {
-        let is_same = |record: &&mut CrashRecord| {
-            let distance = at.max(record.at).duration_since(at.min(record.at));
-            record.instance == *instance && distance < SAME_CRASH_WINDOW
-        };
-        if let Some(record) = self.records.iter_mut().find(is_same) {
-            record.at = record.at.min(at);
-            return record.candidates.merge(candidates);
+    pub(super) fn add_crash(&mut self, crash: CrashRecord) -> bool {
+        let is_same = |known: &&mut CrashRecord| is_same_crash(known, &crash);
+        if let Some(known) = self.records.iter_mut().find(is_same) {
+            known.at = known.at.min(crash.at);
+            return known.candidates.merge(&crash.candidates);
         }
-        self.records.push(CrashRecord {
-            instance: instance.clone(),
-            at,
-            candidates: candidates.clone(),
-        });
+        self.records.push(crash);
         self.records.sort_by_key(|record| record.at);
         let excess = self.records.len().saturating_sub(MAX_CRASHES);
         self.records.drain(..excess);
@@ -97,3 +88,13 @@
         }
     }
 }
+
+/// Returns whether two reports are about one crash. A head crashes once in an epoch, however old a node
+/// that was paused meanwhile takes the crash to be.
+fn is_same_crash(one: &CrashRecord, other: &CrashRecord) -> bool {
+    if one.instance != other.instance || one.epoch != other.epoch {
+        return false;
+    }
+    let distance = one.at.max(other.at).duration_since(one.at.min(other.at));
+    one.epoch != NO_GROUP || distance < SAME_CRASH_WINDOW
+}
--- a/crates/cuminlb-routing/src/crashes/reported_crash.rs
+++ b/crates/cuminlb-routing/src/crashes/reported_crash.rs
@@ -11,6 +11,8 @@
 pub struct ReportedCrash {
     /// The instance.
     pub instance: InstanceId,
+    /// The epoch of the group of which it was the head; zero if it served without a group.
+    pub epoch: Epoch,
     /// The time since the crash.
     pub age_ms: Millis,
     /// What may have caused it.
--- a/crates/cuminlb-routing/tests/crashes/exchange.rs
+++ b/crates/cuminlb-routing/tests/crashes/exchange.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-use crate::support::{begun, instance, part, waiting};
+use crate::support::{begun, crash, part, waiting};
 
 fn quarantined(board: &CrashBoard) -> Vec<CrashCause> {
     let quarantined = board.quarantined();
@@ -23,15 +23,11 @@
         CrashBoard::default(),
         CrashBoard::default(),
     );
-    one.record_crash(&instance("i1"), &begun(&[part("deadly"), part("a")]), start);
+    one.record_crash(crash("i1", start, begun(&[part("deadly"), part("a")])));
     let second = start + Duration::from_millis(700);
-    one.record_crash(&instance("i2"), &begun(&[part("deadly")]), second);
+    one.record_crash(crash("i2", second, begun(&[part("deadly")])));
     let third_at = start + Duration::from_millis(1_400);
-    other.record_crash(
-        &instance("i3"),
-        &begun(&[part("deadly"), part("b")]),
-        third_at,
-    );
+    other.record_crash(crash("i3", third_at, begun(&[part("deadly"), part("b")])));
     let now = start + Duration::from_millis(1_500);
     third.merge(&one.report(now), now);
     assert_eq!(quarantined(&third), []);
@@ -43,13 +39,9 @@
 fn a_success_anywhere_releases_a_cause_everywhere() {
     let start = Instant::now();
     let (one, other) = (CrashBoard::default(), CrashBoard::default());
-    for crash in 0..3 {
-        let at = start + Duration::from_millis(crash * 500);
-        one.record_crash(
-            &instance(&format!("i{crash}")),
-            &begun(&[part("shared")]),
-            at,
-        );
+    for number in 0..3 {
+        let at = start + Duration::from_millis(number * 500);
+        one.record_crash(crash(&format!("i{number}"), at, begun(&[part("shared")])));
     }
     let now = start + Duration::from_secs(2);
     other.merge(&one.report(now), now);
@@ -66,7 +58,7 @@
     let boards = [(); 3].map(|()| CrashBoard::default());
     for (number, board) in boards.iter().enumerate() {
         let at = start + Duration::from_millis(number as u64 * 150);
-        board.record_crash(&instance("i1"), &begun(&[part("shared")]), at);
+        board.record_crash(crash("i1", at, begun(&[part("shared")])));
     }
     let now = start + Duration::from_secs(1);
     boards[0].merge(&boards[1].report(now), now);
@@ -75,11 +67,24 @@
     assert_eq!(quarantined(&boards[0]), []);
 }
 
+#[test]
+fn a_crash_that_a_node_reports_after_a_pause_is_still_the_same_crash() {
+    let start = Instant::now();
+    let (one, paused) = (CrashBoard::default(), CrashBoard::default());
+    one.record_crash(crash("i1", start, begun(&[part("shared")])));
+    paused.record_crash(crash("i1", start, begun(&[part("shared")])));
+    // The clock of the paused node stood still for eight seconds.
+    let told = paused.report(start + Duration::from_secs(1));
+    let now = start + Duration::from_secs(9);
+    one.merge(&told, now);
+    assert_eq!(one.report(now).crashes.len(), 1);
+}
+
 #[test]
 fn a_change_is_announced_once_and_repeated_news_are_not() {
     let start = Instant::now();
     let (one, other) = (CrashBoard::default(), CrashBoard::default());
-    one.record_crash(&instance("i1"), &waiting(&[part("a")]), start);
+    one.record_crash(crash("i1", start, waiting(&[part("a")])));
     let mut changes = other.changes();
     let now = start + Duration::from_millis(10);
     other.merge(&one.report(now), now);
@@ -104,7 +109,8 @@
         let boards = [(); 3].map(|()| CrashBoard::default());
         for (board, crashed, cause, step) in crashes {
             let causes = [part(&format!("p{cause}"))];
-            boards[board].record_crash(&instance(&format!("i{crashed}")), &begun(&causes), time(step));
+            let name = format!("i{crashed}-{step}");
+            boards[board].record_crash(crash(&name, time(step), begun(&causes)));
         }
         for (board, cause, step) in successes {
             let at = time(step) + Duration::from_millis(500);
--- a/crates/cuminlb-routing/tests/crashes/probes.rs
+++ b/crates/cuminlb-routing/tests/crashes/probes.rs
@@ -6,7 +6,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use crate::support::{begun, instance, node, part};
+use crate::support::{begun, crash, node, part};
 
 const NODES: usize = 9;
 
@@ -14,14 +14,10 @@
 fn quarantined_boards(start: Instant) -> (Vec<CrashBoard>, Instant) {
     let boards: Vec<CrashBoard> = (0..NODES).map(|_| CrashBoard::default()).collect();
     let mut at = start;
-    for crash in 0..3 {
-        at = start + Duration::from_millis(crash * 700);
+    for number in 0..3 {
+        at = start + Duration::from_millis(number * 700);
         for board in &boards {
-            board.record_crash(
-                &instance(&format!("i{crash}")),
-                &begun(&[part("deadly")]),
-                at,
-            );
+            board.record_crash(crash(&format!("i{number}"), at, begun(&[part("deadly")])));
         }
     }
     (boards, at)
@@ -47,9 +43,9 @@
         let now = last_crash + Duration::from_millis(step * 10);
         for sender in senders(&boards, &part("deadly"), now) {
             probes.push((now - last_crash, sender));
-            let crashed = instance(&format!("p{}", probes.len()));
+            let name = format!("p{}", probes.len());
             for board in &boards {
-                board.record_crash(&crashed, &begun(&[part("deadly")]), now);
+                board.record_crash(crash(&name, now, begun(&[part("deadly")])));
             }
         }
     }
--- a/crates/cuminlb-routing/tests/crashes/simulated_service.rs
+++ b/crates/cuminlb-routing/tests/crashes/simulated_service.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
 
-use crate::support::{instance, node, part, request};
+use crate::support::{crash, node, part, request};
 
 /// One step of the simulation.
 const STEP: Duration = Duration::from_millis(10);
@@ -185,7 +185,7 @@
         }
         self.down_until[head] = self.now + self.scenario.downtime;
         self.crash_count += 1;
-        let crashed = instance(&format!("h{head}-{}", self.crash_count));
+        let name = format!("h{head}-{}", self.crash_count);
         for (node, board) in self.boards.iter().enumerate() {
             let mut candidates = CrashCandidates::default();
             let lost = self.in_flight.iter();
@@ -198,7 +198,7 @@
                 };
                 kind.extend(request.causes.iter().cloned());
             }
-            board.record_crash(&crashed, &candidates, self.now);
+            board.record_crash(crash(&name, self.now, candidates));
         }
         self.in_flight.retain(|request| request.head != head);
     }
--- a/crates/cuminlb-routing/tests/crashes/support.rs
+++ b/crates/cuminlb-routing/tests/crashes/support.rs
@@ -39,6 +39,7 @@
 pub fn crash(name: &str, at: Instant, candidates: CrashCandidates) -> CrashRecord {
     CrashRecord {
         instance: instance(name),
+        epoch: Epoch(1),
         at,
         candidates,
     }
