Tell peers little about old crashes

Cause: found by reading the change: each second every node told its relay, and each relay all its followers, all crashes of ten minutes with all candidates. With hundreds of nodes and a crash every few seconds that would be megabytes a second on a relay's link, beside the news that must arrive in time. Change: a report has recent crashes (10 s) with their suspects only, recent successes, and of older crashes only the quarantined causes. Relays repeat it while a crash is recent or a cause is quarantined; followers only if an exchange failed. Exchanges are 0.2 s apart.

--- a/crates/cuminlb-gateway/src/serving/share_crashes.rs
+++ b/crates/cuminlb-gateway/src/serving/share_crashes.rs
@@ -15,22 +15,24 @@
 use crate::leading::current_leader;
 
 /// The minimum time between two exchanges, so that what is seen at about the same time is told at once.
-const MIN_PERIOD: Duration = Duration::from_millis(60);
+const MIN_PERIOD: Duration = Duration::from_millis(200);
 
-/// The time after which an exchange is repeated although there is no news, while any crash is known. It
-/// informs nodes that have restarted or were cut off.
+/// The time after which a relay repeats an exchange although there is no news, and any node one that
+/// failed.
 const REPEAT_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Tells the relay of this node, or as a relay the other nodes, about crashes until `stop` is cancelled.
 pub(crate) async fn share_crashes(gateway: Arc<Gateway>, stop: CancellationToken) {
     let share = async {
         let mut changes = gateway.crash_board.changes();
+        let mut has_failed = false;
         loop {
-            // After a timeout, the exchange is repeated.
-            let _ = timeout(REPEAT_PERIOD, changes.changed()).await;
+            let is_news = timeout(REPEAT_PERIOD, changes.changed()).await.is_ok();
             changes.mark_unchanged();
-            if gateway.crash_board.has_crashes() {
-                exchange_with_peers(&gateway).await;
+            let is_repeating = gateway.follower.follows_store()
+                && gateway.crash_board.needs_repeating(Instant::now());
+            if is_news || has_failed || is_repeating {
+                has_failed = !exchange_with_peers(&gateway).await;
             }
             sleep(MIN_PERIOD).await;
         }
@@ -41,18 +43,22 @@
     }
 }
 
-/// Reports the known crashes to all peers of this node, and records those that they know of.
-async fn exchange_with_peers(gateway: &Gateway) {
+/// Reports crashes to all peers of this node, and records those that they know of; returns whether all
+/// of them responded.
+async fn exchange_with_peers(gateway: &Gateway) -> bool {
     let report = gateway.crash_board.report(Instant::now());
     let exchanges = peers(gateway).into_iter().map(|peer| {
         let report = report.clone();
         async move {
-            if let Some(told) = exchange(gateway, &peer, report).await {
-                gateway.crash_board.merge(&told, Instant::now());
+            let told = exchange(gateway, &peer, report).await;
+            if let Some(told) = &told {
+                gateway.crash_board.merge(told, Instant::now());
             }
+            told.is_some()
         }
     });
-    join_all(exchanges).await;
+    let responses = join_all(exchanges).await;
+    responses.into_iter().all(|has_responded| has_responded)
 }
 
 /// Returns the nodes that this one tells about crashes: its relay, or else the other relays, the nodes
--- a/crates/cuminlb-routing/src/crashes/crash_board.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_board.rs
@@ -1,6 +1,5 @@
 //! The crashes that nodes report to each other, and what they conclude from them.
 
-use std::collections::BTreeSet;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,10 +7,10 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::crash_state::CrashState;
+use super::crash_state::{CrashState, RECENT_AGE};
 use super::{
     CauseReport, CrashCause, CrashRecord, CrashReport, CrashVerdict, ProbeSchedule,
-    QuarantinedCause, ReportedCrash,
+    QuarantinedCause,
 };
 
 /// How long a crash counts.
@@ -114,29 +113,19 @@
         quarantined.any(|it| causes.contains(&it.cause))
     }
 
-    /// Returns what this node knows, for its peers.
+    /// Returns what peers need to know: recent crashes and successes as a whole, and of older crashes
+    /// only the causes that are quarantined.
     pub fn report(&self, now: Instant) -> CrashReport {
+        self.state().report(now)
+    }
+
+    /// Returns whether peers should be told again although there is no news, because some may have
+    /// restarted or were cut off.
+    pub fn needs_repeating(&self, now: Instant) -> bool {
         let state = self.state();
-        let age_ms = |at: Instant| Millis::from(now.duration_since(at));
-        let crashes = state.records.iter().map(|record| ReportedCrash {
-            instance: record.instance.clone(),
-            epoch: record.epoch,
-            age_ms: age_ms(record.at),
-            candidates: record.candidates.clone(),
-        });
-        let suspects = state.records.iter();
-        let suspects = suspects.flat_map(|record| record.candidates.suspects());
-        let suspects: BTreeSet<&CrashCause> = suspects.collect();
-        let causes = suspects.into_iter().filter_map(|cause| {
-            Some(CauseReport {
-                cause: cause.clone(),
-                success_age_ms: age_ms(*state.successes.get(cause)?),
-            })
-        });
-        CrashReport {
-            crashes: crashes.collect(),
-            causes: causes.collect(),
-        }
+        let newest = state.records.last();
+        let is_recent = newest.is_some_and(|record| now.duration_since(record.at) < RECENT_AGE);
+        is_recent || !state.quarantined.is_empty()
     }
 
     /// Adds what a peer reports.
--- a/crates/cuminlb-routing/src/crashes/crash_candidates.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_candidates.rs
@@ -35,6 +35,23 @@
         }
     }
 
+    /// Returns the suspects that fulfill a condition, without the other candidates.
+    pub(super) fn only_suspects(&self, condition: impl Fn(&CrashCause) -> bool) -> Self {
+        let suspects = self.suspects().iter().filter(|cause| condition(cause));
+        let suspects = suspects.cloned().collect();
+        if self.begun.is_empty() {
+            Self {
+                waiting: suspects,
+                ..Self::default()
+            }
+        } else {
+            Self {
+                begun: suspects,
+                ..Self::default()
+            }
+        }
+    }
+
     /// Adds the candidates of another node; returns whether any is new.
     pub fn merge(&mut self, other: &Self) -> bool {
         let has_begun = add_all(&mut self.begun, &other.begun);
--- a/crates/cuminlb-routing/src/crashes/crash_state.rs
+++ b/crates/cuminlb-routing/src/crashes/crash_state.rs
@@ -1,13 +1,16 @@
 //! The crashes that a node knows of, and what follows from them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use cuminlb_types::prelude::*;
 use log::info;
 use tokio::time::Instant;
 
-use super::{CrashCause, CrashRecord, QuarantinedCause, attribute_crashes};
+use super::{
+    CauseReport, CrashCause, CrashRecord, CrashReport, QuarantinedCause, ReportedCrash,
+    attribute_crashes,
+};
 
 /// The maximum number of crashes that are kept; the oldest are removed first.
 const MAX_CRASHES: usize = 48;
@@ -21,6 +24,9 @@
 /// The maximum number of causes whose last success is kept.
 const MAX_SUCCESSES: usize = 8_192;
 
+/// The age up to which peers are told all about a crash or a success.
+pub(super) const RECENT_AGE: Duration = Duration::from_secs(10);
+
 /// The crashes that a node knows of, and what follows from them.
 #[derive(Debug, Default)]
 pub(super) struct CrashState {
@@ -56,6 +62,43 @@
         })
     }
 
+    /// Returns what peers need to know.
+    pub(super) fn report(&self, now: Instant) -> CrashReport {
+        let age_ms = |at: Instant| Millis::from(now.duration_since(at));
+        let is_recent = |at: Instant| now.duration_since(at) < RECENT_AGE;
+        let is_quarantined =
+            |cause: &CrashCause| self.quarantined.iter().any(|it| it.cause == *cause);
+        let mut crashes = Vec::new();
+        let mut suspects = BTreeSet::new();
+        for record in &self.records {
+            suspects.extend(record.candidates.suspects());
+            let candidates = if is_recent(record.at) {
+                record.candidates.only_suspects(|_| true)
+            } else {
+                record.candidates.only_suspects(is_quarantined)
+            };
+            if !candidates.is_empty() {
+                crashes.push(ReportedCrash {
+                    instance: record.instance.clone(),
+                    epoch: record.epoch,
+                    age_ms: age_ms(record.at),
+                    candidates,
+                });
+            }
+        }
+        let successes = suspects.into_iter().filter_map(|cause| {
+            let at = *self.successes.get(cause)?;
+            is_recent(at).then(|| CauseReport {
+                cause: cause.clone(),
+                success_age_ms: age_ms(at),
+            })
+        });
+        CrashReport {
+            crashes,
+            causes: successes.collect(),
+        }
+    }
+
     /// Draws the conclusions from the crashes again.
     pub(super) fn conclude(&mut self) {
         let successes = &self.successes;
