Check the length of secrets, and keep the gateway's out of debug output

A token of over 1,024 bytes passed the settings and then failed every handshake between nodes, and the gateway's settings took a token of any length and printed it with Debug. Secret is a type of its own, which both kinds of settings read.

--- a/crates/cuminlb-config/src/settings/gateway_settings.rs
+++ b/crates/cuminlb-config/src/settings/gateway_settings.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 
 use cuminlb_types::prelude::*;
-use smol_str::SmolStr;
 
-use super::{FleetBounds, LogSettings, MachineSettings};
+use super::{FleetBounds, LogSettings, MachineSettings, Secret};
 use crate::check::{Bounds, ConfigError, Problems, TableReader};
 
 /// The settings of a gateway node, which runs on the users' platform.
@@ -33,7 +32,7 @@
     /// The timeout of a call to the store.
     pub store_timeout_ms: Millis,
     /// The token with which a node authenticates to its peers.
-    pub peer_token: SmolStr,
+    pub peer_token: Secret,
     /// The fleet-wide limits and the timing of the platform.
     pub bounds: FleetBounds,
     /// What the machine can bear.
@@ -82,9 +81,7 @@
                 reader.bounded("timeout", Millis(700), timeout_bounds),
             )
         });
-        let peer_token = reader.section("security", |reader| {
-            reader.required::<String>("peer_token", "give a secret of 16 bytes or more")
-        });
+        let peer_token = reader.section("security", |reader| Secret::read(reader, "peer_token"));
         let bounds = reader.section("bounds", FleetBounds::read);
         let machine = reader.section("machine", MachineSettings::read);
         let log = reader.section("log", LogSettings::read);
@@ -99,7 +96,7 @@
             metrics: metrics?,
             store: store?,
             store_timeout_ms,
-            peer_token: peer_token?.into(),
+            peer_token: peer_token?,
             bounds,
             machine,
             log,
--- a/crates/cuminlb-config/src/settings/mod.rs
+++ b/crates/cuminlb-config/src/settings/mod.rs
@@ -10,6 +10,7 @@
 mod machine_settings;
 mod node_settings;
 mod platform_settings;
+mod secret;
 mod security_settings;
 
 pub use self::control_settings::ControlSettings;
@@ -22,4 +23,5 @@
 pub use self::machine_settings::MachineSettings;
 pub use self::node_settings::NodeSettings;
 pub use self::platform_settings::PlatformSettings;
+pub use self::secret::Secret;
 pub use self::security_settings::SecuritySettings;
--- a/crates/cuminlb-config/tests/config/main.rs
+++ b/crates/cuminlb-config/tests/config/main.rs
@@ -8,5 +8,6 @@
 )]
 
 mod decoding;
+mod secrets;
 mod support;
 mod zone_edit;
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -54,7 +54,7 @@
         let metrics = GatewayMetrics::default();
         let knowledge = Arc::new(Knowledge::new(Arc::clone(&edges.wire), metrics.clone()));
         let replica = Arc::new(Replica::new(Arc::clone(&knowledge) as Arc<dyn RowSink>));
-        let peers = PeerLinks::new(settings.id.clone(), settings.peer_token.clone());
+        let peers = PeerLinks::new(settings.id.clone(), settings.peer_token.clone().into_text());
         let peers = Arc::new(peers);
         let node_peers = NodePeers {
             own_id: settings.id.clone(),
--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -65,7 +65,7 @@
         return Err(refuse(RefusalKind::UnknownService { name }));
     };
     let route = std::sync::Arc::clone(route);
-    let secret = &gateway.settings.peer_token;
+    let secret = gateway.settings.peer_token.as_str();
     let crash_causes = crash_causes(secret, &head, team.as_ref(), &service, path, &body);
     Ok(AdmittedRequest {
         crash_causes,
--- a/src/cuminlb/control/peer_supervisor.rs
+++ b/src/cuminlb/control/peer_supervisor.rs
@@ -55,7 +55,7 @@
         {
             continue;
         }
-        let token = PeerToken::new(security.peer_token.clone());
+        let token = PeerToken::new(security.peer_token.clone().into_text());
         let link = PeerLink::new(*address, token, node.settings.control.peer_timeout_ms)
             .with_counts(Arc::clone(&node.metrics.peer_calls));
         node.peers.insert(id.clone(), Arc::new(link));
--- a/src/cuminlb/ops/run_node.rs
+++ b/src/cuminlb/ops/run_node.rs
@@ -76,7 +76,7 @@
         control_stop.clone(),
     ));
     let peer_service = PeerService::new(Arc::clone(&node));
-    let peer_token = PeerToken::new(security.peer_token);
+    let peer_token = PeerToken::new(security.peer_token.into_text());
     control_tasks.spawn(serve_peers(
         peer_listener,
         peer_token,
@@ -96,7 +96,7 @@
     );
     let operator_server = serve_operators(
         listen.operator,
-        OperatorToken::new(security.operator_token),
+        OperatorToken::new(security.operator_token.into_text()),
         OperatorService::new(Arc::clone(&node)),
         serving_stop.clone(),
     );
