Let the leader confirm silence before it dissolves a group

Callers: their streams were broken off and moved, and their prompts read again, when a sound instance was silent for a second, since the leader took it for lost after 0.1 to 0.2 s without an answer, closed the head and formed the group anew.

Cause: a probe without an answer and a refused one were the same to the leader. Now a probe tells silence from failure. A refused or broken connection counts as before; silence counts once it has lasted for 1.2 s of probes (ProbeSeries, tested without a network).

Evidence: a_group_whose_member_is_silent_for_a_second_is_not_dissolved failed in 5 of 5 runs before, with the group under another name and epoch, and passed in 5 of 5 now.

--- a/crates/cuminlb-assembly/src/lib.rs
+++ b/crates/cuminlb-assembly/src/lib.rs
@@ -24,6 +24,8 @@
 mod plan_input;
 mod plan_step;
 mod planning;
+mod probe_series;
+mod probe_verdict;
 
 pub use crate::assembler::{Assembler, STRAGGLER_SLOWDOWN};
 pub use crate::assembly_view::AssemblyView;
@@ -38,3 +40,5 @@
 pub use crate::plan_input::PlanInput;
 pub use crate::plan_step::PlanStep;
 pub use crate::planning::plan_assembly;
+pub use crate::probe_series::ProbeSeries;
+pub use crate::probe_verdict::ProbeVerdict;
--- a/crates/cuminlb-assembly/tests/assembly/main.rs
+++ b/crates/cuminlb-assembly/tests/assembly/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod decisions;
+mod probe_series;
 mod properties;
 mod simulated_engine;
 mod simulation;
--- a/crates/cuminlb-assembly/tests/assembly/properties.rs
+++ b/crates/cuminlb-assembly/tests/assembly/properties.rs
@@ -47,7 +47,7 @@
     format!("e{number}").parse().unwrap()
 }
 
-fn config() -> ProptestConfig {
+pub fn config() -> ProptestConfig {
     ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(0x5EA7),
         failure_persistence: None,
--- a/crates/cuminlb-catalog/src/instance_control.rs
+++ b/crates/cuminlb-catalog/src/instance_control.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use cuminlb_types::prelude::*;
 
-use crate::{GroupOrder, InstanceReport, OrderOutcome};
+use crate::{GroupOrder, OrderOutcome, ProbeResponse};
 
 /// Sends orders to instances and queries their state.
 #[async_trait]
@@ -19,7 +19,6 @@
         timeout_ms: Millis,
     ) -> OrderOutcome;
 
-    /// Queries the current state of an instance. Returns `None` if no valid report arrives within
-    /// `timeout_ms`.
-    async fn report(&self, address: SocketAddr, timeout_ms: Millis) -> Option<InstanceReport>;
+    /// Probes the health of an instance, which responds within `timeout_ms` unless it is silent.
+    async fn probe(&self, address: SocketAddr, timeout_ms: Millis) -> ProbeResponse;
 }
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -15,6 +15,7 @@
 
 use super::active_lease::ActiveLease;
 use super::order_report::OrderReport;
+use super::probe_instance::probe_instance;
 use super::probe_report::ProbeReport;
 use crate::gateway::Gateway;
 use crate::knowledge::Directory;
@@ -29,14 +30,11 @@
 /// Time after which an order counts as unanswered.
 const ORDER_TIMEOUT_MS: Millis = Millis(800);
 
-/// Time after which an instance that does not respond to a probe counts as silent.
-const PROBE_TIMEOUT_MS: Millis = Millis(110);
+/// Number of failed probes after which an instance counts as lost.
+const MAX_PROBE_FAILURES: u32 = 2;
 
-/// Number of probes without a response after which an instance counts as silent.
-const PROBE_ATTEMPTS: u32 = 2;
-
-/// Number of probes of a member that another node has already found silent.
-const CONFIRMING_PROBE_ATTEMPTS: u32 = 1;
+/// Number of failed probes of a member that another node has already found unhealthy.
+const MAX_CONFIRMING_PROBE_FAILURES: u32 = 1;
 
 /// Minimum interval between two probes of an instance.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
@@ -202,7 +200,7 @@
         if assembler.record_outcome(&report.instance, &report.order, report.outcome, now) {
             let directory = self.gateway.knowledge.directory();
             if let Some(entry) = directory.find_instance(&report.instance) {
-                self.probe(entry, PROBE_PERIOD, PROBE_ATTEMPTS, now);
+                self.probe(entry, PROBE_PERIOD, MAX_PROBE_FAILURES, now);
             }
         }
     }
@@ -224,7 +222,7 @@
             };
             for member in group.present() {
                 if let Some(entry) = directory.find_instance(member) {
-                    self.probe(entry, PROBE_PERIOD, CONFIRMING_PROBE_ATTEMPTS, now);
+                    self.probe(entry, PROBE_PERIOD, MAX_CONFIRMING_PROBE_FAILURES, now);
                 }
             }
         }
@@ -243,12 +241,12 @@
             .filter(is_suspect)
             .collect();
         for entry in doubted {
-            self.probe(entry, DOUBTED_PROBE_PERIOD, PROBE_ATTEMPTS, now);
+            self.probe(entry, DOUBTED_PROBE_PERIOD, MAX_PROBE_FAILURES, now);
         }
     }
 
     /// Probes an instance, unless it was probed within the last `period`.
-    fn probe(&mut self, entry: &InstanceEntry, period: Duration, attempts: u32, now: Instant) {
+    fn probe(&mut self, entry: &InstanceEntry, period: Duration, max_failures: u32, now: Instant) {
         let probed_at = self.probed_at.get(&entry.id);
         if probed_at.is_some_and(|&at| now.duration_since(at) < period) {
             return;
@@ -259,17 +257,10 @@
         let instance = entry.id.clone();
         let address = entry.address;
         self.probes.spawn(async move {
-            let mut report = None;
-            for _ in 0..attempts {
-                report = control.report(address, PROBE_TIMEOUT_MS).await;
-                if report.is_some() {
-                    break;
-                }
-            }
             ProbeReport {
                 service,
                 instance,
-                report,
+                report: probe_instance(control.as_ref(), address, max_failures).await,
             }
         });
     }
--- a/crates/cuminlb-gateway/src/leading/mod.rs
+++ b/crates/cuminlb-gateway/src/leading/mod.rs
@@ -13,6 +13,7 @@
 mod lease_rows;
 mod lease_state;
 mod order_report;
+mod probe_instance;
 mod probe_report;
 mod store_outage;
 mod suspicions;
--- a/crates/cuminlb-gateway/src/serving/probe_group.rs
+++ b/crates/cuminlb-gateway/src/serving/probe_group.rs
@@ -1,7 +1,7 @@
 //! Probes the members of a group whose head is silent.
 
 use cuminlb_assembly::STRAGGLER_SLOWDOWN;
-use cuminlb_catalog::{InstanceEntry, InstanceReport, SeatState};
+use cuminlb_catalog::{InstanceEntry, InstanceReport, ProbeResponse, SeatState};
 use cuminlb_peer::GroupHealth;
 use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
@@ -55,9 +55,9 @@
 ) -> Option<InstanceReport> {
     for _ in 0..PROBE_ATTEMPTS {
         let control = &gateway.edges.instances;
-        let report = control.report(entry.address, PROBE_TIMEOUT_MS).await;
-        if report.is_some() {
-            return report;
+        let response = control.probe(entry.address, PROBE_TIMEOUT_MS).await;
+        if let ProbeResponse::Report(report) = response {
+            return Some(report);
         }
     }
     None
--- a/tests/testsuite/native_groups.rs
+++ b/tests/testsuite/native_groups.rs
@@ -46,6 +46,35 @@
     site.assert_no_violations();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_whose_member_is_silent_for_a_second_is_not_dissolved() {
+    let site = NativeSite::start(2, 5, SHORT_WORK).await;
+    site.wait_serving().await;
+    let head = site.open_head().unwrap();
+    let member = site.other_member(&head);
+    let engine = |id: &str| site.fleet.engine(id).unwrap();
+    let seats = || (engine(&head).seat(), engine(&member).seat());
+    let before = seats();
+    let streams = (0..4).map(|number| {
+        let site = &site;
+        async move {
+            let id = format!("s{number}");
+            site.stream(number % 2, &id, LONG_STREAM_EVENTS).await
+        }
+    });
+    let fault = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        engine(&member).fall_silent(Duration::from_secs(1));
+    };
+    let (responses, ()) = tokio::join!(futures_util::future::join_all(streams), fault);
+    for response in responses {
+        let events = event_ids(&response.unwrap());
+        assert_eq!(events, (1..=200).collect::<Vec<_>>());
+    }
+    assert_eq!(seats(), before);
+    site.assert_no_violations();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_member_that_slows_its_group_is_replaced() {
     let site = NativeSite::start(2, 5, SHORT_WORK).await;
