--- a/tests/testsuite/native_raw_responses.rs
+++ b/tests/testsuite/native_raw_responses.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminlb_test_support::{HttpResponse, SiteError, wait_until};
+use cuminlb_test_support::{HttpResponse, SiteError};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -48,11 +48,7 @@
     }
     put_catalog(&site, &catalog);
     site.wait_serving().await;
-    wait_until("the catalog is in force", async || {
-        site.metric(0, "cuminlb_catalog_version").await == 2
-    })
-    .await
-    .unwrap();
+    site.wait_catalog(2).await;
     (site, worker)
 }
 
