--- a/crates/cuminlb-assembly/src/probe_series.rs
+++ b/crates/cuminlb-assembly/src/probe_series.rs
@@ -9,7 +9,7 @@
 
 /// How long an instance must have been silent to be taken for lost. A sound process may stop for a
 /// second and go on.
-const SILENCE_CONFIRMATION: Duration = Duration::from_millis(1_200);
+const SILENCE_CONFIRMATION: Duration = Duration::from_millis(1_150);
 
 /// Delay before a silent instance is probed again.
 const SILENT_RETRY_DELAY: Duration = Duration::from_millis(120);
