Read the body of a request before refusing it

Seen by callers: a request with a body that was refused from its head alone (a route that a catalog has just removed or not yet added, an unknown key, a node without a catalog) lost its connection, and a caller that was still sending met a reset, which can discard the refusal: a whole request then had neither an answer nor a refusal. The refusal of a body over the limit was lost in the same way.

Cause: the refusal was returned while the body was unread. hyper reads once more and then closes; the kernel resets a connection that is closed with unread bytes.

Change: the head is examined (ExaminedRequest) and the body read in either case, within the size that the newest catalog allows and 2 s for a refusal. Where it isn't read to its end, the response says `Connection: close`, and what still comes is discarded for up to 1 s or 32 MiB after the connection was closed for writing, so nothing is unread at the close. The same holds after a head that hyper rejects. A request with `Expect` isn't asked for a body that is refused anyway.

--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use cuminlb_catalog::StoreTable;
+use cuminlb_catalog::{CallerBounds, StoreTable};
 use cuminlb_config::GatewaySettings;
 use cuminlb_replica::{FollowTiming, Follower, Replica, RowSink};
 use cuminlb_routing::{CrashBoard, LoadBoard};
@@ -151,6 +151,12 @@
             .set(i64::try_from(serving).unwrap_or(i64::MAX));
     }
 
+    /// Returns the limits of the newest catalog on callers, or the usual ones before there is one.
+    pub(crate) fn caller_bounds(&self) -> CallerBounds {
+        let catalog = self.knowledge.catalog();
+        catalog.map(|catalog| catalog.bounds).unwrap_or_default()
+    }
+
     /// Returns whether this node is about to stop.
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -0,0 +1,80 @@
+//! A caller's request whose head the catalog allows, before its body was read.
+
+use std::sync::Arc;
+
+use cuminlb_catalog::{ApiKey, Catalog, RequestHead, Route, Team};
+use cuminlb_routing::{Refusal, RefusalKind};
+use cuminlb_types::prelude::*;
+use http::request;
+use smol_str::ToSmolStr;
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+
+/// Timeout of a request whose headers state none.
+const DEFAULT_TIMEOUT_MS: Millis = Millis(30_000);
+
+/// `Retry-After` of a request that arrives before this node has read a catalog.
+const NO_CATALOG_RETRY_AFTER_MS: Millis = Millis(300);
+
+/// The values of a request's head, and what the catalog says about it.
+#[derive(Clone, Debug)]
+pub(super) struct ExaminedRequest {
+    pub(super) head: RequestHead,
+    pub(super) route: Arc<Route>,
+    /// The team that owns the caller's key.
+    pub(super) team: Option<Team>,
+    /// When the caller must have its response.
+    pub(super) deadline: Instant,
+    pub(super) max_body_bytes: ByteCount,
+}
+
+impl ExaminedRequest {
+    /// Validates the head of a request and resolves its route and team.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, and the id of the request if its headers could be read.
+    pub(super) fn examine(
+        gateway: &Gateway,
+        parts: &request::Parts,
+        received_at: Instant,
+    ) -> Result<Self, (Refusal, Option<RequestId>)> {
+        let head = gateway.edges.wire.read_request(parts).map_err(|error| {
+            let reason = error.to_smolstr();
+            let field = "headers";
+            (
+                Refusal::not_run(RefusalKind::BadRequest { field, reason }),
+                None,
+            )
+        })?;
+        let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
+        let Some(catalog) = gateway.knowledge.catalog() else {
+            let (refusal, id) = refuse(RefusalKind::ConfigUnconfirmed);
+            return Err((refusal.with_retry_after(NO_CATALOG_RETRY_AFTER_MS), id));
+        };
+        let path = parts.uri.path();
+        let route = catalog.route(&head.host, path).ok_or_else(|| {
+            let name = path.to_smolstr();
+            refuse(RefusalKind::UnknownService { name })
+        })?;
+        let route = Arc::clone(route);
+        let team = team_for_key(&catalog, &head.key);
+        if team.is_none() && catalog.requires_keys() && !route.allows_anonymous {
+            return Err(refuse(RefusalKind::Unauthenticated));
+        }
+        let timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+        let deadline = received_at + timeout_ms.min(route.timeout_ms).duration();
+        Ok(Self {
+            head,
+            route,
+            team,
+            deadline,
+            max_body_bytes: catalog.bounds.max_body_bytes,
+        })
+    }
+}
+
+fn team_for_key(catalog: &Catalog, key: &Option<ApiKey>) -> Option<Team> {
+    catalog.team(key.as_ref()?).cloned()
+}
--- a/crates/cuminlb-gateway/src/serving/handle_request.rs
+++ b/crates/cuminlb-gateway/src/serving/handle_request.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::admit::admit;
+use super::caller_connection::CallerConnection;
 use super::refusal_response::refusal_response;
 use super::response_body::ResponseBody;
 use super::run_plain::run_plain;
@@ -22,10 +23,11 @@
 /// Handles one request of a caller and returns its response.
 pub(super) async fn handle_request(
     gateway: &Arc<Gateway>,
+    connection: &CallerConnection,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     gateway.record_caller();
-    let mut response = match admit(gateway, request).await {
+    let mut response = match admit(gateway, connection, request).await {
         Err((refusal, id)) => {
             gateway.count_request("", refusal.kind.code());
             refuse(gateway, &refusal, id.as_ref(), None)
@@ -54,7 +56,7 @@
             }
         }
     };
-    if gateway.is_draining() {
+    if gateway.is_draining() || connection.has_unread_body() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/read_body.rs
@@ -0,0 +1,74 @@
+//! Reads the bodies of callers' requests.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminlb_routing::RefusalKind;
+use cuminlb_types::prelude::*;
+use http::header::EXPECT;
+use http::request;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use smol_str::ToSmolStr;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long the refusal of a request waits for the end of its body.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Reads a body. It must be complete within half of the time that remains until the deadline.
+///
+/// # Errors
+///
+/// Returns the reason for a refusal if the body is too long, late or interrupted.
+pub(super) async fn read_body(
+    body: Incoming,
+    max_bytes: ByteCount,
+    deadline: Instant,
+) -> Result<Bytes, RefusalKind> {
+    let start = Instant::now();
+    let read_timeout: Duration = deadline.saturating_duration_since(start).mul_f64(0.5);
+    let limited = Limited::new(body, max_len(max_bytes));
+    match timeout_at(start + read_timeout, limited.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(RefusalKind::BodyTooLarge { max_bytes })
+        }
+        Ok(Err(error)) => Err(RefusalKind::BadRequest {
+            field: "body",
+            reason: error.to_smolstr(),
+        }),
+        Err(_elapsed) => Err(RefusalKind::ReceiveTimeout {
+            timeout_ms: read_timeout.into(),
+        }),
+    }
+}
+
+/// Reads and discards the body of a request that is refused; returns whether it was read to its end.
+///
+/// A caller that waits for the interim response before it sends its body is not asked for it.
+pub(super) async fn discard_body(
+    parts: &request::Parts,
+    body: Incoming,
+    max_bytes: ByteCount,
+) -> bool {
+    if parts.headers.contains_key(EXPECT) {
+        return false;
+    }
+    let mut limited = Limited::new(body, max_len(max_bytes));
+    let read_all = async {
+        loop {
+            match limited.frame().await {
+                Some(Ok(_discarded)) => {}
+                Some(Err(_)) => return false,
+                None => return true,
+            }
+        }
+    };
+    timeout(REFUSED_BODY_TIMEOUT, read_all)
+        .await
+        .unwrap_or(false)
+}
+
+fn max_len(max_bytes: ByteCount) -> usize {
+    usize::try_from(max_bytes.get()).unwrap_or(usize::MAX)
+}
--- a/crates/cuminlb-gateway/src/serving/serve_callers.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_callers.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use cuminlb_catalog::CallerBounds;
 use hyper::server::conn::http1;
@@ -13,6 +12,8 @@
 use tokio::time::{Duration, timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::caller_connection::CallerConnection;
+use super::discard_rest::discard_rest;
 use super::handle_request::handle_request;
 use crate::accept_connections::accept_connections;
 use crate::gateway::Gateway;
@@ -50,35 +51,40 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!("failed to set TCP_NODELAY on a caller connection: {error}");
     }
-    let bounds = gateway.knowledge.catalog().map(|catalog| catalog.bounds);
     let CallerBounds {
         max_head_bytes,
         idle_timeout_ms,
         ..
-    } = bounds.unwrap_or_default();
-    let requests = Arc::new(AtomicUsize::new(0));
-    let shared_gateway = Arc::clone(&gateway);
+    } = gateway.caller_bounds();
+    let state = Arc::new(CallerConnection::default());
+    let request_state = Arc::clone(&state);
     let service = service_fn(move |request| {
-        let gateway = Arc::clone(&shared_gateway);
-        requests.fetch_add(1, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(handle_request(&gateway, request).await) }
+        let gateway = Arc::clone(&gateway);
+        let state = Arc::clone(&request_state);
+        async move { Ok::<_, Infallible>(handle_request(&gateway, &state, request).await) }
     });
     let max_head_len = usize::try_from(max_head_bytes.get()).unwrap_or(usize::MAX);
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout starts at the end of the previous request, so it also limits the idle time.
         .header_read_timeout(idle_timeout_ms.duration())
         .max_buf_size(max_head_len.max(MIN_HEAD_BUFFER_BYTES) + MIN_HEAD_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => ended,
         () = stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
+    let is_malformed = ended.as_ref().is_err_and(hyper::Error::is_parse);
     if let Err(error) = ended {
         debug!("caller connection failed: {error}");
     }
+    if state.has_unread_body() || is_malformed {
+        let stream = connection.into_parts().io.into_inner();
+        if let Err(error) = discard_rest(stream).await {
+            debug!("caller connection failed while it was closed: {error}");
+        }
+    }
 }
--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -22,6 +22,25 @@
         values.sum()
     }
 
+    /// Waits until a version of the catalog is in force at the first node.
+    pub async fn wait_catalog(&self, version: u64) {
+        wait_until("the catalog is in force", async || {
+            self.metric(0, "cuminlb_catalog_version").await == version
+        })
+        .await
+        .unwrap();
+    }
+
+    /// Waits until a node accepts connections of callers.
+    pub async fn wait_listening(&self, node: usize) {
+        let address = self.nodes[node].caller_address();
+        wait_until("the node listens", async || {
+            tokio::net::TcpStream::connect(address).await.is_ok()
+        })
+        .await
+        .unwrap();
+    }
+
     /// Waits until at least a number of groups serve.
     pub async fn wait_open_groups(&self, count: usize) {
         let is_open = |engine: &Arc<Engine>| engine.seat().is_some_and(|seat| seat.2 == "open");
--- a/tests/testsuite/native_raw_responses.rs
+++ b/tests/testsuite/native_raw_responses.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use cuminlb_test_support::{HttpResponse, SiteError, wait_until};
+use cuminlb_test_support::{HttpResponse, SiteError};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::native_catalog::native_catalog;
 use crate::native_site::{API_KEY, HOST, NativeSite, event_ids};
+use crate::raw_caller::{RawCaller, request_head};
 use crate::raw_worker::{RawWorker, ResponseEnd, Script};
 
 /// The processing time of a plain request, on which no test here depends.
@@ -24,6 +25,9 @@
 /// How much later than that a request must have ended.
 const END_SLACK: Duration = Duration::from_millis(500);
 
+/// How long a slow caller waits before it reads.
+const SLOW_CALLER_PAUSE: Duration = Duration::from_millis(500);
+
 /// The head of a response that has neither a length nor chunks.
 const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\r\n";
 
@@ -48,11 +52,7 @@
     }
     put_catalog(&site, &catalog);
     site.wait_serving().await;
-    wait_until("the catalog is in force", async || {
-        site.metric(0, "cuminlb_catalog_version").await == 2
-    })
-    .await
-    .unwrap();
+    site.wait_catalog(2).await;
     (site, worker)
 }
 
@@ -101,6 +101,28 @@
     assert_eq!(response.text(), "all of it");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_response_reaches_a_slow_caller_before_its_connection_is_closed() {
+    const LEN: usize = 7 << 20;
+    let body = "b".repeat(LEN);
+    let start = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {{id}}\r\nx-response-seal: s\r\n\
+         content-length: {LEN}\r\n\r\n{body}"
+    );
+    let script = Script {
+        start: start.leak(),
+        end: ResponseEnd::Close,
+    };
+    let (site, _worker) = site_with(RAW_PLAIN, script).await;
+    let mut caller = RawCaller::connect_with_small_buffer(&site.nodes[0]).await;
+    let path = format!("/{RAW_PLAIN}/x");
+    let head = request_head("GET", &path, "raw-1", "connection: close\r\n\r\n");
+    caller.write(head).await.unwrap();
+    sleep(SLOW_CALLER_PAUSE).await;
+    let response = caller.read_response().await;
+    assert_eq!(response.map(|response| response.status), Some(200));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_that_is_reset_before_its_end_is_no_success() {
     let script = Script {
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -50,6 +50,10 @@
         format!("http://{}:{CALLER_PORT}{path}", self.address)
     }
 
+    pub fn caller_address(&self) -> SocketAddr {
+        SocketAddr::from((self.address, CALLER_PORT))
+    }
+
     pub fn metrics_url(&self) -> String {
         format!("http://{}:{METRICS_PORT}/metrics", self.address)
     }
