Close callers' connections by the limits of the newest catalog

Seen by callers: after a catalog with a longer idle time, a connection that was opened before was still closed after the old one, also when its caller reused it well within the new limit; a head that began late in the idle time was cut in its middle; a head that a newer catalog allows was refused with 431; `headerTimeoutMs` was not used, so that a head could take the whole idle time.

Cause: hyper's header timeout and read buffer are fixed when a connection is accepted, and its timeout runs from the end of the previous request, whether or not the next one has begun.

Change: ConnectionActivity (cuminlb-routing) decides without a network what a connection waits for and when it expires, with the limits as an argument; a connection is never closed while a request is in progress or a response is unsent. The stream and a guard in the response's body report to it. run_connection asks for the newest limits when the timer of the older ones fires, and reads what has arrived before it closes. A shorter limit acts from the next timer on, so that no caller is cut off that still goes by the older catalog. Heads are read up to 256 KiB and compared with the newest limit once whole, with the tolerance of 8 KiB that the read buffer gave before.

--- a/crates/cuminlb-gateway/src/serving/caller_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/caller_connection.rs
@@ -1,14 +1,32 @@
 //! The state of a caller's connection that its requests share with the task that serves it.
 
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use cuminlb_routing::ConnectionActivity;
+use tokio::time::Instant;
 
 /// The state of one connection of a caller.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct CallerConnection {
+    activity: Mutex<ConnectionActivity>,
     has_unread_body: AtomicBool,
 }
 
 impl CallerConnection {
+    /// Returns the state of a connection that was just accepted.
+    pub(super) fn new() -> Self {
+        Self {
+            activity: Mutex::new(ConnectionActivity::new(Instant::now())),
+            has_unread_body: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns what happens on the connection.
+    pub(super) fn activity(&self) -> MutexGuard<'_, ConnectionActivity> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that the body of a request was not read to its end, so that the connection can't
     /// carry another request.
     pub(super) fn leave_body_unread(&self) {
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/caller_stream.rs
@@ -0,0 +1,79 @@
+//! The TCP stream of a caller's connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::caller_connection::CallerConnection;
+
+/// A TCP stream that records what is received and sent.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    stream: TcpStream,
+    connection: Arc<CallerConnection>,
+}
+
+impl CallerStream {
+    pub(super) const fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
+        Self { stream, connection }
+    }
+
+    pub(super) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let len_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if buffer.filled().len() > len_before {
+            self.connection.activity().record_received(Instant::now());
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.connection.activity().record_sending();
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.connection.activity().record_sending();
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// Is called after all bytes have been written.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.connection.activity().record_sent(Instant::now());
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/cuminlb-gateway/src/serving/examined_request.rs
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -17,6 +17,12 @@
 /// `Retry-After` of a request that arrives before this node has read a catalog.
 const NO_CATALOG_RETRY_AFTER_MS: Millis = Millis(300);
 
+/// How much a head may exceed its limit, since callers may count differently.
+const HEAD_TOLERANCE_BYTES: u64 = 8 << 10;
+
+/// The separators of a header: a colon and the end of its line.
+const HEADER_SEPARATOR_BYTES: usize = 3;
+
 /// The values of a request's head, and what the catalog says about it.
 #[derive(Clone, Debug)]
 pub(super) struct ExaminedRequest {
@@ -53,6 +59,10 @@
             let (refusal, id) = refuse(RefusalKind::ConfigUnconfirmed);
             return Err((refusal.with_retry_after(NO_CATALOG_RETRY_AFTER_MS), id));
         };
+        let max_bytes = catalog.bounds.max_head_bytes;
+        if head_bytes(parts) > max_bytes.get().saturating_add(HEAD_TOLERANCE_BYTES) {
+            return Err(refuse(RefusalKind::HeadersTooLarge { max_bytes }));
+        }
         let path = parts.uri.path();
         let route = catalog.route(&head.host, path).ok_or_else(|| {
             let name = path.to_smolstr();
@@ -78,3 +88,15 @@
 fn team_for_key(catalog: &Catalog, key: &Option<ApiKey>) -> Option<Team> {
     catalog.team(key.as_ref()?).cloned()
 }
+
+/// Returns the size of a head without optional spaces.
+fn head_bytes(parts: &request::Parts) -> u64 {
+    let target = parts.uri.path_and_query();
+    let target_len = target.map_or(0, |target| target.as_str().len());
+    let headers = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.as_bytes().len() + HEADER_SEPARATOR_BYTES);
+    let len = parts.method.as_str().len() + target_len + headers.sum::<usize>();
+    u64::try_from(len).unwrap_or(u64::MAX)
+}
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -1,7 +1,7 @@
 //! Serves callers.
 //!
-//! [`serve_callers`] runs a task for each caller connection; [`handle_request`] is the path of one
-//! request, written straight down. A plain response is buffered completely before its first byte is
+//! [`serve_callers`] runs a task for each caller connection, which [`serve_connection`] serves;
+//! [`handle_request`] is the path of one request, written straight down. A plain response is buffered completely before its first byte is
 //! passed on. A stream is relayed event by event ([`StreamRelay`]) and fails over to another group
 //! when its own falls silent. [`LoadTracker`] holds what this node observes of each instance
 //! through its own requests.
@@ -10,12 +10,14 @@
 mod admitted_request;
 mod attempt_failure;
 mod caller_connection;
+mod caller_stream;
 mod check_instance;
 mod choose_target;
 mod crash_causes;
 mod discard_rest;
 mod examined_request;
 mod group_checks;
+mod guarded_body;
 mod handle_request;
 mod in_flight_guard;
 mod instance_checks;
@@ -27,13 +29,16 @@
 mod quarantine;
 mod read_body;
 mod refusal_response;
+mod request_guard;
 mod request_stage;
 mod response_body;
 mod retry_budgets;
+mod run_connection;
 mod run_plain;
 mod run_stream;
 mod running_check;
 mod serve_callers;
+mod serve_connection;
 mod serve_ready;
 mod share_crashes;
 mod share_loads;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -0,0 +1,85 @@
+//! Serving the requests on one connection of a caller.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use cuminlb_routing::ConnectionLimits;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::debug;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use super::caller_connection::CallerConnection;
+use super::caller_stream::CallerStream;
+use super::discard_rest::discard_rest;
+use super::guarded_body::GuardedBody;
+use super::handle_request::handle_request;
+use super::request_guard::RequestGuard;
+use super::run_connection::run_connection;
+use crate::gateway::Gateway;
+
+/// Size of the read buffer of a connection, which holds the largest head that any catalog may allow.
+const READ_BUFFER_BYTES: usize = 256 << 10;
+
+/// Serves the requests on a connection, by the limits of the newest catalog.
+///
+/// When `stop` is cancelled, the connection ends after its current request.
+pub(super) async fn serve_connection(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    stop: CancellationToken,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!("failed to set TCP_NODELAY on a caller connection: {error}");
+    }
+    let state = Arc::new(CallerConnection::new());
+    let stream = CallerStream::new(stream, Arc::clone(&state));
+    let limits = || connection_limits(&gateway);
+    let service = service_fn(|request| {
+        let guard = RequestGuard::new(Arc::clone(&state));
+        let (gateway, state) = (&gateway, &state);
+        async move {
+            let response = handle_request(gateway, state, request).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
+        }
+    });
+    let mut connection = http1::Builder::new()
+        // Connections are closed by their limits below, which may change.
+        .header_read_timeout(None)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let ended = tokio::select! {
+        ended = run_connection(&mut connection, &state, limits) => ended,
+        () = stop.cancelled() => {
+            Pin::new(&mut connection).graceful_shutdown();
+            run_connection(&mut connection, &state, limits).await
+        }
+    };
+    let is_malformed = match &ended {
+        Some(Err(error)) => {
+            debug!("caller connection failed: {error}");
+            error.is_parse()
+        }
+        Some(Ok(())) => false,
+        None => {
+            debug!("caller connection expired: {:?}", state.activity());
+            false
+        }
+    };
+    if state.has_unread_body() || is_malformed {
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        if let Err(error) = discard_rest(stream).await {
+            debug!("caller connection failed while it was closed: {error}");
+        }
+    }
+}
+
+fn connection_limits(gateway: &Gateway) -> ConnectionLimits {
+    let bounds = gateway.caller_bounds();
+    ConnectionLimits {
+        idle_timeout: bounds.idle_timeout_ms.duration(),
+        head_timeout: bounds.head_timeout_ms.duration(),
+    }
+}
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod claim;
 mod cold_allowance;
+mod connection_activity;
 mod crashes;
 mod quarantine;
 mod refusal;
@@ -29,6 +30,7 @@
     resolve_duplicate,
 };
 pub use crate::cold_allowance::cold_allowance;
+pub use crate::connection_activity::{ConnectionActivity, ConnectionLimits};
 pub use crate::crashes::{
     CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
