Answer requests that have arrived when a node closes its connections to stop

Seen by callers: a request whose head had begun to arrive on a kept connection, requests that lay in the kernel for a connection that was open, and connections that waited to be accepted were dropped at the end of the drain, without an answer.

Cause: at the stop the task of a connection chose by chance between the stop and its socket; hyper's graceful shutdown closes a kept connection although a part of a head has been read; the accept loop dropped its listener with the connections that waited.

Change: a stop only shortens the idle time of connections to 0.1 s, so ConnectionActivity decides as usual, after what has arrived was read: a head that has begun has its head time, and its response says `Connection: close`. The accept loop takes what waits before it drops the listener.

--- a/crates/cuminlb-gateway/src/accept_connections.rs
+++ b/crates/cuminlb-gateway/src/accept_connections.rs
@@ -1,12 +1,15 @@
 //! The accept loop that the servers of a node share.
 
+use futures_util::FutureExt;
 use log::warn;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, unconstrained, yield_now};
 use tokio_util::sync::CancellationToken;
 
 /// Accepts connections until `stop` is cancelled and serves each in its own task; returns the tasks
 /// that are still running.
+///
+/// Connections that are established when `stop` is cancelled are accepted too.
 pub(crate) async fn accept_connections<S>(
     listener: TcpListener,
     stop: &CancellationToken,
@@ -18,7 +21,7 @@
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return connections,
+            () = stop.cancelled() => break,
             Some(_) = connections.join_next() => continue,
             accepted = listener.accept() => accepted,
         };
@@ -29,4 +32,10 @@
             Err(error) => warn!("failed to accept a connection: {error}"),
         }
     }
+    // The sockets of connections that wait are reported as ready only after a turn of the runtime.
+    yield_now().await;
+    while let Some(Ok((stream, _))) = unconstrained(listener.accept()).now_or_never() {
+        connections.spawn(serve(stream));
+    }
+    connections
 }
--- a/crates/cuminlb-gateway/src/serving/serve_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cuminlb_routing::ConnectionLimits;
 use hyper::server::conn::http1;
@@ -23,9 +24,12 @@
 /// Size of the read buffer of a connection, which holds the largest head that any catalog may allow.
 const READ_BUFFER_BYTES: usize = 256 << 10;
 
+/// The time after which an idle connection is closed while the node stops.
+const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Serves the requests on a connection, by the limits of the newest catalog.
 ///
-/// When `stop` is cancelled, the connection ends after its current request.
+/// When `stop` is cancelled, the connection ends after its current request, or soon if it is idle.
 pub(super) async fn serve_connection(
     gateway: Arc<Gateway>,
     stream: TcpStream,
@@ -36,7 +40,7 @@
     }
     let state = Arc::new(CallerConnection::new());
     let stream = CallerStream::new(stream, Arc::clone(&state));
-    let limits = || connection_limits(&gateway);
+    let limits = || connection_limits(&gateway, &stop);
     let service = service_fn(|request| {
         let guard = RequestGuard::new(Arc::clone(&state));
         let (gateway, state) = (&gateway, &state);
@@ -52,10 +56,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = run_connection(&mut connection, &state, limits) => ended,
-        () = stop.cancelled() => {
-            Pin::new(&mut connection).graceful_shutdown();
-            run_connection(&mut connection, &state, limits).await
-        }
+        () = stop.cancelled() => run_connection(&mut connection, &state, limits).await,
     };
     let is_malformed = match &ended {
         Some(Err(error)) => {
@@ -76,10 +77,15 @@
     }
 }
 
-fn connection_limits(gateway: &Gateway) -> ConnectionLimits {
+fn connection_limits(gateway: &Gateway, stop: &CancellationToken) -> ConnectionLimits {
     let bounds = gateway.caller_bounds();
+    let idle_timeout = bounds.idle_timeout_ms.duration();
     ConnectionLimits {
-        idle_timeout: bounds.idle_timeout_ms.duration(),
+        idle_timeout: if stop.is_cancelled() {
+            idle_timeout.min(STOP_IDLE_TIMEOUT)
+        } else {
+            idle_timeout
+        },
         head_timeout: bounds.head_timeout_ms.duration(),
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod native_raw_responses;
 mod native_refusals;
 mod native_site;
+mod native_stops;
 mod outage;
 mod pages;
 mod plan_faults;
