Let requests that run have the longer timeout of a newer catalog

Seen by callers: a stream or a plain request that ran when a catalog gave its route more time was cut at the older timeout: the stream broke off, the plain request ended with 504.

Cause: the deadline was computed once, at admission, and the connection to the instance was closed at the same time.

Change: RequestDeadline looks up the host and path in the newest catalog when the deadline of the admission comes, and goes on to the later one; it is never earlier than at admission nor later than the caller waits. Whatever waits for it asks the same object, also the timer that closes the connection to the instance of a stream.

What stays: the instance was told the time that was left when the request was sent, and may stop by itself then; only a later try is told the new time.

--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -47,7 +47,7 @@
         max_body_bytes,
     } = examined;
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
-    let body = read_body(body, max_body_bytes, deadline).await;
+    let body = read_body(body, max_body_bytes, deadline.latest()).await;
     let body = body.map_err(|kind| {
         connection.leave_body_unread();
         refuse(kind)
--- a/crates/cuminlb-gateway/src/serving/admitted_request.rs
+++ b/crates/cuminlb-gateway/src/serving/admitted_request.rs
@@ -9,6 +9,8 @@
 use http::request;
 use tokio::time::Instant;
 
+use super::request_deadline::RequestDeadline;
+
 /// A caller's request that was admitted.
 #[derive(Clone, Debug)]
 pub(super) struct AdmittedRequest {
@@ -31,13 +33,14 @@
     /// When the request head was received.
     pub(super) received_at: Instant,
     /// When the caller must have its response.
-    pub(super) deadline: Instant,
+    pub(super) deadline: RequestDeadline,
 }
 
 impl AdmittedRequest {
     /// Returns the time that remains until the deadline.
     pub(super) fn remaining_ms(&self, now: Instant) -> Millis {
-        self.deadline.saturating_duration_since(now).into()
+        let deadline = self.deadline.latest();
+        deadline.saturating_duration_since(now).into()
     }
 
     /// Returns the priority of the request; 0 is the highest. The priority of the team overrides
--- a/crates/cuminlb-gateway/src/serving/examined_request.rs
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -9,6 +9,7 @@
 use smol_str::ToSmolStr;
 use tokio::time::Instant;
 
+use super::request_deadline::RequestDeadline;
 use crate::gateway::Gateway;
 
 /// Timeout of a request whose headers state none.
@@ -31,7 +32,7 @@
     /// The team that owns the caller's key.
     pub(super) team: Option<Team>,
     /// When the caller must have its response.
-    pub(super) deadline: Instant,
+    pub(super) deadline: RequestDeadline,
     pub(super) max_body_bytes: ByteCount,
 }
 
@@ -74,7 +75,13 @@
             return Err(refuse(RefusalKind::Unauthenticated));
         }
         let timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-        let deadline = received_at + timeout_ms.min(route.timeout_ms).duration();
+        let deadline = RequestDeadline::new(
+            Arc::clone(&gateway.knowledge),
+            (head.host.clone(), path.to_smolstr()),
+            received_at,
+            timeout_ms.duration(),
+            &route,
+        );
         Ok(Self {
             head,
             route,
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -29,6 +29,7 @@
 mod quarantine;
 mod read_body;
 mod refusal_response;
+mod request_deadline;
 mod request_guard;
 mod request_stage;
 mod response_body;
--- a/crates/cuminlb-gateway/src/serving/open_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/open_stream.rs
@@ -8,7 +8,7 @@
 use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use smol_str::format_smolstr;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
@@ -18,6 +18,7 @@
 use super::stream_source::{StreamSource, silence_limit};
 use super::target::Target;
 use crate::gateway::Gateway;
+use crate::upstream::{Connection, ConnectionDeadline};
 
 /// How often a request that waits for its response checks the silence of the instance.
 const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(30);
@@ -73,7 +74,7 @@
                         Silence::TooLong => return Err(AttemptFailure::Silent),
                     },
                 },
-                () = sleep_until(request.deadline) => {
+                () = request.deadline.passed() => {
                     return Err(AttemptFailure::unknown("deadline exceeded"));
                 }
             }
@@ -115,7 +116,7 @@
             head,
             in_flight,
             body,
-            deadline: connection.close_at(request.deadline),
+            deadline: close_at_deadline(&connection, request),
             connection,
             decoder: EventDecoder::default(),
             last_seen_at: sent_at,
@@ -142,3 +143,9 @@
     *response.headers_mut() = wire.response_headers(&parts);
     Ok(OpenedResponse::Other(response))
 }
+
+/// Closes a connection at the deadline of a request, unless the result is dropped before.
+fn close_at_deadline(connection: &Connection, request: &AdmittedRequest) -> ConnectionDeadline {
+    let deadline = request.deadline.clone();
+    connection.close_after(async move { deadline.passed().await })
+}
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -9,7 +9,7 @@
 use http::Response;
 use log::info;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
@@ -34,7 +34,6 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     gateway.allow_or_refuse(&mut request)?;
     let may_retry = request.route.kind == RouteKind::Idempotent;
-    let deadline = request.deadline - TIMEOUT_RESPONSE_MARGIN;
     let mut tried: Vec<InstanceId> = Vec::new();
     let mut runs = 0;
     let mut has_reached_instance = false;
@@ -42,6 +41,7 @@
     let mut reason: Option<SmolStr> = None;
     loop {
         let now = Instant::now();
+        let deadline = request.deadline.latest() - TIMEOUT_RESPONSE_MARGIN;
         if now >= deadline {
             break;
         }
@@ -55,14 +55,20 @@
             break;
         }
         let is_last_attempt = runs + 1 >= request.route.max_attempts;
-        let attempt_deadline = if may_retry && !is_last_attempt {
-            now + (deadline - now).mul_f64(ATTEMPT_TIME_FRACTION)
-        } else {
-            deadline
+        let expired = async {
+            if may_retry && !is_last_attempt {
+                sleep_until(now + (deadline - now).mul_f64(ATTEMPT_TIME_FRACTION)).await;
+            } else {
+                let deadline = &request.deadline;
+                deadline.passed_but_for(TIMEOUT_RESPONSE_MARGIN).await;
+            }
+        };
+        let outcome = tokio::select! {
+            biased;
+            outcome = plain_exchange(gateway, &request, &target) => Some(outcome),
+            () = expired => None,
         };
-        let outcome =
-            timeout_at(attempt_deadline, plain_exchange(gateway, &request, &target)).await;
-        let outcome = outcome.unwrap_or_else(|_elapsed| {
+        let outcome = outcome.unwrap_or_else(|| {
             gateway.pool.close_idle(target.address);
             let load = gateway.loads.load(&target.instance);
             load.record_outcome(true);
@@ -116,7 +122,7 @@
         let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
         return Err(refusal.with_retry_after(RETRY_AFTER_MS));
     }
-    if Instant::now() >= deadline {
+    if Instant::now() >= request.deadline.latest() - TIMEOUT_RESPONSE_MARGIN {
         let timeout_ms = request.age_ms(Instant::now());
         return Err(Refusal::unknown(RefusalKind::DeadlineExceeded {
             timeout_ms,
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -66,7 +66,7 @@
         }
     }
     if attempts.may_have_run() {
-        if Instant::now() >= request.deadline {
+        if request.deadline.has_passed() {
             let timeout_ms = request.age_ms(Instant::now());
             return Err(Refusal::unknown(RefusalKind::DeadlineExceeded {
                 timeout_ms,
@@ -91,7 +91,7 @@
         .target_latency_ms
         .duration()
         .mul_f64(GROUP_WAIT_FRACTION);
-    let until = (request.received_at + wait).min(request.deadline);
+    let until = (request.received_at + wait).min(request.deadline.latest());
     let mut changes = gateway.knowledge.directory_changes();
     loop {
         if let Some(target) = choose_target(gateway, request, attempts.instances()) {
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -159,7 +159,7 @@
     /// Resumes the stream on another group; returns `false` if none can continue it.
     async fn fail_over(&mut self, reason: &str) -> bool {
         let gateway = Arc::clone(&self.gateway);
-        while self.attempts.may_run_again() && Instant::now() < self.request.deadline {
+        while self.attempts.may_run_again() && !self.request.deadline.has_passed() {
             if gateway.is_quarantined(&self.request) {
                 return false;
             }
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::admitted_request::AdmittedRequest;
 use super::in_flight_guard::InFlightGuard;
@@ -75,7 +75,7 @@
     pub(super) async fn next(&mut self, request: &AdmittedRequest) -> StreamUpdate {
         loop {
             // An instance that sends without pause would never let the deadline below have its turn.
-            if Instant::now() >= request.deadline {
+            if request.deadline.has_passed() {
                 return StreamUpdate::TimedOut;
             }
             match self.decoder.next_event() {
@@ -118,7 +118,7 @@
                         Silence::TooLong => return StreamUpdate::Silent,
                     },
                 },
-                () = sleep_until(request.deadline) => return StreamUpdate::TimedOut,
+                () = request.deadline.passed() => return StreamUpdate::TimedOut,
             }
         }
     }
--- a/crates/cuminlb-gateway/src/upstream/connection.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection.rs
@@ -9,7 +9,6 @@
 use hyper::client::conn::http1::SendRequest;
 use smol_str::ToSmolStr;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until};
 use tokio_util::task::TaskTracker;
 
 use super::{ConnectionDeadline, SendFailure};
@@ -25,12 +24,15 @@
 }
 
 impl Connection {
-    /// Closes the connection at a time, whatever is received by then, unless the result is dropped
-    /// before.
-    pub(crate) fn close_at(&self, deadline: Instant) -> ConnectionDeadline {
+    /// Closes the connection after a deadline, whatever is received by then, unless the result is
+    /// dropped before.
+    pub(crate) fn close_after(
+        &self,
+        deadline: impl Future<Output = ()> + Send + 'static,
+    ) -> ConnectionDeadline {
         let driver = self.driver.clone();
         let timer = self.tasks.spawn(async move {
-            sleep_until(deadline).await;
+            deadline.await;
             driver.abort();
         });
         ConnectionDeadline::new(timer.abort_handle())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod native_catalog;
 mod native_connections;
 mod native_crashes;
+mod native_deadlines;
 mod native_feeds;
 mod native_groups;
 mod native_observation;
