--- a/crates/cuminlb-gateway/src/serving/discard_rest.rs
+++ b/crates/cuminlb-gateway/src/serving/discard_rest.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -12,12 +12,11 @@
 /// How much of it is discarded at most.
 const MAX_DISCARDED_BYTES: u64 = 32 << 20;
 
-/// Closes a connection for writing, and reads what its caller still sends.
+/// Reads what a caller still sends on a connection that was closed for writing.
 ///
 /// Closing a connection with unread bytes resets it, and a reset discards the response that the
 /// caller has not read yet.
-pub(super) async fn discard_rest(mut stream: TcpStream) -> std::io::Result<()> {
-    stream.shutdown().await?;
+pub(super) async fn discard_rest(stream: TcpStream) -> std::io::Result<()> {
     let mut rest = stream.take(MAX_DISCARDED_BYTES);
     let mut sink = tokio::io::sink();
     match timeout(DISCARD_TIMEOUT, tokio::io::copy(&mut rest, &mut sink)).await {
--- a/crates/cuminlb-gateway/src/serving/examined_request.rs
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -9,6 +9,7 @@
 use smol_str::ToSmolStr;
 use tokio::time::Instant;
 
+use super::request_deadline::RequestDeadline;
 use crate::gateway::Gateway;
 
 /// Timeout of a request whose headers state none.
@@ -17,6 +18,12 @@
 /// `Retry-After` of a request that arrives before this node has read a catalog.
 const NO_CATALOG_RETRY_AFTER_MS: Millis = Millis(300);
 
+/// How much a head may exceed its limit, since callers may count differently.
+const HEAD_TOLERANCE_BYTES: u64 = 8 << 10;
+
+/// The separators of a header: a colon and the end of its line.
+const HEADER_SEPARATOR_BYTES: usize = 3;
+
 /// The values of a request's head, and what the catalog says about it.
 #[derive(Clone, Debug)]
 pub(super) struct ExaminedRequest {
@@ -25,7 +32,7 @@
     /// The team that owns the caller's key.
     pub(super) team: Option<Team>,
     /// When the caller must have its response.
-    pub(super) deadline: Instant,
+    pub(super) deadline: RequestDeadline,
     pub(super) max_body_bytes: ByteCount,
 }
 
@@ -53,6 +60,10 @@
             let (refusal, id) = refuse(RefusalKind::ConfigUnconfirmed);
             return Err((refusal.with_retry_after(NO_CATALOG_RETRY_AFTER_MS), id));
         };
+        let max_bytes = catalog.bounds.max_head_bytes;
+        if head_bytes(parts) > max_bytes.get().saturating_add(HEAD_TOLERANCE_BYTES) {
+            return Err(refuse(RefusalKind::HeadersTooLarge { max_bytes }));
+        }
         let path = parts.uri.path();
         let route = catalog.route(&head.host, path).ok_or_else(|| {
             let name = path.to_smolstr();
@@ -64,7 +75,13 @@
             return Err(refuse(RefusalKind::Unauthenticated));
         }
         let timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-        let deadline = received_at + timeout_ms.min(route.timeout_ms).duration();
+        let deadline = RequestDeadline::new(
+            Arc::clone(&gateway.knowledge),
+            (head.host.clone(), path.to_smolstr()),
+            received_at,
+            timeout_ms.duration(),
+            &route,
+        );
         Ok(Self {
             head,
             route,
@@ -78,3 +95,15 @@
 fn team_for_key(catalog: &Catalog, key: &Option<ApiKey>) -> Option<Team> {
     catalog.team(key.as_ref()?).cloned()
 }
+
+/// Returns the size of a head without optional spaces.
+fn head_bytes(parts: &request::Parts) -> u64 {
+    let target = parts.uri.path_and_query();
+    let target_len = target.map_or(0, |target| target.as_str().len());
+    let headers = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.as_bytes().len() + HEADER_SEPARATOR_BYTES);
+    let len = parts.method.as_str().len() + target_len + headers.sum::<usize>();
+    u64::try_from(len).unwrap_or(u64::MAX)
+}
--- a/tests/testsuite/raw_caller.rs
+++ b/tests/testsuite/raw_caller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use crate::native_site::{API_KEY, HOST, NativeNode};
@@ -11,6 +11,9 @@
 /// How long a caller waits for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The size of the receive buffer of a slow caller.
+const SMALL_BUFFER_BYTES: u32 = 16 << 10;
+
 /// The start of a response.
 #[derive(Clone, Debug)]
 pub struct RawResponse {
@@ -27,7 +30,18 @@
 
 impl RawCaller {
     pub async fn connect(node: &NativeNode) -> Self {
-        let stream = TcpStream::connect(node.caller_address()).await.unwrap();
+        Self::connect_from(TcpSocket::new_v4().unwrap(), node).await
+    }
+
+    /// Connects with a receive buffer that holds only a small part of a long response.
+    pub async fn connect_with_small_buffer(node: &NativeNode) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
+        Self::connect_from(socket, node).await
+    }
+
+    async fn connect_from(socket: TcpSocket, node: &NativeNode) -> Self {
+        let stream = socket.connect(node.caller_address()).await.unwrap();
         stream.set_nodelay(true).unwrap();
         Self {
             stream,
