Keep a silent stream at its instance until another group continues it

What callers saw: a stream ended in the middle, without its last events, or a request for a stream got 502 or 504, although its instance was sound, was silent for a second or two and then went on. Cause: StreamRelay closed the connection to a silent instance before another group had taken the stream over. If that group refused the request or the connection, was silent too or broke off, or if no run or no budget was left, nothing was left and the stream was aborted. The same before the head of a response: open_stream dropped the request after 0.9 s of silence, and a request that may not run again was dropped as soon as its group was believed lost. Change: the attempts of a request are open side by side. A silent one stays open while the request is offered to another instance; the first that sends an event that the caller does not have goes on, and the connections of the others are closed. An event of one attempt is never followed by one of another that was asked to resume before it, because the latter is closed at that moment. While attempts compete before the response has begun, its head and proof are those of the attempt that sends the first event. If no other instance takes the request, it stays until its deadline, also when its group is believed lost. Attempts that were cancelled count as runs, so that maxAttempts holds; what may not be retried is never sent again. The decision is cuminlb_routing::OpenAttempts, without a network. A 5xx of one attempt is kept until the others have ended. A silence that goes on is offered again after the same time as before. Time bounds are as they were. One poll of the attempts in the task of the connection, no task of their own. Log: "stream offered to another group", then "stream moved", "stream went on by itself" or "no other group takes a stream" with the obstacle, in place of "stream moves". An attempt that is cancelled before its response has the outcome "cancelled". stream_moves counts the streams that moved, not the offers.

--- a/crates/cuminlb-gateway/src/serving/attempt_failure.rs
+++ b/crates/cuminlb-gateway/src/serving/attempt_failure.rs
@@ -34,9 +34,6 @@
         /// The observed cause.
         reason: SmolStr,
     },
-    /// Nothing was received, and the instance seems to be stalled.
-    #[error("silent")]
-    Silent,
 }
 
 impl AttemptFailure {
@@ -53,7 +50,7 @@
                 ..
             } => *has_reached_instance,
             Self::NotConnected { .. } => false,
-            Self::ConnectionLost { .. } | Self::Unknown { .. } | Self::Silent => true,
+            Self::ConnectionLost { .. } | Self::Unknown { .. } => true,
         }
     }
 
@@ -62,7 +59,7 @@
         match self {
             Self::NotConnected { .. } => Some(RequestStage::NotSent),
             Self::ConnectionLost { .. } => Some(RequestStage::Waiting),
-            Self::NotRun { .. } | Self::Unknown { .. } | Self::Silent => None,
+            Self::NotRun { .. } | Self::Unknown { .. } => None,
         }
     }
 
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -2,13 +2,17 @@
 //!
 //! [`serve_callers`] runs a task for each caller connection; [`handle_request`] is the path of one
 //! request, written straight down. A plain response is buffered completely before its first byte is
-//! passed on. A stream is relayed event by event ([`StreamRelay`]) and fails over to another group
-//! when its own falls silent. [`LoadTracker`] holds what this node observes of each instance
+//! passed on. A stream is relayed event by event ([`StreamRelay`]). When its group falls silent, it
+//! is offered to another group, and continues with the first of both that sends something
+//! ([`StreamAttempts`]). [`LoadTracker`] holds what this node observes of each instance
 //! through its own requests.
 
 mod admit;
 mod admitted_request;
 mod attempt_failure;
+mod attempt_obstacle;
+mod attempt_stage;
+mod attempt_update;
 mod check_instance;
 mod choose_target;
 mod crash_causes;
@@ -18,7 +22,6 @@
 mod instance_checks;
 mod instance_load;
 mod load_tracker;
-mod open_stream;
 mod plain_exchange;
 mod probe_group;
 mod quarantine;
@@ -34,9 +37,12 @@
 mod share_crashes;
 mod share_loads;
 mod silence_watch;
+mod stream_attempt;
 mod stream_attempts;
+mod stream_head;
 mod stream_relay;
 mod stream_source;
+mod stream_update;
 mod suspect;
 mod target;
 
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -6,15 +6,15 @@
 use cuminlb_routing::{Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::Response;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::{Instant, sleep_until};
 
 use super::admitted_request::AdmittedRequest;
 use super::choose_target::choose_target;
-use super::open_stream::OpenedResponse;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_relay::StreamRelay;
+use super::stream_update::StreamUpdate;
 use super::target::Target;
 use crate::gateway::Gateway;
 
@@ -30,75 +30,93 @@
     mut request: AdmittedRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     gateway.allow_or_refuse(&mut request)?;
-    let mut attempts =
-        StreamAttempts::new(request.route.max_attempts, request.route.kind.may_retry());
+    let resume_after = request.head.resume_after;
+    let mut attempts = StreamAttempts::new(gateway, request);
+    let mut failed_response = None;
     let mut reason: SmolStr = "no group is serving".into();
-    while let Some(target) = wait_for_target(gateway, &request, &attempts).await {
-        if gateway.is_quarantined(&request) {
-            if attempts.may_have_run() {
-                reason = "instances crashed while they responded to it".into();
+    loop {
+        if let Some(number) = attempts.only_stream() {
+            return Ok(StreamRelay::response(attempts, number, None));
+        }
+        if attempts.is_empty() {
+            if failed_response.is_some() || !attempts.may_run_again() {
                 break;
             }
-            if !request.is_probe {
-                gateway.allow_or_refuse(&mut request)?;
+            let Some(target) = wait_for_target(&mut attempts).await else {
+                break;
+            };
+            attempts.allow_or_refuse()?;
+            if let Err(obstacle) = attempts.start(target, resume_after) {
+                reason = obstacle.to_smolstr();
+                break;
             }
         }
-        if attempts.has_reached_instance() && !gateway.acquire_retry(&request.service) {
-            reason = "retry budget exhausted".into();
-            break;
-        }
-        match attempts
-            .open(gateway, &request, target, request.head.resume_after)
-            .await
-        {
-            Ok(OpenedResponse::Stream(source, parts)) => {
-                return Ok(StreamRelay::response(
-                    gateway, request, attempts, *source, &parts,
-                ));
+        match attempts.next().await {
+            StreamUpdate::Opened => {}
+            StreamUpdate::Other(response) => {
+                if !response.status().is_server_error() {
+                    return Ok(response);
+                }
+                failed_response = Some(response);
+            }
+            update @ (StreamUpdate::Event(number, _) | StreamUpdate::End(number)) => {
+                return Ok(StreamRelay::response(attempts, number, Some(update)));
             }
-            Ok(OpenedResponse::Other(response)) => return Ok(response),
-            Err(failure) => {
-                reason = smol_str::ToSmolStr::to_smolstr(&failure);
-                if !failure.is_not_run() && !attempts.may_run_again() {
-                    break;
+            StreamUpdate::Failed(failure) => {
+                reason = failure;
+                if !attempts.is_empty() {
+                    // Without another group the request stays where it is, which is logged.
+                    let _ = attempts.offer(resume_after, &reason);
                 }
             }
+            StreamUpdate::Silent => {
+                let _ = attempts.offer(resume_after, "silent");
+            }
+            StreamUpdate::TimedOut => break,
         }
     }
+    failed_response.map_or_else(|| Err(refusal(&attempts, reason)), Ok)
+}
+
+/// Returns the refusal of a request without a response.
+fn refusal(attempts: &StreamAttempts, reason: SmolStr) -> Refusal {
+    let request = &attempts.request;
     if attempts.may_have_run() {
-        if Instant::now() >= request.deadline {
-            let timeout_ms = request.age_ms(Instant::now());
-            return Err(Refusal::unknown(RefusalKind::DeadlineExceeded {
-                timeout_ms,
-            }));
+        let now = Instant::now();
+        if now >= request.deadline {
+            let timeout_ms = request.age_ms(now);
+            return Refusal::unknown(RefusalKind::DeadlineExceeded { timeout_ms });
         }
-        return Err(Refusal::unknown(RefusalKind::UpstreamFailed { reason }));
+        return Refusal::unknown(RefusalKind::UpstreamFailed { reason });
     }
     let service = request.service.clone();
     let retry_after_ms = rand::random_range(RETRY_AFTER_MS);
     let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
-    Err(refusal.with_retry_after(Millis(retry_after_ms)))
+    refusal.with_retry_after(Millis(retry_after_ms))
 }
 
 /// Chooses a group, or waits for one while the first event can still meet the target latency.
-async fn wait_for_target(
-    gateway: &Gateway,
-    request: &AdmittedRequest,
-    attempts: &StreamAttempts,
-) -> Option<Target> {
+async fn wait_for_target(attempts: &mut StreamAttempts) -> Option<Target> {
+    let StreamAttempts {
+        gateway,
+        request,
+        instances,
+        ..
+    } = attempts;
     let wait: Duration = request
         .route
         .target_latency_ms
         .duration()
         .mul_f64(GROUP_WAIT_FRACTION);
     let until = (request.received_at + wait).min(request.deadline);
+    let choose = || choose_target(gateway, request, instances);
     let mut changes = gateway.knowledge.directory_changes();
     loop {
-        if let Some(target) = choose_target(gateway, request, attempts.instances()) {
+        if let Some(target) = choose() {
             return Some(target);
         }
         tokio::select! {
-            () = sleep_until(until) => return choose_target(gateway, request, attempts.instances()),
+            () = sleep_until(until) => return choose(),
             changed = changes.changed() => changed.ok()?,
         }
     }
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -0,0 +1,242 @@
+//! One attempt to get an event stream from an instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminlb_catalog::RouteKind;
+use cuminlb_types::prelude::*;
+use http::response;
+use log::info;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::admitted_request::AdmittedRequest;
+use super::attempt_failure::AttemptFailure;
+use super::attempt_stage::AttemptStage;
+use super::attempt_update::AttemptUpdate;
+use super::in_flight_guard::InFlightGuard;
+use super::plain_exchange::{forwarded_request, from_send_failure};
+use super::silence_watch::{Silence, SilenceWatch};
+use super::stream_head::{StreamHead, read_head};
+use super::stream_source::StreamSource;
+use super::target::Target;
+use crate::gateway::Gateway;
+use crate::upstream::Connection;
+
+/// How often an attempt that receives nothing checks the silence of its instance.
+const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(30);
+
+/// Fraction of the acceptable pause after which an instance is suspected.
+const PAUSE_SUSPICION_FRACTION: f64 = 0.75;
+
+/// Fraction of the target latency of the first event after which an instance is suspected.
+const FIRST_EVENT_SUSPICION_FRACTION: f64 = 0.9;
+
+/// Acceptable pause between two events if the route states none.
+const DEFAULT_MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// One attempt to get an event stream from an instance. Dropping it closes its connection, which lets
+/// the instance know that it can stop.
+#[derive(Debug)]
+pub(super) struct StreamAttempt {
+    pub(super) number: AttemptNumber,
+    pub(super) target: Target,
+    resume_after: Option<EventId>,
+    started_at: Instant,
+    pub(super) stage: AttemptStage,
+    in_flight: InFlightGuard,
+    /// When something was last received, or when the request was sent.
+    last_seen_at: Instant,
+    watch: SilenceWatch,
+}
+
+impl StreamAttempt {
+    /// Starts an attempt on an instance.
+    pub(super) fn start(
+        gateway: &Arc<Gateway>,
+        number: AttemptNumber,
+        target: Target,
+        resume_after: Option<EventId>,
+    ) -> Self {
+        let in_flight = gateway.loads.start_request(&target.instance);
+        let now = Instant::now();
+        let connecting = Arc::clone(gateway);
+        let address = target.address;
+        Self {
+            number,
+            target,
+            resume_after,
+            started_at: now,
+            stage: AttemptStage::Connecting(Box::pin(async move {
+                connecting.pool.connect(address).await
+            })),
+            in_flight,
+            last_seen_at: now,
+            watch: SilenceWatch::default(),
+        }
+    }
+
+    /// Returns the stream if it has begun.
+    pub(super) fn source(&self) -> Option<&StreamSource> {
+        match &self.stage {
+            AttemptStage::Streaming(source) => Some(source),
+            _ => None,
+        }
+    }
+
+    /// Returns the head of the response, unless it was taken before or is no stream's.
+    pub(super) fn take_head(&mut self) -> Option<Box<response::Parts>> {
+        match &mut self.stage {
+            AttemptStage::Streaming(source) => source.parts.take(),
+            _ => None,
+        }
+    }
+
+    /// Logs what came of the attempt to open a stream.
+    pub(super) fn log_outcome(&self, request: &AdmittedRequest, outcome: &str) {
+        let now = Instant::now();
+        let group = self.target.group.as_ref();
+        info!(
+            request:% = request.head.id, route:% = request.route.name,
+            instance:% = self.target.instance, group = group.map(|(group, _)| group.as_str()),
+            resume_after = self.resume_after.map(EventId::get), tries = self.number.get() + 1,
+            age_ms = request.age_ms(now).get(),
+            waited_ms = Millis::from(now.duration_since(self.started_at)).get(), outcome = outcome;
+            "stream asked for"
+        );
+    }
+
+    /// Waits for the next update. Nothing is lost if the future is dropped before that.
+    pub(super) async fn next(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        request: &AdmittedRequest,
+    ) -> AttemptUpdate {
+        loop {
+            // An instance that sends without pause would never let the deadline below have its turn.
+            if Instant::now() >= request.deadline {
+                return AttemptUpdate::TimedOut;
+            }
+            if let AttemptStage::Streaming(source) = &mut self.stage
+                && let Some(update) = source.decode()
+            {
+                return update;
+            }
+            let received = tokio::select! {
+                biased;
+                received = timeout(SILENCE_CHECK_PERIOD, self.receive(gateway, request)) => received,
+                () = sleep_until(request.deadline) => return AttemptUpdate::TimedOut,
+            };
+            let update = match received {
+                Ok(Ok(update)) => update,
+                Ok(Err(failure)) => Some(AttemptUpdate::Failed(failure)),
+                Err(_elapsed) => self.check_silence(gateway, request),
+            };
+            if let Some(update) = update {
+                return update;
+            }
+        }
+    }
+
+    /// Waits until the attempt comes one step further.
+    async fn receive(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        request: &AdmittedRequest,
+    ) -> Result<Option<AttemptUpdate>, AttemptFailure> {
+        match &mut self.stage {
+            AttemptStage::Connecting(connection) => {
+                let connection = connection.await.map_err(from_send_failure)?;
+                self.send(gateway, request, connection);
+                Ok(None)
+            }
+            AttemptStage::Waiting(response) => {
+                let (connection, response) = response.await;
+                let response = response.map_err(from_send_failure)?;
+                let head = read_head(gateway, request, &self.in_flight, connection, response)?;
+                Ok(self.continue_after(head))
+            }
+            AttemptStage::ReadingResponse(response) => {
+                let response = response.await?;
+                Ok(Some(AttemptUpdate::Other(response)))
+            }
+            AttemptStage::Streaming(source) => {
+                let update = source.receive().await;
+                if update.is_none() {
+                    self.last_seen_at = Instant::now();
+                    self.in_flight.record_progress(self.last_seen_at);
+                }
+                Ok(update)
+            }
+        }
+    }
+
+    fn send(&mut self, gateway: &Gateway, request: &AdmittedRequest, mut connection: Connection) {
+        let outgoing = forwarded_request(gateway, request, &self.target, self.resume_after);
+        self.last_seen_at = Instant::now();
+        self.stage = AttemptStage::Waiting(Box::pin(async move {
+            let response = connection.send(outgoing).await;
+            (connection, response)
+        }));
+    }
+
+    fn continue_after(&mut self, head: StreamHead) -> Option<AttemptUpdate> {
+        match head {
+            StreamHead::Stream(source) => {
+                self.watch = SilenceWatch::default();
+                self.stage = AttemptStage::Streaming(source);
+                Some(AttemptUpdate::Opened)
+            }
+            StreamHead::Other(response) => {
+                self.stage = AttemptStage::ReadingResponse(response);
+                None
+            }
+        }
+    }
+
+    fn check_silence(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        request: &AdmittedRequest,
+    ) -> Option<AttemptUpdate> {
+        let has_started = match &self.stage {
+            AttemptStage::Connecting(_) | AttemptStage::ReadingResponse(_) => return None,
+            AttemptStage::Waiting(_) if !request.is_probe && gateway.is_quarantined(request) => {
+                let failure = AttemptFailure::unknown("quarantined");
+                return Some(AttemptUpdate::Failed(failure));
+            }
+            AttemptStage::Waiting(_) => false,
+            AttemptStage::Streaming(source) => source.event_count > 0,
+        };
+        let limit = silence_limit(request, has_started);
+        let epoch = self.target.epoch();
+        match self
+            .watch
+            .check(&self.in_flight, self.last_seen_at, limit, epoch)
+        {
+            Silence::Normal => None,
+            Silence::Suspicious => {
+                gateway.suspect(request, &self.target, self.last_seen_at);
+                None
+            }
+            Silence::TooLong => Some(AttemptUpdate::Silent),
+        }
+    }
+}
+
+/// Returns how long an instance may be silent for a request, before or after its first event.
+fn silence_limit(request: &AdmittedRequest, has_started: bool) -> Duration {
+    if !has_started {
+        return request
+            .route
+            .target_latency_ms
+            .duration()
+            .mul_f64(FIRST_EVENT_SUSPICION_FRACTION);
+    }
+    let pause = match request.route.kind {
+        RouteKind::Stream { target_gap_ms, .. } => target_gap_ms.map(Millis::duration),
+        RouteKind::Idempotent | RouteKind::AtMostOnce => None,
+    };
+    pause
+        .unwrap_or(DEFAULT_MAX_PAUSE)
+        .mul_f64(PAUSE_SUSPICION_FRACTION)
+}
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -0,0 +1,120 @@
+//! The head of the response to a request for an event stream.
+
+use std::time::Duration;
+
+use cuminlb_upstream::EventDecoder;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, Response, StatusCode, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use smol_str::format_smolstr;
+use tokio::time::{Instant, timeout};
+
+use super::admitted_request::AdmittedRequest;
+use super::attempt_failure::AttemptFailure;
+use super::in_flight_guard::InFlightGuard;
+use super::response_body::{ResponseBody, full_body};
+use super::stream_source::StreamSource;
+use crate::gateway::Gateway;
+use crate::upstream::Connection;
+
+/// Size limit of a response that is buffered because it is not the requested stream.
+const MAX_NON_STREAM_BYTES: usize = 1 << 20;
+
+/// Timeout for the body of a response that is not a stream.
+const NON_STREAM_BODY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What follows the head of the response to a request for a stream.
+pub(super) enum StreamHead {
+    /// The stream.
+    Stream(Box<StreamSource>),
+    /// The rest of a response of another kind.
+    Other(BoxFuture<'static, Result<Response<ResponseBody>, AttemptFailure>>),
+}
+
+/// Evaluates the head of a response.
+///
+/// # Errors
+///
+/// Returns [`AttemptFailure`] if the instance refused the request, or if the response is not the
+/// instance's response to this request.
+pub(super) fn read_head(
+    gateway: &Gateway,
+    request: &AdmittedRequest,
+    in_flight: &InFlightGuard,
+    connection: Connection,
+    response: Response<Incoming>,
+) -> Result<StreamHead, AttemptFailure> {
+    let (parts, body) = response.into_parts();
+    let wire = gateway.edges.wire.as_ref();
+    let head = wire.read_response(&parts);
+    if head
+        .request
+        .as_ref()
+        .is_some_and(|id| *id != request.head.id)
+    {
+        return Err(AttemptFailure::unknown(
+            "the response belongs to another request",
+        ));
+    }
+    let now = Instant::now();
+    if head.is_not_executed {
+        in_flight.load().record_refusal(now);
+        let reason = format_smolstr!("refused with status {}", head.status);
+        let has_reached_instance = true;
+        // Dropping the rest of the response closes the connection; it carries no further
+        // information.
+        return Err(AttemptFailure::NotRun {
+            reason,
+            has_reached_instance,
+        });
+    }
+    if !head.is_attested || head.is_encoded {
+        return Err(AttemptFailure::unknown(
+            "the response lacks the instance's proof or was modified in transit",
+        ));
+    }
+    in_flight.record_progress(now);
+    if parts.status == StatusCode::OK && head.is_event_stream {
+        return Ok(StreamHead::Stream(Box::new(StreamSource {
+            parts: Some(Box::new(parts)),
+            head,
+            body,
+            deadline: connection.close_at(request.deadline),
+            connection,
+            decoder: EventDecoder::default(),
+            event_count: 0,
+            has_ended: false,
+        })));
+    }
+    let headers = wire.response_headers(&parts);
+    Ok(StreamHead::Other(Box::pin(async move {
+        let response = read_rest(body, parts, headers).await;
+        // The rest is read through the connection.
+        drop(connection);
+        response
+    })))
+}
+
+async fn read_rest(
+    body: Incoming,
+    parts: response::Parts,
+    headers: HeaderMap,
+) -> Result<Response<ResponseBody>, AttemptFailure> {
+    let body = timeout(
+        NON_STREAM_BODY_TIMEOUT,
+        Limited::new(body, MAX_NON_STREAM_BYTES).collect(),
+    )
+    .await;
+    let body = body
+        .map_err(|_elapsed| AttemptFailure::unknown("the response body did not end in time"))?
+        .map_err(|error| {
+            AttemptFailure::unknown(format_smolstr!(
+                "the response body was interrupted: {error}"
+            ))
+        })?;
+    let mut response = Response::new(full_body(body.to_bytes()));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -1,27 +1,20 @@
 //! Relays an event stream to a caller, across failovers between groups.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::StreamEvent;
 use futures_util::stream::unfold;
+use http::Response;
 use http::header::CONTENT_LENGTH;
-use http::{Response, response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use log::info;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::admitted_request::AdmittedRequest;
-use super::choose_target::choose_target;
-use super::open_stream::OpenedResponse;
-use super::request_stage::RequestStage;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
-use super::stream_source::{RESPONDING_EVENTS, StreamSource, StreamUpdate};
-use crate::gateway::Gateway;
+use super::stream_update::StreamUpdate;
 use crate::metrics::RouteLabels;
 
 /// Why a stream to a caller was aborted.
@@ -32,14 +25,13 @@
     reason: SmolStr,
 }
 
-/// Relays a stream of events to a caller, and resumes it on another group if its own aborts it or
-/// falls silent.
+/// Relays a stream of events to a caller. If its group aborts it or falls silent, another group is
+/// asked to resume it.
 #[derive(Debug)]
 pub(super) struct StreamRelay {
-    gateway: Arc<Gateway>,
-    request: AdmittedRequest,
     attempts: StreamAttempts,
-    source: Option<StreamSource>,
+    /// An update that was received before the relay began.
+    pending: Option<StreamUpdate>,
     /// The last event that was relayed to the caller.
     last_event: Option<EventId>,
     event_count: u64,
@@ -49,24 +41,26 @@
 }
 
 impl StreamRelay {
-    /// Returns the response that relays a stream.
+    /// Returns the response that relays the stream of an attempt, of which `pending` has already been
+    /// received. The other attempts end.
     pub(super) fn response(
-        gateway: &Arc<Gateway>,
-        request: AdmittedRequest,
-        attempts: StreamAttempts,
-        source: StreamSource,
-        parts: &response::Parts,
+        mut attempts: StreamAttempts,
+        number: AttemptNumber,
+        pending: Option<StreamUpdate>,
     ) -> Response<ResponseBody> {
-        let mut headers = gateway.edges.wire.response_headers(parts);
+        attempts.select(number);
+        let mut response = Response::new(());
+        if let Some(parts) = attempts.take_head(number) {
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = attempts.gateway.edges.wire.response_headers(&parts);
+        }
         // Another group may continue the stream, so the length of this response need not be that of
         // the relayed stream.
-        headers.remove(CONTENT_LENGTH);
+        response.headers_mut().remove(CONTENT_LENGTH);
         let relay = Self {
-            gateway: Arc::clone(gateway),
-            last_event: request.head.resume_after,
-            request,
+            last_event: attempts.request.head.resume_after,
             attempts,
-            source: Some(source),
+            pending,
             event_count: 0,
             first_event_ms: None,
             last_relayed_at: Instant::now(),
@@ -80,56 +74,42 @@
                 None => None,
             }
         });
-        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = headers;
-        response
+        response.map(|()| StreamBody::new(frames).boxed_unsync())
     }
 
     /// Returns the next event for the caller; `None` at the end of the stream.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
-            let Some(source) = &mut self.source else {
-                return Some(Err(self.abort("no group can continue the stream")));
+            let update = match self.pending.take() {
+                Some(update) => update,
+                None => self.attempts.next().await,
             };
-            match source.next(&self.request).await {
-                StreamUpdate::Event(event) => {
-                    if source.event_count == RESPONDING_EVENTS {
-                        self.gateway.record_success(&self.request);
-                    }
-                    if let Some(chunk) = self.relay_event(&event) {
+            match update {
+                StreamUpdate::Event(number, event) => {
+                    if let Some(chunk) = self.relay_event(number, &event) {
                         return Some(Ok(chunk));
                     }
                 }
-                StreamUpdate::End => {
-                    if source.stage() == RequestStage::Begun {
-                        self.gateway.record_success(&self.request);
-                    }
-                    if let Some(source) = self.source.take() {
-                        source.release_connection(&self.gateway);
-                    }
+                StreamUpdate::End(number) => {
+                    self.attempts.select(number);
+                    self.attempts.finish(number);
                     self.record_end("whole");
                     return None;
                 }
-                StreamUpdate::Suspicious => {
-                    self.gateway
-                        .suspect(&self.request, &source.target, source.last_seen_at);
-                }
+                // The head of a stream does not show that the instance continues it.
+                StreamUpdate::Opened => {}
                 StreamUpdate::Silent => {
-                    if !self.fail_over("silent").await {
-                        // No other group can continue the stream, so it stays on its instance.
-                        if let Some(source) = &mut self.source {
-                            source.last_seen_at = Instant::now();
-                        }
+                    // Without another group the stream stays where it is, which is logged.
+                    let _ = self.attempts.offer(self.last_event, "silent");
+                }
+                StreamUpdate::Other(_) => {
+                    if let Err(error) = self.offer_or_abort("the response is no stream") {
+                        return Some(Err(error));
                     }
                 }
-                StreamUpdate::Broken(reason) => {
-                    let stage = source.stage();
-                    self.gateway
-                        .check_instance(&self.request, &source.target, stage);
-                    self.source = None;
-                    if !self.fail_over(&reason).await {
-                        return Some(Err(self.abort(reason)));
+                StreamUpdate::Failed(reason) => {
+                    if let Err(error) = self.offer_or_abort(&reason) {
+                        return Some(Err(error));
                     }
                 }
                 StreamUpdate::TimedOut => return Some(Err(self.abort("deadline exceeded"))),
@@ -137,17 +117,31 @@
         }
     }
 
+    /// Offers the stream to another group after an attempt has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StreamError`] if no attempt is left.
+    fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
+        let offered = self.attempts.offer(self.last_event, reason);
+        if offered.is_err() && self.attempts.is_empty() {
+            return Err(self.abort(reason));
+        }
+        Ok(())
+    }
+
     /// Returns an event for the caller, unless the caller already has it.
-    fn relay_event(&mut self, event: &StreamEvent) -> Option<Bytes> {
+    fn relay_event(&mut self, number: AttemptNumber, event: &StreamEvent) -> Option<Bytes> {
         let id = event.id();
         if id.is_some() && id <= self.last_event {
             return None;
         }
+        self.attempts.select(number);
         self.last_event = id.or(self.last_event);
         let now = Instant::now();
         let pause_ms = Millis::from(now.duration_since(self.last_relayed_at));
         if self.first_event_ms.is_none() {
-            self.first_event_ms = Some(self.request.age_ms(now));
+            self.first_event_ms = Some(self.attempts.request.age_ms(now));
         } else {
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
         }
@@ -156,61 +150,25 @@
         Some(event.raw().clone())
     }
 
-    /// Resumes the stream on another group; returns `false` if none can continue it.
-    async fn fail_over(&mut self, reason: &str) -> bool {
-        let gateway = Arc::clone(&self.gateway);
-        while self.attempts.may_run_again() && Instant::now() < self.request.deadline {
-            if gateway.is_quarantined(&self.request) {
-                return false;
-            }
-            let Some(target) = choose_target(&gateway, &self.request, self.attempts.instances())
-            else {
-                return false;
-            };
-            if !gateway.acquire_retry(&self.request.service) {
-                info!(request:% = self.request.head.id; "no budget for going on with a stream");
-                return false;
-            }
-            info!(
-                request:% = self.request.head.id, instance:% = target.instance,
-                last_event = self.last_event.map(EventId::get), reason = reason;
-                "stream moves"
-            );
-            gateway.metrics.stream_moves.inc();
-            // Closing the connection lets the previous instance know that it can stop.
-            self.source = None;
-            match self
-                .attempts
-                .open(&gateway, &self.request, target, self.last_event)
-                .await
-            {
-                Ok(OpenedResponse::Stream(source, _)) => {
-                    self.source = Some(*source);
-                    return true;
-                }
-                Ok(OpenedResponse::Other(_)) | Err(_) => {}
-            }
-        }
-        false
-    }
-
     fn abort(&mut self, reason: impl Into<SmolStr>) -> StreamError {
         let reason = reason.into();
-        self.source = None;
         self.record_end(&reason);
         StreamError { reason }
     }
 
     fn record_end(&self, outcome: &str) {
-        let labels = RouteLabels::new(&self.request.route.name);
-        let longest_pauses = self.gateway.metrics.longest_pauses.get_or_create(&labels);
+        let StreamAttempts {
+            gateway, request, ..
+        } = &self.attempts;
+        let labels = RouteLabels::new(&request.route.name);
+        let longest_pauses = gateway.metrics.longest_pauses.get_or_create(&labels);
         longest_pauses.observe(self.longest_pause_ms.duration().as_secs_f64());
         info!(
-            request:% = self.request.head.id, route:% = self.request.route.name, outcome = outcome,
-            events = self.event_count, tries = self.attempts.instances().len(),
+            request:% = request.head.id, route:% = request.route.name, outcome = outcome,
+            events = self.event_count, tries = self.attempts.instances.len(),
             first_event_ms = self.first_event_ms.map(Millis::get),
             longest_pause_ms = self.longest_pause_ms.get(),
-            age_ms = self.request.age_ms(Instant::now()).get();
+            age_ms = request.age_ms(Instant::now()).get();
             "stream ended"
         );
     }
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -37,7 +37,9 @@
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
-pub use crate::retry::{FailedAttempt, MAX_ATTEMPTS, RetryBudget, WindowedBudget};
+pub use crate::retry::{
+    FailedAttempt, MAX_ATTEMPTS, OpenAttempts, RetryBudget, Selection, WindowedBudget,
+};
 pub use crate::slots::{
     HeldRange, LoadReport, ReleaseReason, SlotDenial, SlotHolder, SlotId, SlotLedger, SlotLoad,
     SlotRequestState, SlotTiming,
--- a/crates/cuminlb-routing/src/retry/mod.rs
+++ b/crates/cuminlb-routing/src/retry/mod.rs
@@ -1,10 +1,14 @@
-//! Whether a failed attempt may be retried.
+//! Whether a failed attempt may be retried, and which attempts are open at the same time.
 
 mod bucket_counts;
 mod failed_attempt;
+mod open_attempts;
 mod retry_budget;
+mod selection;
 mod windowed_budget;
 
 pub use self::failed_attempt::{FailedAttempt, MAX_ATTEMPTS};
+pub use self::open_attempts::OpenAttempts;
 pub use self::retry_budget::RetryBudget;
+pub use self::selection::Selection;
 pub use self::windowed_budget::WindowedBudget;
--- a/crates/cuminlb-types/src/id/mod.rs
+++ b/crates/cuminlb-types/src/id/mod.rs
@@ -1,5 +1,6 @@
 //! Ids, versions and sequence numbers of the entities in messages, rows and events.
 
+mod attempt_number;
 mod config_version;
 mod content_digest;
 mod epoch;
@@ -30,6 +31,7 @@
 mod team_id;
 mod zone_id;
 
+pub use self::attempt_number::AttemptNumber;
 pub use self::config_version::ConfigVersion;
 pub use self::content_digest::ContentDigest;
 pub use self::epoch::Epoch;
