Keep a late plain request at its instance until another one responds

What callers saw: an idempotent plain request got 502 or 504, although its instance responded in time. Cause: run_plain dropped an attempt after 0.45 of the remaining time, which closes its connection, and then sent the request to another instance. If that one refused the request or the connection, was silent too or broke off, nothing was left. Change: the attempt counts as silent at that time, as before for the load, the pool and the choice, but stays open beside the next one. The first whole response is passed on, and the others are closed. If no other instance takes the request, it stays until its deadline. Open attempts count as runs (OpenAttempts), so that maxAttempts and the retry budget hold. A 5xx is passed on as soon as only silent attempts are left, as before. Tests: native_plain_silence.

--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -0,0 +1,182 @@
+//! The attempts of one request whose response is not a stream.
+
+use std::sync::Arc;
+
+use cuminlb_catalog::ResponseHead;
+use cuminlb_routing::OpenAttempts;
+use cuminlb_types::prelude::*;
+use futures_util::future::{BoxFuture, select_all};
+use http::Response;
+use log::info;
+use smol_str::ToSmolStr;
+use tokio::time::{Instant, sleep_until};
+
+use super::admitted_request::AdmittedRequest;
+use super::attempt_failure::AttemptFailure;
+use super::choose_target::choose_target;
+use super::plain_exchange::plain_exchange;
+use super::response_body::ResponseBody;
+use super::target::Target;
+use crate::gateway::Gateway;
+
+/// Fraction of the remaining time after which an attempt counts as silent if another may follow.
+const ATTEMPT_TIME_FRACTION: f64 = 0.45;
+
+/// The result of one attempt.
+pub(super) type PlainOutcome = Result<(ResponseHead, Response<ResponseBody>), AttemptFailure>;
+
+/// The attempts of one request whose response is not a stream. An attempt whose instance is silent
+/// stays open beside the next one.
+pub(super) struct PlainAttempts<'a> {
+    gateway: &'a Arc<Gateway>,
+    request: &'a AdmittedRequest,
+    /// When the request is given up.
+    deadline: Instant,
+    decisions: OpenAttempts,
+    open: Vec<PlainAttempt<'a>>,
+    /// The instances that have been tried.
+    tried: Vec<InstanceId>,
+    has_reached_instance: bool,
+}
+
+struct PlainAttempt<'a> {
+    number: AttemptNumber,
+    target: Target,
+    /// When its instance counts as silent.
+    silent_at: Instant,
+    is_silent: bool,
+    exchange: BoxFuture<'a, PlainOutcome>,
+}
+
+impl<'a> PlainAttempts<'a> {
+    pub(super) const fn new(
+        gateway: &'a Arc<Gateway>,
+        request: &'a AdmittedRequest,
+        decisions: OpenAttempts,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            gateway,
+            request,
+            deadline,
+            decisions,
+            open: Vec::new(),
+            tried: Vec::new(),
+            has_reached_instance: false,
+        }
+    }
+
+    /// Returns whether no attempt is open.
+    pub(super) const fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Returns whether the request may have run.
+    pub(super) const fn may_have_run(&self) -> bool {
+        self.decisions.may_have_run()
+    }
+
+    /// Returns whether an attempt is open that is not silent.
+    pub(super) fn has_responsive(&self) -> bool {
+        self.decisions.has_responsive_attempt()
+    }
+
+    /// Starts another attempt, if the request may run again and another instance can take it.
+    pub(super) fn start(&mut self) {
+        if !self.decisions.may_run_again() {
+            return;
+        }
+        let Some(target) = choose_target(self.gateway, self.request, &self.tried) else {
+            return;
+        };
+        if self.may_have_run() && self.gateway.is_quarantined(self.request) {
+            return;
+        }
+        let is_retry = self.has_reached_instance || !self.open.is_empty();
+        if is_retry && !self.gateway.acquire_retry(&self.request.service) {
+            return;
+        }
+        self.start_at(target);
+    }
+
+    fn start_at(&mut self, target: Target) {
+        self.tried.push(target.instance.clone());
+        let number = self.decisions.start();
+        let now = Instant::now();
+        let silent_at = if self.decisions.may_run_again() {
+            now + (self.deadline - now).mul_f64(ATTEMPT_TIME_FRACTION)
+        } else {
+            self.deadline
+        };
+        let (gateway, request) = (self.gateway, self.request);
+        let destination = target.clone();
+        self.open.push(PlainAttempt {
+            number,
+            target,
+            silent_at,
+            is_silent: false,
+            exchange: Box::pin(async move { plain_exchange(gateway, request, &destination).await }),
+        });
+    }
+
+    /// Waits until an open attempt, of which there must be one, has ended; `None` if one has fallen
+    /// silent or the deadline has passed before.
+    pub(super) async fn next(&mut self) -> Option<PlainOutcome> {
+        let waiting = self.open.iter().filter(|attempt| !attempt.is_silent);
+        let silent_at = waiting.map(|attempt| attempt.silent_at).min();
+        let until = silent_at.unwrap_or(self.deadline);
+        let exchanges = self.open.iter_mut().map(|it| it.exchange.as_mut());
+        tokio::select! {
+            biased;
+            (outcome, index, _) = select_all(exchanges) => Some(self.end(index, outcome)),
+            () = sleep_until(until) => {
+                self.record_silence();
+                None
+            }
+        }
+    }
+
+    fn end(&mut self, index: usize, outcome: PlainOutcome) -> PlainOutcome {
+        let attempt = self.open.remove(index);
+        let failure = outcome.as_ref().err();
+        self.has_reached_instance |= failure.is_none_or(AttemptFailure::has_reached_instance);
+        let may_have_run = failure.is_none_or(|failure| !failure.is_not_run());
+        self.decisions.record_end(attempt.number, may_have_run);
+        let text = outcome
+            .as_ref()
+            .map_or_else(ToSmolStr::to_smolstr, |(head, _)| head.status.to_smolstr());
+        self.log_outcome(&attempt, &text);
+        if let Some(stage) = failure.and_then(AttemptFailure::stage_of_lost_connection) {
+            self.gateway
+                .check_instance(self.request, &attempt.target, stage);
+        }
+        outcome
+    }
+
+    fn record_silence(&mut self) {
+        let now = Instant::now();
+        for index in 0..self.open.len() {
+            let attempt = &mut self.open[index];
+            if attempt.is_silent || now < attempt.silent_at {
+                continue;
+            }
+            attempt.is_silent = true;
+            self.decisions.record_silence(attempt.number);
+            self.gateway.pool.close_idle(attempt.target.address);
+            let load = self.gateway.loads.load(&attempt.target.instance);
+            load.record_outcome(true);
+            load.suspect(Epoch(0), now);
+            self.log_outcome(&self.open[index], "no response in time");
+        }
+    }
+
+    fn log_outcome(&self, attempt: &PlainAttempt<'_>, outcome: &str) {
+        info!(
+            request:% = self.request.head.id, route:% = self.request.route.name,
+            instance:% = attempt.target.instance, tries = attempt.number.get() + 1,
+            open = self.open.len(), age_ms = self.request.age_ms(Instant::now()).get(),
+            outcome = outcome;
+            "request sent"
+        );
+    }
+}
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -4,23 +4,17 @@
 use std::time::Duration;
 
 use cuminlb_catalog::RouteKind;
-use cuminlb_routing::{Refusal, RefusalKind};
+use cuminlb_routing::{OpenAttempts, Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::Response;
-use log::info;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
-use super::attempt_failure::AttemptFailure;
-use super::choose_target::choose_target;
-use super::plain_exchange::plain_exchange;
+use super::plain_attempts::PlainAttempts;
 use super::response_body::ResponseBody;
 use crate::gateway::Gateway;
 
-/// Fraction of the remaining time that one attempt of an idempotent request may take.
-const ATTEMPT_TIME_FRACTION: f64 = 0.45;
-
 /// Time reserved before the deadline for telling the caller that the request timed out.
 const TIMEOUT_RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
@@ -35,83 +29,36 @@
     gateway.allow_or_refuse(&mut request)?;
     let may_retry = request.route.kind == RouteKind::Idempotent;
     let deadline = request.deadline - TIMEOUT_RESPONSE_MARGIN;
-    let mut tried: Vec<InstanceId> = Vec::new();
-    let mut runs = 0;
-    let mut has_reached_instance = false;
+    let decisions = OpenAttempts::new(request.route.max_attempts, may_retry);
+    let mut attempts = PlainAttempts::new(gateway, &request, decisions, deadline);
     let mut failed_response = None;
     let mut reason: Option<SmolStr> = None;
-    loop {
-        let now = Instant::now();
-        if now >= deadline {
-            break;
-        }
-        let Some(target) = choose_target(gateway, &request, &tried) else {
-            break;
-        };
-        if runs > 0 && gateway.is_quarantined(&request) {
-            break;
+    while Instant::now() < deadline {
+        if !attempts.has_responsive() {
+            attempts.start();
         }
-        if has_reached_instance && !gateway.acquire_retry(&request.service) {
+        // A failed response is better than waiting for an instance that is silent.
+        if attempts.is_empty() || failed_response.is_some() && !attempts.has_responsive() {
             break;
         }
-        let is_last_attempt = runs + 1 >= request.route.max_attempts;
-        let attempt_deadline = if may_retry && !is_last_attempt {
-            now + (deadline - now).mul_f64(ATTEMPT_TIME_FRACTION)
-        } else {
-            deadline
-        };
-        let outcome =
-            timeout_at(attempt_deadline, plain_exchange(gateway, &request, &target)).await;
-        let outcome = outcome.unwrap_or_else(|_elapsed| {
-            gateway.pool.close_idle(target.address);
-            let load = gateway.loads.load(&target.instance);
-            load.record_outcome(true);
-            load.suspect(Epoch(0), Instant::now());
-            Err(AttemptFailure::unknown("no response in time"))
-        });
-        let now = Instant::now();
-        info!(
-            request:% = request.head.id, route:% = request.route.name, instance:% = target.instance,
-            tries = tried.len() + 1, age_ms = request.age_ms(now).get(),
-            outcome:% = outcome
-                .as_ref()
-                .map_or_else(ToSmolStr::to_smolstr, |(head, _)| head.status.to_smolstr());
-            "request sent"
-        );
-        let failure = outcome.as_ref().err();
-        if let Some(stage) = failure.and_then(AttemptFailure::stage_of_lost_connection) {
-            gateway.check_instance(&request, &target, stage);
-        }
-        tried.push(target.instance);
-        match outcome {
-            Ok((head, response)) => {
-                has_reached_instance = true;
+        match attempts.next().await {
+            Some(Ok((head, response))) => {
                 gateway.record_success(&request);
-                let should_retry = head.status >= 500 && may_retry && !is_last_attempt;
+                let should_retry = head.status >= 500 && may_retry;
                 if !should_retry {
                     return Ok(response);
                 }
-                runs += 1;
                 failed_response = Some(response);
             }
-            Err(failure) => {
-                has_reached_instance |= failure.has_reached_instance();
-                reason = Some(failure.to_smolstr());
-                if failure.is_not_run() {
-                    continue;
-                }
-                runs += 1;
-                if !may_retry || is_last_attempt {
-                    break;
-                }
-            }
+            Some(Err(failure)) => reason = Some(failure.to_smolstr()),
+            None => {}
         }
     }
     if let Some(response) = failed_response {
         return Ok(response);
     }
     let reason = reason.unwrap_or_else(|| "no instance is available".into());
-    if runs == 0 {
+    if !attempts.may_have_run() {
         let service = request.service.clone();
         let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
         return Err(refusal.with_retry_after(RETRY_AFTER_MS));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod native_observation;
 mod native_operation;
 mod native_path;
+mod native_plain_silence;
 mod native_raw_responses;
 mod native_silence;
 mod native_site;
--- a/tests/testsuite/silence_site.rs
+++ b/tests/testsuite/silence_site.rs
@@ -14,6 +14,7 @@
 /// The routes to the scripted workers, and the number of workers to which a request may be sent.
 pub const RESUMABLE: &str = "resumable";
 pub const ONCE: &str = "once";
+pub const PLAIN: &str = "plain";
 const MAX_ATTEMPTS: u32 = 2;
 
 /// The script of a worker. Without one it refuses connections.
@@ -174,7 +175,7 @@
     format!("scripted{number}")
 }
 
-fn routes_to(service: usize) -> [Value; 2] {
+fn routes_to(service: usize) -> [Value; 3] {
     let route = |name: &str, kind: &str| {
         json!({
             "name": format!("{name}{service}"), "host": HOST,
@@ -185,7 +186,11 @@
     };
     let mut resumable = route(RESUMABLE, "streaming");
     resumable["resumable"] = json!(true);
-    [resumable, route(ONCE, "streaming")]
+    [
+        resumable,
+        route(ONCE, "streaming"),
+        route(PLAIN, "idempotent"),
+    ]
 }
 
 /// The engine of a service whose groups have one member.
