Pause after a failure to accept a connection

Seen by callers: none directly; a node without free file descriptors spent its processor on a loop that failed and logged, while the streams that it relayed waited for it.

Cause: a connection that can't be accepted stays in the queue, so accept() fails again at once; nothing paused, neither for callers, readiness and metrics nor for peers.

Change: both loops pause for 50 ms after a failure, except where only the one connection was aborted. Connections that wait stay in the queue.

--- a/crates/cuminlb-gateway/src/accept_connections.rs
+++ b/crates/cuminlb-gateway/src/accept_connections.rs
@@ -1,11 +1,18 @@
 //! The accept loop that the servers of a node share.
 
+use std::io::ErrorKind;
+use std::time::Duration;
+
 use futures_util::FutureExt;
 use log::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinSet, unconstrained, yield_now};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+/// The pause after a failure, such as a lack of file descriptors, which lasts for a while.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Accepts connections until `stop` is cancelled and serves each in its own task; returns the tasks
 /// that are still running.
 ///
@@ -29,7 +36,11 @@
             Ok((stream, _)) => {
                 connections.spawn(serve(stream));
             }
-            Err(error) => warn!("failed to accept a connection: {error}"),
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            Err(error) => {
+                warn!("failed to accept a connection: {error}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
     // The sockets of connections that wait are reported as ready only after a turn of the runtime.
--- a/crates/cuminlb-peer/src/accept_peers.rs
+++ b/crates/cuminlb-peer/src/accept_peers.rs
@@ -1,12 +1,19 @@
 //! The accept loop that the servers of this crate share.
 
+use std::io::ErrorKind;
+use std::time::Duration;
+
 use log::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::PeerToken;
 
+/// The pause after a failure, such as a lack of file descriptors, which lasts for a while.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Accepts connections until `stop` is cancelled, and runs `serve` on each one that presents the
 /// token.
 ///
@@ -38,7 +45,11 @@
                     }
                 });
             }
-            Err(error) => warn!("failed to accept a peer connection: {error}"),
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            Err(error) => {
+                warn!("failed to accept a peer connection: {error}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
     while connections.join_next().await.is_some() {}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod native_crashes;
 mod native_deadlines;
 mod native_feeds;
+mod native_file_limit;
 mod native_groups;
 mod native_observation;
 mod native_operation;
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -54,6 +54,10 @@
         SocketAddr::from((self.address, CALLER_PORT))
     }
 
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::from((self.address, PEER_PORT))
+    }
+
     pub fn metrics_url(&self) -> String {
         format!("http://{}:{METRICS_PORT}/metrics", self.address)
     }
@@ -170,6 +174,22 @@
         self.nodes[index].process = self.start_process(&settings, number);
     }
 
+    /// Restarts a node whose process has ended, with a limit on its open files.
+    pub fn restart_node_with_file_limit(&mut self, index: usize, limit: u32) {
+        let settings = self.nodes[index].settings.clone();
+        let log = self.folder.path().join(format!("n{}.log", index + 1));
+        let program = self.programs.binary("cuminlb");
+        let script = format!("ulimit -n {limit}; exec \"$0\" --gateway \"$1\"");
+        let arguments = [
+            "-c",
+            script.as_str(),
+            program.to_str().unwrap(),
+            settings.to_str().unwrap(),
+        ];
+        let shell = std::path::Path::new("/bin/sh");
+        self.nodes[index].process = Process::start(shell, arguments, log).unwrap();
+    }
+
     fn start_process(&self, settings: &std::path::Path, number: u8) -> Process {
         let log = self.folder.path().join(format!("n{number}.log"));
         let program = self.programs.binary("cuminlb");
