Answer a request whose handling panics

Seen by callers: the connection of a request whose handling panicked ended without an answer, and the log had no line about it, since only the task of the connection ended. The node went on.

Cause: nothing caught the panic between the handler and the task, and the accept loop dropped the error of the joined task.

Change: contain_panic turns a panic into 502 with an unknown outcome, a log line and the end of the connection, since nobody knows how much of the body was read. A panic in a body that has begun can't be answered any more: the task ends, the stream is cut short as before, and the accept loop logs it.

No request is known that makes a node panic.

--- a/crates/cuminlb-gateway/src/accept_connections.rs
+++ b/crates/cuminlb-gateway/src/accept_connections.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use log::warn;
+use log::{error, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinSet, unconstrained, yield_now};
 use tokio::time::sleep;
@@ -29,7 +29,12 @@
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => continue,
+            Some(joined) = connections.join_next() => {
+                if let Err(error) = joined {
+                    error!("the task of a connection failed: {error}");
+                }
+                continue;
+            }
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -13,6 +13,7 @@
 mod caller_stream;
 mod check_instance;
 mod choose_target;
+mod contain_panic;
 mod crash_causes;
 mod discard_rest;
 mod examined_request;
--- a/crates/cuminlb-gateway/src/serving/serve_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -14,6 +14,7 @@
 
 use super::caller_connection::CallerConnection;
 use super::caller_stream::CallerStream;
+use super::contain_panic::contain_panic;
 use super::discard_rest::discard_rest;
 use super::guarded_body::GuardedBody;
 use super::handle_request::handle_request;
@@ -45,7 +46,8 @@
         let guard = RequestGuard::new(Arc::clone(&state));
         let (gateway, state) = (&gateway, &state);
         async move {
-            let response = handle_request(gateway, state, request).await;
+            let handling = handle_request(gateway, state, request);
+            let response = contain_panic(gateway, state, handling).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
