--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -127,16 +127,11 @@
     pub(super) async fn next(&mut self) -> Option<PlainOutcome> {
         let waiting = self.open.iter().filter(|attempt| !attempt.is_silent);
         let silent_at = waiting.filter_map(|attempt| attempt.silent_at).min();
-        let request = self.request;
+        let deadline = &self.request.deadline;
         let expired = async move {
             match silent_at {
                 Some(silent_at) => sleep_until(silent_at).await,
-                None => {
-                    request
-                        .deadline
-                        .passed_but_for(TIMEOUT_RESPONSE_MARGIN)
-                        .await
-                }
+                None => deadline.passed_but_for(TIMEOUT_RESPONSE_MARGIN).await,
             }
         };
         let exchanges = self.open.iter_mut().map(|it| it.exchange.as_mut());
