Wait for the body of a response that is no stream until the deadline

What callers saw: 502 for a request for a stream that its instance had answered with a response of another kind (for instance 404), if that response was silent for more than half a second before its end. Cause: the body of such a response had to end within 0.5 s, whatever happened to the request afterwards. Change: the body is read until the deadline of the request. A silence in it is treated as one before the head: the request is offered to another instance after the same time, and the first attempt stays open. The size stays limited to 1 MiB, so that a body without end is closed at its size or at the deadline.

--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -199,12 +199,12 @@
         request: &AdmittedRequest,
     ) -> Option<AttemptUpdate> {
         let has_started = match &self.stage {
-            AttemptStage::Connecting(_) | AttemptStage::ReadingResponse(_) => return None,
+            AttemptStage::Connecting(_) => return None,
             AttemptStage::Waiting(_) if !request.is_probe && gateway.is_quarantined(request) => {
                 let failure = AttemptFailure::unknown("quarantined");
                 return Some(AttemptUpdate::Failed(failure));
             }
-            AttemptStage::Waiting(_) => false,
+            AttemptStage::Waiting(_) | AttemptStage::ReadingResponse(_) => false,
             AttemptStage::Streaming(source) => source.event_count > 0,
         };
         let limit = silence_limit(request, has_started);
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -1,14 +1,12 @@
 //! The head of the response to a request for an event stream.
 
-use std::time::Duration;
-
 use cuminlb_upstream::EventDecoder;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smol_str::format_smolstr;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
@@ -21,9 +19,6 @@
 /// Size limit of a response that is buffered because it is not the requested stream.
 const MAX_NON_STREAM_BYTES: usize = 1 << 20;
 
-/// Timeout for the body of a response that is not a stream.
-const NON_STREAM_BODY_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// What follows the head of the response to a request for a stream.
 pub(super) enum StreamHead {
     /// The stream.
@@ -101,18 +96,12 @@
     parts: response::Parts,
     headers: HeaderMap,
 ) -> Result<Response<ResponseBody>, AttemptFailure> {
-    let body = timeout(
-        NON_STREAM_BODY_TIMEOUT,
-        Limited::new(body, MAX_NON_STREAM_BYTES).collect(),
-    )
-    .await;
-    let body = body
-        .map_err(|_elapsed| AttemptFailure::unknown("the response body did not end in time"))?
-        .map_err(|error| {
-            AttemptFailure::unknown(format_smolstr!(
-                "the response body was interrupted: {error}"
-            ))
-        })?;
+    let body = Limited::new(body, MAX_NON_STREAM_BYTES).collect().await;
+    let body = body.map_err(|error| {
+        AttemptFailure::unknown(format_smolstr!(
+            "the response body was interrupted: {error}"
+        ))
+    })?;
     let mut response = Response::new(full_body(body.to_bytes()));
     *response.status_mut() = parts.status;
     *response.headers_mut() = headers;
--- a/tests/testsuite/native_raw_responses.rs
+++ b/tests/testsuite/native_raw_responses.rs
@@ -203,3 +203,15 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_end_that_is_no_stream_fails_its_request_only() {
+    let script = Script {
+        start: "HTTP/1.1 404 Not Found\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\r\n",
+        end: ResponseEnd::Repeat {
+            text: "a",
+            pause: Duration::from_millis(50),
+        },
+    };
+    check_fails_in_time(RAW_STREAM, script).await;
+}
--- a/tests/testsuite/native_silence.rs
+++ b/tests/testsuite/native_silence.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use http::StatusCode;
 use tokio::time::sleep;
 
 use crate::scripted_worker::Step::{self, Send, Wait};
@@ -41,6 +43,16 @@
     Send(EVENTS_4_TO_6),
 ];
 
+/// An instance that responds with a refusal of its own, and is silent within it.
+const SILENT_WITHIN_REFUSAL: &[Step] = &[
+    Send(
+        "HTTP/1.1 404 Not Found\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\
+          content-length: 9\r\n\r\nno ",
+    ),
+    SILENCE,
+    Send("answer"),
+];
+
 /// Instances that do not continue a stream after three events.
 const REFUSING: &[Step] = &[Send(
     "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
@@ -192,3 +204,17 @@
     site.check_whole_streams(RESUMABLE).await;
     assert_eq!([0, 1, 2].map(|service| site.offers(service)), [1, 1, 1]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_is_no_stream_is_not_lost_when_it_is_silent() {
+    let services = beside_all_that_do_not_continue(SILENT_WITHIN_REFUSAL);
+    let site = SilenceSite::start(&services).await;
+    for route in [RESUMABLE, ONCE] {
+        let requests = (0..services.len()).map(|service| site.send(service, route));
+        for response in join_all(requests).await {
+            let response = response.unwrap();
+            assert_eq!(response.status, StatusCode::NOT_FOUND, "{route}");
+            assert_eq!(response.text(), "no answer");
+        }
+    }
+}
