--- a/crates/cuminlb-gateway/tests/panics.rs
+++ b/crates/cuminlb-gateway/tests/panics.rs
@@ -11,9 +11,9 @@
 
 use async_trait::async_trait;
 use cuminlb_catalog::{
-    DesiredRow, Forwarding, GroupOrder, InstanceControl, InstanceEntry, InstanceReport,
-    MalformedRequest, MalformedRow, OrderOutcome, RequestHead, ResponseHead, RowChangeSet,
-    RowStore, SharedRow, StoreError, StoreTable, WireFormat, WriteOutcome,
+    DesiredRow, Forwarding, GroupOrder, InstanceControl, InstanceEntry, MalformedRequest,
+    MalformedRow, OrderOutcome, ProbeResponse, RequestHead, ResponseHead, RowChangeSet, RowStore,
+    SharedRow, StoreError, StoreTable, WireFormat, WriteOutcome,
 };
 use cuminlb_config::GatewaySettings;
 use cuminlb_gateway::{Edges, run_gateway};
@@ -83,8 +83,8 @@
         panic!("there are no instances")
     }
 
-    async fn report(&self, _: SocketAddr, _: Millis) -> Option<InstanceReport> {
-        None
+    async fn probe(&self, _: SocketAddr, _: Millis) -> ProbeResponse {
+        ProbeResponse::Silent
     }
 }
 
