Accept heads as large as the catalog allows when their connection is opened

Seen by callers: with a limit on heads over 256 KiB, a head of that size that comes in pieces was refused with 431.

Change: the read buffer is 256 KiB larger than the limit of the catalog at the start of the connection. A catalog that raises the limit by more than that takes effect for new connections only.

--- a/crates/cuminlb-gateway/src/serving/serve_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -22,8 +22,9 @@
 use super::run_connection::run_connection;
 use crate::gateway::Gateway;
 
-/// Size of the read buffer of a connection, which holds the largest head that any catalog may allow.
-const READ_BUFFER_BYTES: usize = 256 << 10;
+/// How much larger than the catalog's limit on heads the read buffer of a connection is, which can't
+/// grow when a newer catalog allows larger heads.
+const SPARE_BUFFER_BYTES: usize = 256 << 10;
 
 /// The time after which an idle connection is closed while the node stops.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -51,10 +52,12 @@
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
+    let max_head_bytes = gateway.caller_bounds().max_head_bytes;
+    let max_head_len = usize::try_from(max_head_bytes.get()).unwrap_or(usize::MAX);
     let mut connection = http1::Builder::new()
         // Connections are closed by their limits below, which may change.
         .header_read_timeout(None)
-        .max_buf_size(READ_BUFFER_BYTES)
+        .max_buf_size(max_head_len.saturating_add(SPARE_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = run_connection(&mut connection, &state, limits) => ended,
--- a/tests/testsuite/native_connections.rs
+++ b/tests/testsuite/native_connections.rs
@@ -113,3 +113,18 @@
     assert!(elapsed >= Duration::from_millis(900), "{elapsed:?}");
     assert!(elapsed < Duration::from_millis(2_000), "{elapsed:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_very_large_head_that_the_catalog_allows_is_accepted() {
+    let site = serving_site().await;
+    put_limits(&site, 2, &[("maxHeaderBytes", 400_000)]).await;
+    let mut caller = RawCaller::connect(&site.nodes[0]).await;
+    let filler = format!("x-filler: {}\r\n\r\n", "f".repeat(300_000));
+    let head = request_head("GET", LOOKUP_PATH, "large", &filler);
+    let (start, rest) = head.split_at(head.len() - 10);
+    caller.write(start).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    caller.write(rest).await.unwrap();
+    let response = caller.read_response().await;
+    assert_eq!(response.map(|response| response.status), Some(200));
+}
