Test what is removed while a request waits or runs, and requests sent together

No change of the code.

Kept, since the admission and the end of connections have changed and nothing else tests them.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod memory_table;
 mod metrics;
 mod native_catalog;
+mod native_changes;
 mod native_connections;
 mod native_crashes;
 mod native_deadlines;
--- a/tests/testsuite/native_connections.rs
+++ b/tests/testsuite/native_connections.rs
@@ -128,3 +128,20 @@
     let response = caller.read_response().await;
     assert_eq!(response.map(|response| response.status), Some(200));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_are_sent_together_are_all_answered() {
+    let site = serving_site().await;
+    let mut caller = RawCaller::connect(&site.nodes[0]).await;
+    let body = "content-length: 4\r\n\r\nbody";
+    let requests = [
+        request_head("GET", LOOKUP_PATH, "first", "\r\n"),
+        request_head("POST", "/nowhere/", "second", body),
+        request_head("POST", LOOKUP_PATH, "third", body),
+    ];
+    caller.write(requests.concat()).await.unwrap();
+    for status in [200, 404, 200] {
+        let response = caller.read_response().await;
+        assert_eq!(response.map(|response| response.status), Some(status));
+    }
+}
--- a/tests/testsuite/native_refusals.rs
+++ b/tests/testsuite/native_refusals.rs
@@ -99,3 +99,15 @@
         caller.wait_closed().await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_caller_that_waits_to_be_asked_for_its_body_is_not_asked() {
+    let site = serving_site().await;
+    let mut caller = RawCaller::connect(&site.nodes[0]).await;
+    let end = "expect: 100-continue\r\ncontent-length: 8\r\n\r\n";
+    let head = request_head("POST", UNKNOWN_PATH, "asks", end);
+    caller.write(head).await.unwrap();
+    let response = caller.read_response().await;
+    assert_eq!(response.map(|response| response.status), Some(404));
+    caller.wait_closed().await;
+}
