Add the version of a row across restorations of the store

The platform's store may be restored from a copy, and then gives out row versions again. A version is comparable only together with the era that gave it. The type orders versions by the era first; nothing uses it yet.

--- a/crates/cuminlb-types/src/id/mod.rs
+++ b/crates/cuminlb-types/src/id/mod.rs
@@ -27,6 +27,8 @@
 mod service_id;
 mod sha256_digest;
 mod slot_ticket;
+mod store_era;
+mod store_version;
 mod team_id;
 mod zone_id;
 
@@ -59,5 +61,7 @@
 pub use self::service_id::ServiceId;
 pub use self::sha256_digest::Sha256Digest;
 pub use self::slot_ticket::SlotTicket;
+pub use self::store_era::StoreEra;
+pub use self::store_version::StoreVersion;
 pub use self::team_id::TeamId;
 pub use self::zone_id::ZoneId;
