--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod native_operation;
 mod native_path;
 mod native_raw_responses;
+mod native_restore;
 mod native_site;
 mod outage;
 mod pages;
