Compare row versions together with the era of the store

Cause: after the platform's store was restored from a copy, versions go back and are given out again. A mirror took a row only at a higher version than the one it knew, so it ignored the catalogs written since, for as long as the version stayed below the lost one; a cursor that the restored store had reached again even skipped them for good. Nothing read `Store-Era`.

Change: the client of the store reads the era of every response and stamps rows, cursors and writes with it (`StoreVersion`). A feed of another era is a lost history, a response of an era that has ended is an error, a conditional write that expects a version of an earlier era is a conflict and not sent. A mirror enters a later era only with the whole table; rows that it lacks become tombstones, announcements of the earlier era are dropped, and peers with an older cursor get the whole table. The sink learns of it by `table_restored`. What a relay of another era states counts as too old, and how recent a table is counts within its era. A large value with the same content is not transferred again. The metric `cuminlb_store_era` states the era.

--- a/crates/cuminlb-catalog/src/row_change_set.rs
+++ b/crates/cuminlb-catalog/src/row_change_set.rs
@@ -14,5 +14,5 @@
     /// The rows.
     pub rows: Vec<SharedRow>,
     /// The version up to which the rows are complete.
-    pub version: RowVersion,
+    pub version: StoreVersion,
 }
--- a/crates/cuminlb-catalog/src/row_store.rs
+++ b/crates/cuminlb-catalog/src/row_store.rs
@@ -32,16 +32,22 @@
     ///
     /// # Errors
     ///
-    /// Returns [`StoreError`] if the call fails or the store no longer keeps these changes.
+    /// Returns [`StoreError`] if the call fails or the store no longer keeps these changes, as after
+    /// it was restored from a copy.
     async fn changes(
         &self,
         table: StoreTable,
-        after: RowVersion,
+        after: StoreVersion,
         wait_ms: Millis,
     ) -> Result<RowChangeSet, StoreError>;
 
-    /// Writes one row if it is at the expected version; version zero means that the row must not
-    /// exist.
+    /// Writes one row if it is at the expected version; row version zero, of any era, means that the
+    /// row must not exist.
+    ///
+    /// A version of an earlier era than that of the store is a conflict, because the store may have
+    /// given it out again. If the store was restored without notice, the row is written in a later
+    /// era than that of `expected`, as the returned version states, and may have replaced another
+    /// writer's row.
     ///
     /// # Errors
     ///
@@ -51,7 +57,7 @@
         &self,
         table: StoreTable,
         key: &RowKey,
-        expected: RowVersion,
+        expected: StoreVersion,
         value: &[u8],
     ) -> Result<WriteOutcome, StoreError>;
 }
--- a/crates/cuminlb-catalog/src/shared_row.rs
+++ b/crates/cuminlb-catalog/src/shared_row.rs
@@ -10,7 +10,7 @@
     /// The key.
     pub key: RowKey,
     /// The version of its latest change.
-    pub version: RowVersion,
+    pub version: StoreVersion,
     /// The content, or `None` if the row was removed.
     pub value: Option<Vec<u8>>,
 }
--- a/crates/cuminlb-catalog/src/store_error.rs
+++ b/crates/cuminlb-catalog/src/store_error.rs
@@ -25,10 +25,17 @@
         /// The status code.
         status: u16,
     },
-    /// The store no longer keeps the changes since the requested version. The caller must read the
-    /// full table.
+    /// The store no longer keeps the changes since the requested version, or was restored from a
+    /// copy since it gave that version. The caller must read the full table.
     #[error("the store no longer keeps the changes since the requested version")]
     HistoryGone,
+    /// The response is of an earlier era than one that was received before, and is not used. A
+    /// write may have been lost when the store was restored.
+    #[error("the response of the store is of era {era}, which has ended")]
+    EraEnded {
+        /// The era of the response.
+        era: StoreEra,
+    },
     /// The response cannot be parsed.
     #[error("failed to parse the response of the store: {reason}")]
     Malformed {
--- a/crates/cuminlb-catalog/src/write_outcome.rs
+++ b/crates/cuminlb-catalog/src/write_outcome.rs
@@ -10,7 +10,7 @@
     /// The row was written.
     Written {
         /// The new version of the row.
-        version: RowVersion,
+        version: StoreVersion,
     },
     /// The row was not at the expected version; nothing was written.
     Conflict {
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -139,6 +139,11 @@
         self.metrics
             .catalog
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        let eras = StoreTable::ALL.map(|table| self.replica.version(table).era);
+        let era = eras.into_iter().max().unwrap_or_default();
+        self.metrics
+            .store_era
+            .set(i64::try_from(era.get()).unwrap_or(i64::MAX));
         let quarantined = self.crash_board.quarantined().len();
         self.metrics
             .quarantined_causes
@@ -176,7 +181,7 @@
 
     /// Returns whether this node knows how many nodes share the capacity of the instances.
     fn has_node_rows(&self) -> bool {
-        self.replica.version(StoreTable::Nodes) > RowVersion(0)
+        self.replica.version(StoreTable::Nodes) > StoreVersion::default()
     }
 
     /// Returns the number of nodes that share budgets with this one, including itself.
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -218,6 +218,18 @@
         }
     }
 
+    fn table_restored(
+        &self,
+        table: StoreTable,
+        rows: &[SharedRow],
+        source: RowSource,
+        now: Instant,
+    ) {
+        let era = rows.first().map(|row| row.version.era.get());
+        info!(table:% = table, era = era, rows = rows.len(), source:% = source; "store restored");
+        self.rows_changed(table, rows, source, now);
+    }
+
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant) {
         let labels = StoreLabels {
             table: table.to_string(),
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -5,6 +5,7 @@
 use cuminlb_fleet::rows::LeaseRow;
 use cuminlb_types::prelude::*;
 use log::{info, warn};
+use smol_str::ToSmolStr;
 use tokio::time::Instant;
 
 use super::lease_rows::{LEASE_TIMING, lease_key, read_lease};
@@ -25,8 +26,8 @@
 #[derive(Debug)]
 pub(super) struct LeaseState {
     incarnation: Incarnation,
-    seen: Option<ObservedLease>,
-    held: Option<HeldLease>,
+    seen: Option<ObservedLease<StoreVersion>>,
+    held: Option<HeldLease<StoreVersion>>,
     /// When the latest write was sent, which may have taken effect without a response.
     sent_at: Option<Instant>,
 }
@@ -42,7 +43,7 @@
     }
 
     /// Returns the lease that this node holds, whether or not it is still valid.
-    pub(super) const fn held(&self) -> Option<HeldLease> {
+    pub(super) const fn held(&self) -> Option<HeldLease<StoreVersion>> {
         self.held
     }
 
@@ -62,7 +63,7 @@
     /// Returns whether the lease of another node has ended, so that this node may acquire it.
     pub(super) fn may_acquire(&mut self, gateway: &Gateway, now: Instant) -> bool {
         let Some((row, version)) = read_lease(&gateway.replica) else {
-            return gateway.replica.version(StoreTable::Nodes) > RowVersion(0);
+            return gateway.replica.version(StoreTable::Nodes) > StoreVersion::default();
         };
         // The earlier incarnation of this node has ended, so nobody acts on its lease.
         let is_own = row.holder == gateway.settings.id && row.incarnation != self.incarnation;
@@ -81,7 +82,7 @@
         let (expected, fencing) = match (&self.held, &self.seen) {
             (Some(held), _) => (held.version, held.fencing),
             (None, Some(seen)) => (seen.version, seen.row.fencing.next()),
-            (None, None) => (RowVersion(0), FencingNumber(1)),
+            (None, None) => (StoreVersion::default(), FencingNumber(1)),
         };
         let row = LeaseRow {
             holder: gateway.settings.id.clone(),
@@ -139,7 +140,8 @@
             }
             (version, _) => {
                 if self.held.is_some() {
-                    warn!(row_version = version.map(RowVersion::get); "lease lost");
+                    let version = version.map(|version| version.to_smolstr());
+                    warn!(row_version = version.as_deref(); "lease lost");
                 }
                 self.clear();
                 LeaseWriteOutcome::Lost
--- a/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
+++ b/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) is_leader: Gauge,
     /// The version of the active catalog.
     pub(crate) catalog: Gauge,
+    /// The latest era of the store of which this node has rows.
+    pub(crate) store_era: Gauge,
     /// Groups that are serving.
     pub(crate) groups: Gauge,
 }
@@ -89,6 +91,7 @@
             peer_fetches: Counter::default(),
             is_leader: Gauge::default(),
             catalog: Gauge::default(),
+            store_era: Gauge::default(),
             groups: Gauge::default(),
         }
     }
@@ -161,6 +164,11 @@
             "Version of the active catalog",
             self.catalog.clone(),
         );
+        registry.register(
+            "store_era",
+            "Latest era of the store of which the node has rows",
+            self.store_era.clone(),
+        );
         registry.register(
             "groups_serving",
             "Groups that are serving",
--- a/crates/cuminlb-peer/src/message/relayed_row.rs
+++ b/crates/cuminlb-peer/src/message/relayed_row.rs
@@ -12,7 +12,7 @@
     /// The key.
     pub key: RowKey,
     /// The version of its latest change.
-    pub version: RowVersion,
+    pub version: StoreVersion,
     /// The value.
     pub value: RelayedValue,
 }
--- a/crates/cuminlb-peer/src/message/relayed_table.rs
+++ b/crates/cuminlb-peer/src/message/relayed_table.rs
@@ -17,7 +17,7 @@
     /// The rows.
     pub rows: Vec<RelayedRow>,
     /// The version up to which the rows are complete.
-    pub version: RowVersion,
+    pub version: StoreVersion,
     /// The time since the store was known to hold no newer rows.
     pub heard_ms: Millis,
 }
--- a/crates/cuminlb-peer/src/message/table_cursors.rs
+++ b/crates/cuminlb-peer/src/message/table_cursors.rs
@@ -9,16 +9,16 @@
 #[derive(Serialize, Deserialize)]
 pub struct TableCursors {
     /// The version of the operators' desired state.
-    pub desired: RowVersion,
+    pub desired: StoreVersion,
     /// The version of the entries of the instances.
-    pub instances: RowVersion,
+    pub instances: StoreVersion,
     /// The version of the entries of the nodes.
-    pub nodes: RowVersion,
+    pub nodes: StoreVersion,
 }
 
 impl TableCursors {
     /// Returns the version of a table.
-    pub const fn get(&self, table: StoreTable) -> RowVersion {
+    pub const fn get(&self, table: StoreTable) -> StoreVersion {
         match table {
             StoreTable::Desired => self.desired,
             StoreTable::Instances => self.instances,
@@ -27,7 +27,7 @@
     }
 
     /// Sets the version of a table.
-    pub const fn set(&mut self, table: StoreTable, version: RowVersion) {
+    pub const fn set(&mut self, table: StoreTable, version: StoreVersion) {
         match table {
             StoreTable::Desired => self.desired = version,
             StoreTable::Instances => self.instances = version,
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Returns whether any table has a higher version here than in `other`.
+    /// Returns whether any table has a newer version here than in `other`.
     pub fn is_ahead_of(&self, other: &Self) -> bool {
         StoreTable::ALL
             .into_iter()
--- a/crates/cuminlb-platform/src/http/http_client.rs
+++ b/crates/cuminlb-platform/src/http/http_client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cuminlb_types::prelude::*;
-use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -52,11 +52,14 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        self.call_with_headers(method, path, HeaderMap::new(), body, self.timeout_ms)
-            .await
+        let response = self
+            .call_with_headers(method, path, HeaderMap::new(), body, self.timeout_ms)
+            .await?;
+        Ok((response.status(), response.into_body()))
     }
 
-    /// Sends a request with extra headers and its own time limit; the content type is always JSON.
+    /// Sends a request with extra headers and its own time limit, and returns the response with its
+    /// headers; the content type is always JSON.
     ///
     /// # Errors
     ///
@@ -68,7 +71,7 @@
         headers: HeaderMap,
         body: Bytes,
         timeout_ms: Millis,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
+    ) -> Result<Response<Bytes>, PlatformError> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
@@ -87,14 +90,14 @@
                     no_response(timeout_ms)
                 }
             })?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_LEN_BYTES);
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_LEN_BYTES);
             let body = body
                 .collect()
                 .await
                 .map_err(|_| no_response(timeout_ms))?
                 .to_bytes();
-            Ok((status, body))
+            Ok(Response::from_parts(head, body))
         };
         match tokio::time::timeout(timeout_ms.duration(), exchange).await {
             Ok(result) => result,
--- a/crates/cuminlb-replica/src/fetch_values.rs
+++ b/crates/cuminlb-replica/src/fetch_values.rs
@@ -118,7 +118,8 @@
             return false;
         }
     };
-    if row.version < pending.version {
+    // The restored store gives out versions again, which say nothing about a value of another era.
+    if row.version.era != pending.version.era || row.version < pending.version {
         return false;
     }
     let now = Instant::now();
--- a/crates/cuminlb-replica/src/follow_relay.rs
+++ b/crates/cuminlb-replica/src/follow_relay.rs
@@ -9,6 +9,7 @@
 use log::{debug, info, warn};
 use tokio::time::{Instant, sleep};
 
+use crate::replica::UNKNOWN_AGE_MS;
 use crate::{Follower, RelayLane, RowOrigin};
 
 /// How often a node that follows the store checks whether it still should.
@@ -89,8 +90,7 @@
     let cursors = follower.replica.cursors();
     match link.await_update(cursors, wait_ms).await {
         Ok(update) => {
-            let age_ms = oldest_age(&update);
-            let has_rows = apply(follower, node, update);
+            let (has_rows, age_ms) = apply(follower, node, update);
             if age_ms <= follower.timing.max_peer_age_ms {
                 follower.failed_peers().record_success(node);
             } else if wait_ms > Millis(0) {
@@ -132,22 +132,25 @@
     }
 }
 
-/// Applies what a peer relayed; returns whether it has rows other than those of the nodes.
-fn apply(follower: &Follower, node: &NodeId, update: RelayedUpdate) -> bool {
+/// Applies what a peer relayed; returns whether it has rows other than those of the nodes, and the
+/// age of its oldest table.
+fn apply(follower: &Follower, node: &NodeId, update: RelayedUpdate) -> (bool, Millis) {
     let counts = update.tables.iter().map(|table| table.rows.len());
     let rows: usize = counts.sum();
     let has_rows = update
         .tables
         .iter()
         .any(|table| table.table != StoreTable::Nodes && !table.rows.is_empty());
-    let heard_ms = oldest_age(&update);
+    let ages = update.tables.iter();
+    let ages: Vec<_> = ages
+        .map(|table| (table.table, table.version.era, table.heard_ms))
+        .collect();
     follower.replica.apply_update(update, node, Instant::now());
+    let ages = ages.into_iter().map(|(table, era, heard_ms)| {
+        let is_used = follower.replica.version(table).era == era;
+        if is_used { heard_ms } else { UNKNOWN_AGE_MS }
+    });
+    let heard_ms = ages.max().unwrap_or_default();
     debug!(node:% = node, rows = rows, heard_ms:% = heard_ms; "rows learnt from a peer");
-    has_rows
-}
-
-/// Returns the age of the oldest table of an update.
-fn oldest_age(update: &RelayedUpdate) -> Millis {
-    let ages = update.tables.iter().map(|table| table.heard_ms);
-    ages.max().unwrap_or_default()
+    (has_rows, heard_ms)
 }
--- a/crates/cuminlb-replica/src/follow_store.rs
+++ b/crates/cuminlb-replica/src/follow_store.rs
@@ -39,7 +39,7 @@
         }
         // A table that a relay has provided is followed from there on, and so is an empty table of a
         // new store, whose version is zero.
-        let is_unread = !has_read && follower.replica.version(table) == RowVersion(0);
+        let is_unread = !has_read && follower.replica.version(table).row == RowVersion(0);
         match read_changes(follower, table, is_unread || is_history_gone).await {
             Ok(changes) => {
                 if is_store_lost {
--- a/crates/cuminlb-replica/src/lib.rs
+++ b/crates/cuminlb-replica/src/lib.rs
@@ -8,6 +8,8 @@
 //! peers ([`ValueAssembly`]), apart from the news. [`FollowTiming`] derives all waits and timeouts
 //! from the time within which a change must be known everywhere.
 
+mod announcement;
+mod applied_rows;
 mod chunk_index;
 mod failed_peers;
 mod fetch_values;
@@ -15,6 +17,7 @@
 mod follow_store;
 mod follow_timing;
 mod follower;
+mod indexed_value;
 mod membership;
 mod node_capacity;
 mod node_row;
@@ -28,7 +31,9 @@
 mod row_sink;
 mod row_source;
 mod table_mirror;
+mod table_update;
 mod value_assembly;
+mod value_indexes;
 
 pub use crate::chunk_index::ChunkIndex;
 pub use crate::failed_peers::FailedPeers;
--- a/crates/cuminlb-replica/src/pending_value.rs
+++ b/crates/cuminlb-replica/src/pending_value.rs
@@ -12,7 +12,7 @@
     /// The key of the row.
     pub key: RowKey,
     /// The version of the row.
-    pub version: RowVersion,
+    pub version: StoreVersion,
     /// The chunks of the value.
     pub list: ChunkList,
     /// The node that announced it, and has it.
--- a/crates/cuminlb-replica/src/replica.rs
+++ b/crates/cuminlb-replica/src/replica.rs
@@ -10,14 +10,15 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::applied_rows::AppliedRows;
 use crate::replica_state::ReplicaState;
 use crate::{PendingValue, RowSink, RowSource};
 
 /// Maximum length of the chunks of one response.
 const MAX_RESPONSE_BYTES: ByteCount = ByteCount(65_536);
 
-/// Age that is stated for a table that was never read.
-const UNKNOWN_AGE_MS: Millis = Millis(u64::MAX);
+/// Age that is stated for a table that was never read, and of one of another era of the store.
+pub(crate) const UNKNOWN_AGE_MS: Millis = Millis(u64::MAX);
 
 /// A node's copy of the platform's store. New rows are passed to a [`RowSink`].
 pub struct Replica {
@@ -51,7 +52,7 @@
     }
 
     /// Returns the version of a table up to which every change has arrived or been announced.
-    pub fn version(&self, table: StoreTable) -> RowVersion {
+    pub fn version(&self, table: StoreTable) -> StoreVersion {
         self.cursors().get(table)
     }
 
@@ -79,10 +80,11 @@
     pub fn apply_store_changes(&self, table: StoreTable, changes: RowChangeSet, now: Instant) {
         let mut state = self.state();
         state.failed_tables.remove(&table);
-        state.record_heard(table, now);
-        let new_rows = state.mirror(table).apply(changes);
+        let era = changes.version.era;
+        let applied = state.apply(table, |mirror| mirror.apply(changes));
+        state.record_heard(table, era, now);
         self.sink.store_called(table, true, now);
-        self.publish(state, table, &new_rows, RowSource::Store, now);
+        self.publish(state, table, &applied, RowSource::Store, now);
     }
 
     /// Applies what a peer relayed, which it heard from the store at the times that it states.
@@ -92,20 +94,22 @@
         }
         for relayed in update.tables {
             let table = relayed.table;
+            let era = relayed.version.era;
+            let heard_at = now.checked_sub(relayed.heard_ms.duration());
             let mut state = self.state();
-            if let Some(heard_at) = now.checked_sub(relayed.heard_ms.duration()) {
-                state.record_heard(table, heard_at);
+            let applied = state.apply(table, |mirror| mirror.apply_relayed(relayed, from));
+            if let Some(heard_at) = heard_at {
+                state.record_heard(table, era, heard_at);
             }
-            let new_rows = state.mirror(table).apply_relayed(relayed, from);
-            self.publish(state, table, &new_rows, RowSource::Peer, now);
+            self.publish(state, table, &applied, RowSource::Peer, now);
         }
     }
 
     /// Applies a row whose value had only been announced.
     pub fn apply_row(&self, table: StoreTable, row: SharedRow, source: RowSource, now: Instant) {
         let mut state = self.state();
-        let new_rows = state.mirror(table).apply_row(row);
-        self.publish(state, table, &new_rows, source, now);
+        let applied = state.apply(table, |mirror| mirror.apply_row(row));
+        self.publish(state, table, &applied, source, now);
     }
 
     /// Records that a call to the store for a table has failed.
@@ -181,12 +185,15 @@
         &self,
         state: MutexGuard<'_, ReplicaState>,
         table: StoreTable,
-        new_rows: &[SharedRow],
+        applied: &AppliedRows,
         source: RowSource,
         now: Instant,
     ) {
-        if !new_rows.is_empty() {
-            self.sink.rows_changed(table, new_rows, source, now);
+        let rows = applied.rows.as_slice();
+        if applied.is_restored {
+            self.sink.table_restored(table, rows, source, now);
+        } else if !rows.is_empty() {
+            self.sink.rows_changed(table, rows, source, now);
         }
         let newest = state.newest();
         self.newest.send_if_modified(|known| {
--- a/crates/cuminlb-replica/src/replica_state.rs
+++ b/crates/cuminlb-replica/src/replica_state.rs
@@ -2,19 +2,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cuminlb_catalog::StoreTable;
+use cuminlb_catalog::{SharedRow, StoreTable};
 use cuminlb_peer::TableCursors;
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
 use crate::TableMirror;
+use crate::applied_rows::AppliedRows;
 
 /// The tables of a replica and how recent they are.
 #[derive(Debug, Default)]
 pub(crate) struct ReplicaState {
     mirrors: BTreeMap<StoreTable, TableMirror>,
-    /// When the store is known to have held no newer rows of a table.
-    heard_at: BTreeMap<StoreTable, Instant>,
+    /// When the store is known to have held no newer rows of a table, in its latest era.
+    heard_at: BTreeMap<StoreTable, (StoreEra, Instant)>,
     /// The tables for which the latest call to the store has failed.
     pub(crate) failed_tables: BTreeSet<StoreTable>,
 }
@@ -24,15 +25,33 @@
         self.mirrors.entry(table).or_default()
     }
 
-    /// Records that the store held no rows of a table at `at` that this replica lacks.
-    pub(crate) fn record_heard(&mut self, table: StoreTable, at: Instant) {
-        let heard_at = self.heard_at.entry(table).or_insert(at);
-        *heard_at = at.max(*heard_at);
+    /// Applies an update to a table.
+    pub(crate) fn apply(
+        &mut self,
+        table: StoreTable,
+        update: impl FnOnce(&mut TableMirror) -> Vec<SharedRow>,
+    ) -> AppliedRows {
+        let mirror = self.mirror(table);
+        let previous_era = mirror.version().era;
+        let was_read = mirror.is_read();
+        let rows = update(mirror);
+        let is_restored = was_read && mirror.version().era > previous_era;
+        AppliedRows { rows, is_restored }
+    }
+
+    /// Records that the store held no rows of a table at `at` that this replica lacks, if the replica
+    /// has the table in that era. What was heard in an earlier era no longer counts.
+    pub(crate) fn record_heard(&mut self, table: StoreTable, era: StoreEra, at: Instant) {
+        if self.mirror(table).version().era != era {
+            return;
+        }
+        let heard = self.heard_at.entry(table).or_insert((era, at));
+        *heard = (era, at).max(*heard);
     }
 
     /// Returns the time since the store is known to have held no newer rows of a table.
     pub(crate) fn heard_age(&self, table: StoreTable, now: Instant) -> Option<Millis> {
-        let heard_at = self.heard_at.get(&table)?;
+        let (_, heard_at) = self.heard_at.get(&table)?;
         Some(now.duration_since(*heard_at).into())
     }
 
@@ -46,7 +65,7 @@
         self.versions(TableMirror::newest_version)
     }
 
-    fn versions(&self, version: impl Fn(&TableMirror) -> RowVersion) -> TableCursors {
+    fn versions(&self, version: impl Fn(&TableMirror) -> StoreVersion) -> TableCursors {
         let mut cursors = TableCursors::default();
         for (table, mirror) in &self.mirrors {
             cursors.set(*table, version(mirror));
--- a/crates/cuminlb-replica/src/row_sink.rs
+++ b/crates/cuminlb-replica/src/row_sink.rs
@@ -10,6 +10,17 @@
     /// Handles new rows of a table, in the order in which the node applies them.
     fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], source: RowSource, now: Instant);
 
+    /// Handles the restoration of the store from a copy, in place of `rows_changed`. The rows are
+    /// those of the restored table, and tombstones of those that it lacks. Large values may follow
+    /// by `rows_changed`, as do all later changes.
+    fn table_restored(
+        &self,
+        table: StoreTable,
+        rows: &[SharedRow],
+        source: RowSource,
+        now: Instant,
+    );
+
     /// Handles the outcome of a call of this node to the store.
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant);
 
--- a/crates/cuminlb-replica/src/table_mirror.rs
+++ b/crates/cuminlb-replica/src/table_mirror.rs
@@ -1,73 +1,69 @@
 //! A local replica of one table of the store.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
 
 use cuminlb_catalog::{RowChangeSet, SharedRow, StoreTable};
 use cuminlb_peer::{ChunkId, ChunkList, RelayedRow, RelayedTable, RelayedValue, ValueChunk};
 use cuminlb_types::prelude::*;
 
-use crate::{ChunkIndex, PendingValue};
+use crate::PendingValue;
+use crate::announcement::Announcement;
+use crate::table_update::TableUpdate;
+use crate::value_indexes::ValueIndexes;
 
 /// Maximum number of tombstones that are kept, so that peers receive removals.
 const MAX_TOMBSTONES: usize = 4_096;
 
-/// Length from which on a value is relayed as a list of chunks.
-const LARGE_VALUE_BYTES: usize = 16_384;
-
 /// The rows of one table with their versions, as far as this node has received them.
 ///
-/// The version of a row only ever increases, whichever source it comes from.
+/// The version of a row only ever increases, whichever source it comes from. A later era of the
+/// store begins with the whole table as the store was restored: rows that it lacks are removed.
+/// Updates of earlier eras are ignored from then on.
 #[derive(Debug, Default)]
 pub struct TableMirror {
     rows: BTreeMap<RowKey, SharedRow>,
-    version: RowVersion,
+    version: StoreVersion,
     /// The version from which on no removed row is missing.
-    complete_from: RowVersion,
-    /// The large values that were announced and have not arrived.
+    complete_from: StoreVersion,
+    /// The large values that were announced and have not arrived. Until then, the row stays as it was,
+    /// even if that is of an earlier era.
     pending: BTreeMap<RowKey, Announcement>,
-    /// The chunks of large values, computed when a peer first requests them.
-    indexes: BTreeMap<RowKey, IndexedValue>,
-}
-
-/// A large value that a peer has announced.
-#[derive(Clone, Debug)]
-struct Announcement {
-    version: RowVersion,
-    list: ChunkList,
-    announced_by: NodeId,
-}
-
-/// The chunks of the value that a row had at a version.
-#[derive(Clone, Debug)]
-struct IndexedValue {
-    version: RowVersion,
-    index: ChunkIndex,
+    indexes: ValueIndexes,
 }
 
 impl TableMirror {
     /// Returns the version up to which every change has arrived or been announced.
-    pub const fn version(&self) -> RowVersion {
+    pub const fn version(&self) -> StoreVersion {
         self.version
     }
 
+    /// Returns whether any state of the table has arrived.
+    pub fn is_read(&self) -> bool {
+        self.version.row > RowVersion(0) || !self.rows.is_empty()
+    }
+
     /// Returns the version up to which every change has arrived.
     ///
-    /// It is zero while a value is announced of which no earlier version has arrived: the table may
-    /// have held one at any version.
-    pub fn complete_version(&self) -> RowVersion {
+    /// Its row version is zero while a value is announced of which no earlier version of the same
+    /// era has arrived: the table may have held one at any version.
+    pub fn complete_version(&self) -> StoreVersion {
         let complete = self.pending.iter().map(|(key, announced)| {
-            let is_known = self.rows.contains_key(key);
-            let before = announced.version.get().saturating_sub(1);
+            let known = self.rows.get(key);
+            let is_known = known.is_some_and(|row| self.is_current(row));
+            let before = announced.version.row.get().saturating_sub(1);
             RowVersion(if is_known { before } else { 0 })
         });
-        let first_incomplete = complete.min().unwrap_or(self.version);
-        self.version.min(first_incomplete)
+        let row = complete.fold(self.version.row, RowVersion::min);
+        StoreVersion::new(self.version.era, row)
     }
 
     /// Returns the version of the newest row that peers can be given.
-    pub fn newest_version(&self) -> RowVersion {
-        let newest = self.rows.values().map(|row| row.version).max();
-        newest.unwrap_or_default().min(self.complete_version())
+    pub fn newest_version(&self) -> StoreVersion {
+        let rows = self.rows.values().filter(|row| self.is_current(row));
+        let newest = rows.map(|row| row.version).max();
+        let era_start = StoreVersion::new(self.version.era, RowVersion(0));
+        newest.unwrap_or(era_start).min(self.complete_version())
     }
 
     /// Returns a row if it exists and is not removed.
@@ -89,68 +85,82 @@
 
     /// Applies changes and returns the rows that are new to this node.
     pub fn apply(&mut self, changes: RowChangeSet) -> Vec<SharedRow> {
-        self.apply_with_announced(changes, &BTreeSet::new())
+        if !self.accepts(changes.version.era, changes.is_whole) {
+            return Vec::new();
+        }
+        self.merge(TableUpdate {
+            changes,
+            ..TableUpdate::default()
+        })
     }
 
     /// Applies the changes that a peer relayed and returns the rows that are new to this node.
-    /// Values that the peer only announced become pending.
+    /// Values that the peer only announced become pending, unless the row had the same value before
+    /// the store was restored.
     pub fn apply_relayed(&mut self, relayed: RelayedTable, from: &NodeId) -> Vec<SharedRow> {
-        let mut changes = RowChangeSet {
-            is_whole: relayed.is_whole,
-            rows: Vec::new(),
-            version: relayed.version,
-        };
-        let mut announced = BTreeSet::new();
+        // A peer that has the table up to no version may lack any of its rows.
+        let is_complete = relayed.version.row > RowVersion(0) || self.rows.is_empty();
+        let is_whole = relayed.is_whole && is_complete;
+        if !self.accepts(relayed.version.era, is_whole) {
+            return Vec::new();
+        }
+        let mut update = TableUpdate::default();
+        update.changes.is_whole = is_whole;
+        update.changes.version = relayed.version;
         for row in relayed.rows {
             let value = match row.value {
                 RelayedValue::Removed => None,
                 RelayedValue::Whole(value) => Some(value),
                 RelayedValue::Chunked(list) => {
-                    announced.insert(row.key.clone());
-                    let announcement = Announcement {
-                        version: row.version,
-                        list,
-                        announced_by: from.clone(),
+                    let Some(value) = self.restored_value(&row.key, row.version, &list) else {
+                        let announcement = Announcement {
+                            version: row.version,
+                            list,
+                            announced_by: from.clone(),
+                        };
+                        update.announcements.insert(row.key, announcement);
+                        continue;
                     };
-                    self.announce(row.key, announcement);
-                    continue;
+                    Some(value)
                 }
             };
-            changes.rows.push(SharedRow {
+            update.changes.rows.push(SharedRow {
                 key: row.key,
                 version: row.version,
                 value,
             });
         }
-        self.apply_with_announced(changes, &announced)
+        self.merge(update)
     }
 
     /// Applies a single row, which does not change up to which version the table is known.
     pub fn apply_row(&mut self, row: SharedRow) -> Vec<SharedRow> {
         let changes = RowChangeSet {
             is_whole: false,
+            version: StoreVersion::new(row.version.era, RowVersion(0)),
             rows: vec![row],
-            version: RowVersion(0),
         };
         self.apply(changes)
     }
 
     /// Returns the rows that changed after a version, or all rows if a removed one may be missing.
-    pub fn relayed_since(&mut self, after: RowVersion) -> (bool, Vec<RelayedRow>) {
+    pub fn relayed_since(&mut self, after: StoreVersion) -> (bool, Vec<RelayedRow>) {
         let is_whole = after < self.complete_from;
+        let era = self.version.era;
         let is_included = |row: &&SharedRow| {
-            if is_whole {
+            let is_wanted = if is_whole {
                 row.value.is_some()
             } else {
                 row.version > after
-            }
+            };
+            is_wanted && row.version.era == era
         };
         let rows = self.rows.values().filter(is_included);
         let rows = rows
             .map(|row| RelayedRow {
                 key: row.key.clone(),
                 version: row.version,
-                value: relayed_value(&mut self.indexes, row),
+                value: self.indexes.relayed_value(row),
             })
             .collect();
         (is_whole, rows)
@@ -167,49 +177,55 @@
         let Some(row) = self.rows.get(key) else {
             return Vec::new();
         };
-        let Some(value) = row.value.as_deref() else {
-            return Vec::new();
-        };
-        let index = index_of(&mut self.indexes, row, value);
-        let mut chunks = Vec::new();
-        let mut length = 0;
-        for &id in ids {
-            let Some(range) = index.find(id) else {
-                continue;
-            };
-            length += range.len() as u64;
-            if !chunks.is_empty() && length > max_bytes.get() {
-                break;
-            }
-            let bytes = value[range].to_vec();
-            chunks.push(ValueChunk { id, bytes });
-        }
-        chunks
+        self.indexes.chunks(row, ids, max_bytes)
     }
 
-    fn announce(&mut self, key: RowKey, announcement: Announcement) {
-        let known = self.rows.get(&key).map(|row| row.version);
-        let announced = self.pending.get(&key).map(|it| it.version);
-        let is_newer = |known| known < announcement.version;
-        if known.max(announced).is_none_or(is_newer) {
-            self.pending.insert(key, announcement);
+    /// Returns whether an update of an era applies: a later era begins with the whole table.
+    fn accepts(&self, era: StoreEra, is_whole: bool) -> bool {
+        match era.cmp(&self.version.era) {
+            Ordering::Less => false,
+            Ordering::Equal => true,
+            Ordering::Greater => is_whole,
         }
     }
 
-    fn apply_with_announced(
+    fn is_current(&self, row: &SharedRow) -> bool {
+        row.version.era == self.version.era
+    }
+
+    /// Returns the value that a row had in an earlier era than `version`, if it is the described one.
+    fn restored_value(
         &mut self,
-        changes: RowChangeSet,
-        announced: &BTreeSet<RowKey>,
-    ) -> Vec<SharedRow> {
+        key: &RowKey,
+        version: StoreVersion,
+        list: &ChunkList,
+    ) -> Option<Vec<u8>> {
+        let row = self.rows.get(key)?;
+        let value = row.value.as_deref()?;
+        let has_length = ByteCount(value.len() as u64) == list.length_bytes();
+        let may_be_same = row.version.era < version.era && has_length;
+        let is_same = may_be_same && self.indexes.index(row, value).list() == list;
+        is_same.then(|| value.to_vec())
+    }
+
+    /// Merges an accepted update and returns the rows that are new to this node.
+    fn merge(&mut self, mut update: TableUpdate) -> Vec<SharedRow> {
+        update.retain_era();
+        let version = update.changes.version;
+        if version.era > self.version.era {
+            self.begin_era(version.era);
+        }
+        if update.changes.is_whole && self.version.row == RowVersion(0) {
+            self.complete_from = version;
+        }
         let mut new_rows = Vec::new();
-        if changes.is_whole && self.version == RowVersion(0) {
-            self.complete_from = changes.version;
+        if update.changes.is_whole {
+            new_rows = self.remove_unlisted(&update);
         }
-        if changes.is_whole {
-            self.remove_unlisted_announcements(&changes, announced);
-            new_rows = self.removed_rows(&changes, announced);
+        for (key, announcement) in update.announcements {
+            self.announce(key, announcement);
         }
-        new_rows.extend(changes.rows.into_iter().filter(|row| {
+        new_rows.extend(update.changes.rows.into_iter().filter(|row| {
             let known = self.rows.get(&row.key);
             known.is_none_or(|known| known.version < row.version)
         }));
@@ -220,34 +236,42 @@
             }
             self.rows.insert(row.key.clone(), row.clone());
         }
-        self.version = self.version.max(changes.version);
+        self.version = self.version.max(version);
         self.prune_tombstones();
         new_rows
     }
 
-    /// Forgets the announced values that a complete table no longer lists.
-    fn remove_unlisted_announcements(
-        &mut self,
-        changes: &RowChangeSet,
-        announced: &BTreeSet<RowKey>,
-    ) {
-        let listed: BTreeSet<&RowKey> = changes.rows.iter().map(|row| &row.key).collect();
-        self.pending.retain(|key, announcement| {
-            let is_listed = listed.contains(key) || announced.contains(key);
-            is_listed || announcement.version > changes.version
-        });
+    /// Begins an era, of which nothing has arrived yet. The rows of the previous one stay until the
+    /// table of the new one is merged.
+    fn begin_era(&mut self, era: StoreEra) {
+        self.version = StoreVersion::new(era, RowVersion(0));
+        self.pending.clear();
+        self.rows.retain(|_, row| row.value.is_some());
     }
 
-    /// Returns tombstones of the rows that a complete table no longer lists.
-    fn removed_rows(&self, changes: &RowChangeSet, announced: &BTreeSet<RowKey>) -> Vec<SharedRow> {
-        let listed: BTreeSet<&RowKey> = changes.rows.iter().map(|row| &row.key).collect();
+    fn announce(&mut self, key: RowKey, announcement: Announcement) {
+        let known = self.rows.get(&key).map(|row| row.version);
+        let announced = self.pending.get(&key).map(|it| it.version);
+        let is_newer = |known| known < announcement.version;
+        if known.max(announced).is_none_or(is_newer) {
+            self.pending.insert(key, announcement);
+        }
+    }
+
+    /// Forgets the announced values that a complete table no longer lists, and returns tombstones of
+    /// such rows.
+    fn remove_unlisted(&mut self, update: &TableUpdate) -> Vec<SharedRow> {
+        let version = update.changes.version;
+        let listed = update.keys();
+        self.pending
+            .retain(|key, announcement| listed.contains(key) || announcement.version > version);
         let existing = self.rows.values().filter(|row| row.value.is_some());
         let removed = existing
-            .filter(|row| row.version < changes.version)
-            .filter(|row| !listed.contains(&row.key) && !announced.contains(&row.key));
+            .filter(|row| row.version < version)
+            .filter(|row| !listed.contains(&row.key));
         let tombstones = removed.map(|row| SharedRow {
             key: row.key.clone(),
-            version: changes.version,
+            version,
             value: None,
         });
         tombstones.collect()
@@ -255,7 +279,7 @@
 
     fn prune_tombstones(&mut self) {
         let tombstones = self.rows.values().filter(|row| row.value.is_none());
-        let mut versions: Vec<RowVersion> = tombstones.map(|row| row.version).collect();
+        let mut versions: Vec<StoreVersion> = tombstones.map(|row| row.version).collect();
         if versions.len() <= MAX_TOMBSTONES {
             return;
         }
@@ -268,28 +292,3 @@
             .retain(|_, row| row.value.is_some() || row.version >= oldest_kept);
     }
 }
-
-fn relayed_value(indexes: &mut BTreeMap<RowKey, IndexedValue>, row: &SharedRow) -> RelayedValue {
-    match row.value.as_deref() {
-        None => RelayedValue::Removed,
-        Some(value) if value.len() < LARGE_VALUE_BYTES => RelayedValue::Whole(value.to_vec()),
-        Some(value) => RelayedValue::Chunked(index_of(indexes, row, value).list().clone()),
-    }
-}
-
-/// Returns the chunks of a row's value, which are computed once for each version.
-fn index_of<'a>(
-    indexes: &'a mut BTreeMap<RowKey, IndexedValue>,
-    row: &SharedRow,
-    value: &[u8],
-) -> &'a ChunkIndex {
-    let compute = || IndexedValue {
-        version: row.version,
-        index: ChunkIndex::new(value),
-    };
-    let indexed = indexes.entry(row.key.clone()).or_insert_with(compute);
-    if indexed.version != row.version {
-        *indexed = compute();
-    }
-    &indexed.index
-}
--- a/crates/cuminlb-replica/tests/replica/mirrors.rs
+++ b/crates/cuminlb-replica/tests/replica/mirrors.rs
@@ -5,12 +5,12 @@
 use cuminlb_replica::TableMirror;
 use cuminlb_types::prelude::*;
 
-use crate::simulated_fleet::{key, node_id};
+use crate::simulated_fleet::{at, key, node_id};
 
 fn row(name: &str, version: u64, length: Option<usize>) -> SharedRow {
     SharedRow {
         key: key(name),
-        version: RowVersion(version),
+        version: at(version),
         value: length.map(|length| vec![b'x'; length]),
     }
 }
@@ -19,12 +19,12 @@
     RowChangeSet {
         is_whole,
         rows,
-        version: RowVersion(version),
+        version: at(version),
     }
 }
 
 fn relayed(from: &mut TableMirror, after: u64) -> RelayedTable {
-    let (is_whole, rows) = from.relayed_since(RowVersion(after));
+    let (is_whole, rows) = from.relayed_since(at(after));
     RelayedTable {
         table: StoreTable::Desired,
         is_whole,
@@ -46,12 +46,12 @@
     let new_rows = node.apply_relayed(relayed(&mut relay, 0), &node_id(1));
     let keys: Vec<&str> = new_rows.iter().map(|row| row.key.as_str()).collect();
     assert_eq!(keys, ["zone"], "small rows are not delayed");
-    assert_eq!(node.version(), RowVersion(9));
-    assert_eq!(node.complete_version(), RowVersion(0));
+    assert_eq!(node.version(), at(9));
+    assert_eq!(node.complete_version(), at(0));
     assert!(node.next_pending(StoreTable::Desired).is_some());
     let new_rows = node.apply_row(row("config", 5, Some(100_000)));
     assert_eq!(new_rows.len(), 1);
-    assert_eq!(node.complete_version(), RowVersion(9));
+    assert_eq!(node.complete_version(), at(9));
     assert!(node.next_pending(StoreTable::Desired).is_none());
 }
 
@@ -62,8 +62,8 @@
     let mut node = TableMirror::default();
     node.apply(changes(vec![row("config", 2, Some(100_000))], 3, true));
     node.apply_relayed(relayed(&mut relay, 3), &node_id(1));
-    assert_eq!(node.version(), RowVersion(9));
-    assert_eq!(node.complete_version(), RowVersion(4));
+    assert_eq!(node.version(), at(9));
+    assert_eq!(node.complete_version(), at(4));
 }
 
 #[test]
@@ -75,7 +75,7 @@
     relay.apply(changes(vec![row("config", 8, None)], 8, false));
     node.apply_relayed(relayed(&mut relay, 5), &node_id(1));
     assert!(node.next_pending(StoreTable::Desired).is_none());
-    assert_eq!(node.complete_version(), RowVersion(8));
+    assert_eq!(node.complete_version(), at(8));
     // The value that was under way arrives late and changes nothing.
     assert!(node.apply_row(row("config", 5, Some(100_000))).is_empty());
     assert!(node.row(&key("config")).is_none());
@@ -132,5 +132,5 @@
     node.apply_relayed(relayed(&mut relay, 0), &node_id(1));
     node.apply(changes(vec![], 9, true));
     assert!(node.next_pending(StoreTable::Desired).is_none());
-    assert_eq!(node.complete_version(), RowVersion(9));
+    assert_eq!(node.complete_version(), at(9));
 }
--- a/crates/cuminlb-replica/tests/replica/restarts.rs
+++ b/crates/cuminlb-replica/tests/replica/restarts.rs
@@ -23,7 +23,7 @@
 /// only that it exists.
 const FAULT_DELAYS_MS: [u64; 4] = [10, 40, 90, 200];
 
-async fn put_catalog(fleet: &SimulatedFleet, seed: u64) -> (RowVersion, Instant) {
+async fn put_catalog(fleet: &SimulatedFleet, seed: u64) -> (StoreVersion, Instant) {
     let catalog = large_catalog(seed, 1_200);
     let start = Instant::now();
     let version = fleet
@@ -32,7 +32,7 @@
     (version, start)
 }
 
-async fn slowest(fleet: &SimulatedFleet, version: RowVersion, start: Instant) -> Duration {
+async fn slowest(fleet: &SimulatedFleet, version: StoreVersion, start: Instant) -> Duration {
     fleet
         .slowest_arrival(StoreTable::Desired, &key("config"), version, start)
         .await
--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -189,7 +189,7 @@
         &self,
         table: StoreTable,
         row_key: &RowKey,
-        version: RowVersion,
+        version: StoreVersion,
         start: Instant,
     ) -> Duration {
         let limit = Duration::from_secs(60);
@@ -215,6 +215,16 @@
     text.parse().unwrap()
 }
 
+/// Returns a version of a store that was never restored.
+pub fn at(version: u64) -> StoreVersion {
+    at_era(0, version)
+}
+
+/// Returns a version of an era.
+pub fn at_era(era: u64, version: u64) -> StoreVersion {
+    StoreVersion::new(StoreEra(era), RowVersion(version))
+}
+
 pub fn node_id(number: usize) -> NodeId {
     format!("n{number:03}").parse().unwrap()
 }
--- a/crates/cuminlb-replica/tests/replica/simulated_sink.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_sink.rs
@@ -11,12 +11,17 @@
 /// Records when each row reached its latest version, and checks that versions only rise.
 #[derive(Debug, Default)]
 pub struct SimulatedSink {
-    arrivals: Mutex<BTreeMap<(StoreTable, RowKey), (RowVersion, Instant)>>,
+    arrivals: Mutex<BTreeMap<(StoreTable, RowKey), (StoreVersion, Instant)>>,
 }
 
 impl SimulatedSink {
     /// Returns when a row of at least a version arrived.
-    pub fn arrival(&self, table: StoreTable, key: &RowKey, version: RowVersion) -> Option<Instant> {
+    pub fn arrival(
+        &self,
+        table: StoreTable,
+        key: &RowKey,
+        version: StoreVersion,
+    ) -> Option<Instant> {
         let arrivals = self.arrivals.lock().unwrap();
         let (known, at) = arrivals.get(&(table, key.clone()))?;
         (*known >= version).then_some(*at)
@@ -33,6 +38,16 @@
         }
     }
 
+    fn table_restored(
+        &self,
+        table: StoreTable,
+        rows: &[SharedRow],
+        source: RowSource,
+        now: Instant,
+    ) {
+        self.rows_changed(table, rows, source, now);
+    }
+
     fn store_called(&self, _: StoreTable, _: bool, _: Instant) {}
 
     fn peer_lost_store(&self, _: Instant) {}
--- a/crates/cuminlb-replica/tests/replica/simulated_store.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_store.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct SimulatedRows {
     rows: Mutex<BTreeMap<StoreTable, BTreeMap<RowKey, SharedRow>>>,
-    version: watch::Sender<RowVersion>,
+    version: watch::Sender<StoreVersion>,
     link: SimulatedLink,
     pub calls: AtomicU64,
     pub bytes: AtomicU64,
@@ -36,7 +36,7 @@
     pub fn new(rate: LinkRate) -> Self {
         Self {
             rows: Mutex::default(),
-            version: watch::Sender::new(RowVersion(0)),
+            version: watch::Sender::new(StoreVersion::default()),
             link: SimulatedLink::new(rate),
             calls: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
@@ -44,8 +44,9 @@
     }
 
     /// Writes a row and returns its version.
-    pub fn put(&self, table: StoreTable, key: &RowKey, value: Option<Vec<u8>>) -> RowVersion {
-        let version = self.version.borrow().next();
+    pub fn put(&self, table: StoreTable, key: &RowKey, value: Option<Vec<u8>>) -> StoreVersion {
+        let previous = *self.version.borrow();
+        let version = StoreVersion::new(previous.era, previous.row.next());
         let row = SharedRow {
             key: key.clone(),
             version,
@@ -58,7 +59,7 @@
         version
     }
 
-    fn changes(&self, table: StoreTable, after: RowVersion) -> RowChangeSet {
+    fn changes(&self, table: StoreTable, after: StoreVersion) -> RowChangeSet {
         let rows = self.rows.lock().unwrap();
         let rows = rows.get(&table).into_iter().flat_map(BTreeMap::values);
         RowChangeSet {
@@ -118,7 +119,7 @@
 impl RowStore for SimulatedStore {
     async fn read_table(&self, table: StoreTable) -> Result<RowChangeSet, StoreError> {
         self.begin_call().await?;
-        let mut changes = self.rows.changes(table, RowVersion(0));
+        let mut changes = self.rows.changes(table, StoreVersion::default());
         changes.is_whole = true;
         changes.rows.retain(|row| row.value.is_some());
         self.send(changes, CALL_TIMEOUT).await
@@ -131,7 +132,7 @@
         timeout_ms: Millis,
     ) -> Result<Option<SharedRow>, StoreError> {
         self.begin_call().await?;
-        let mut changes = self.rows.changes(table, RowVersion(0));
+        let mut changes = self.rows.changes(table, StoreVersion::default());
         changes.rows.retain(|row| row.key == *key);
         let mut changes = self.send(changes, timeout_ms.duration()).await?;
         Ok(changes.rows.pop())
@@ -140,7 +141,7 @@
     async fn changes(
         &self,
         table: StoreTable,
-        after: RowVersion,
+        after: StoreVersion,
         wait_ms: Millis,
     ) -> Result<RowChangeSet, StoreError> {
         self.begin_call().await?;
@@ -158,7 +159,7 @@
         &self,
         table: StoreTable,
         key: &RowKey,
-        _: RowVersion,
+        _: StoreVersion,
         value: &[u8],
     ) -> Result<WriteOutcome, StoreError> {
         self.begin_call().await?;
