Keep removed rows removed when a table's updates arrive late

Cause: a property test that delivers the answers of a store and of peers late and in any order, over several eras, found two faults that need no restoration. A row that a node had never had, or had a tombstone of, came back with an update older than what the node already had completely. And a node that read the whole table again, because the history was gone, had no tombstones of rows written and removed since its previous version; a peer whose cursor lay in between got only the later changes from it and kept such a row for good.

Change: a row that does not exist counts as removed as far as the table is complete. A whole table that is newer than the mirror raises the version from which on peers may be given changes only. The rows of a mirror with their tombstones are a type of their own.

--- a/crates/cuminlb-replica/src/lib.rs
+++ b/crates/cuminlb-replica/src/lib.rs
@@ -19,6 +19,7 @@
 mod follower;
 mod indexed_value;
 mod membership;
+mod mirror_rows;
 mod node_capacity;
 mod node_row;
 mod pending_value;
--- a/crates/cuminlb-replica/src/table_mirror.rs
+++ b/crates/cuminlb-replica/src/table_mirror.rs
@@ -9,12 +9,10 @@
 
 use crate::PendingValue;
 use crate::announcement::Announcement;
+use crate::mirror_rows::MirrorRows;
 use crate::table_update::TableUpdate;
 use crate::value_indexes::ValueIndexes;
 
-/// Maximum number of tombstones that are kept, so that peers receive removals.
-const MAX_TOMBSTONES: usize = 4_096;
-
 /// The rows of one table with their versions, as far as this node has received them.
 ///
 /// The version of a row only ever increases, whichever source it comes from. A later era of the
@@ -22,7 +20,7 @@
 /// Updates of earlier eras are ignored from then on.
 #[derive(Debug, Default)]
 pub struct TableMirror {
-    rows: BTreeMap<RowKey, SharedRow>,
+    rows: MirrorRows,
     version: StoreVersion,
     /// The version from which on no removed row is missing.
     complete_from: StoreVersion,
@@ -60,7 +58,7 @@
 
     /// Returns the version of the newest row that peers can be given.
     pub fn newest_version(&self) -> StoreVersion {
-        let rows = self.rows.values().filter(|row| self.is_current(row));
+        let rows = self.rows.iter().filter(|row| self.is_current(row));
         let newest = rows.map(|row| row.version).max();
         let era_start = StoreVersion::new(self.version.era, RowVersion(0));
         newest.unwrap_or(era_start).min(self.complete_version())
@@ -155,7 +153,7 @@
             };
             is_wanted && row.version.era == era
         };
-        let rows = self.rows.values().filter(is_included);
+        let rows = self.rows.iter().filter(is_included);
         let rows = rows
             .map(|row| RelayedRow {
                 key: row.key.clone(),
@@ -215,29 +213,33 @@
         if version.era > self.version.era {
             self.begin_era(version.era);
         }
-        if update.changes.is_whole && self.version.row == RowVersion(0) {
+        if update.changes.is_whole && version >= self.version {
+            // Rows that were written and removed since the version of this node have no tombstone.
             self.complete_from = version;
         }
+        let complete = self.complete_version();
         let mut new_rows = Vec::new();
         if update.changes.is_whole {
             new_rows = self.remove_unlisted(&update);
         }
         for (key, announcement) in update.announcements {
-            self.announce(key, announcement);
+            self.announce(key, announcement, complete);
         }
-        new_rows.extend(update.changes.rows.into_iter().filter(|row| {
-            let known = self.rows.get(&row.key);
-            known.is_none_or(|known| known.version < row.version)
-        }));
+        let changed = update.changes.rows.into_iter();
+        new_rows.extend(
+            changed.filter(|row| row.version > self.rows.known_version(&row.key, complete)),
+        );
         for row in &new_rows {
             let announced = self.pending.get(&row.key);
             if announced.is_some_and(|announced| announced.version <= row.version) {
                 self.pending.remove(&row.key);
             }
-            self.rows.insert(row.key.clone(), row.clone());
+            self.rows.insert(row.clone());
         }
         self.version = self.version.max(version);
-        self.prune_tombstones();
+        if let Some(oldest_kept) = self.rows.prune_tombstones() {
+            self.complete_from = self.complete_from.max(oldest_kept);
+        }
         new_rows
     }
 
@@ -246,14 +248,14 @@
     fn begin_era(&mut self, era: StoreEra) {
         self.version = StoreVersion::new(era, RowVersion(0));
         self.pending.clear();
-        self.rows.retain(|_, row| row.value.is_some());
+        self.rows.forget_tombstones();
     }
 
-    fn announce(&mut self, key: RowKey, announcement: Announcement) {
-        let known = self.rows.get(&key).map(|row| row.version);
+    fn announce(&mut self, key: RowKey, announcement: Announcement, complete: StoreVersion) {
         let announced = self.pending.get(&key).map(|it| it.version);
-        let is_newer = |known| known < announcement.version;
-        if known.max(announced).is_none_or(is_newer) {
+        let known = self.rows.known_version(&key, complete);
+        let known = known.max(announced.unwrap_or_default());
+        if known < announcement.version {
             self.pending.insert(key, announcement);
         }
     }
@@ -265,30 +267,6 @@
         let listed = update.keys();
         self.pending
             .retain(|key, announcement| listed.contains(key) || announcement.version > version);
-        let existing = self.rows.values().filter(|row| row.value.is_some());
-        let removed = existing
-            .filter(|row| row.version < version)
-            .filter(|row| !listed.contains(&row.key));
-        let tombstones = removed.map(|row| SharedRow {
-            key: row.key.clone(),
-            version,
-            value: None,
-        });
-        tombstones.collect()
-    }
-
-    fn prune_tombstones(&mut self) {
-        let tombstones = self.rows.values().filter(|row| row.value.is_none());
-        let mut versions: Vec<StoreVersion> = tombstones.map(|row| row.version).collect();
-        if versions.len() <= MAX_TOMBSTONES {
-            return;
-        }
-        versions.sort_unstable();
-        let Some(&oldest_kept) = versions.get(versions.len() / 2) else {
-            return;
-        };
-        self.complete_from = self.complete_from.max(oldest_kept);
-        self.rows
-            .retain(|_, row| row.value.is_some() || row.version >= oldest_kept);
+        self.rows.unlisted(&listed, version)
     }
 }
--- a/crates/cuminlb-replica/tests/replica/main.rs
+++ b/crates/cuminlb-replica/tests/replica/main.rs
@@ -9,8 +9,11 @@
 )]
 
 mod chunks;
+mod era_history;
 mod following;
 mod large_catalog;
+mod mirror_eras;
+mod mirror_restorations;
 mod mirrors;
 mod restarts;
 mod simulated_fleet;
--- a/crates/cuminlb-replica/tests/replica/mirrors.rs
+++ b/crates/cuminlb-replica/tests/replica/mirrors.rs
@@ -134,3 +134,25 @@
     assert!(node.next_pending(StoreTable::Desired).is_none());
     assert_eq!(node.complete_version(), at(9));
 }
+
+#[test]
+fn a_late_update_does_not_bring_back_a_removed_row() {
+    let mut node = TableMirror::default();
+    node.apply(changes(vec![], 9, true));
+    let late = changes(vec![row("gone", 4, Some(1))], 6, true);
+    assert_eq!(node.apply(late), []);
+    assert!(node.row(&key("gone")).is_none());
+}
+
+#[test]
+fn a_peer_gets_the_whole_table_from_a_node_that_has_not_seen_all_removals_since() {
+    let mut relay = TableMirror::default();
+    relay.apply(changes(vec![], 1, true));
+    let mut node = TableMirror::default();
+    node.apply(changes(vec![row("gone", 2, Some(1))], 2, true));
+    // The row is removed at version 3, and the history is gone when the relay reads the table.
+    relay.apply(changes(vec![], 3, true));
+    let new_rows = node.apply_relayed(relayed(&mut relay, 2), &node_id(1));
+    assert_eq!(new_rows.len(), 1);
+    assert!(node.row(&key("gone")).is_none());
+}
