Play restorations of the store in the simulated fleet

Change: the simulated store is restored from a copy, and a simulated sink checks that the rows of a table are of one era.

--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -206,6 +206,24 @@
         }
     }
 
+    /// Checks that every running node has the rows of the store, and no others.
+    pub fn assert_current(&self) {
+        for (id, node) in self.running() {
+            let process = node.process();
+            for table in StoreTable::ALL {
+                for row in self.rows.table(table) {
+                    let known = process.replica().row(table, &row.key);
+                    let known = known.map(|known| (known.version, known.value));
+                    let expected = Some((row.version, row.value));
+                    assert!(known == expected, "{id} {table} {}", row.key);
+                }
+                let expected = self.rows.table(table).len();
+                let known = process.sink.existing(table);
+                assert_eq!(known, expected, "{id} {table}");
+            }
+        }
+    }
+
     fn running(&self) -> impl Iterator<Item = (&NodeId, &Arc<SimulatedNode>)> {
         self.nodes.iter().filter(|(_, node)| !node.is_lost())
     }
--- a/crates/cuminlb-replica/tests/replica/simulated_sink.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_sink.rs
@@ -1,6 +1,6 @@
 //! [`SimulatedSink`]: records when rows arrive at a node.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex;
 
 use cuminlb_catalog::{SharedRow, StoreTable};
@@ -8,10 +8,15 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-/// Records when each row reached its latest version, and checks that versions only rise.
+/// Records when each row reached its latest version, and checks that versions only rise, and that the
+/// rows of a table are of one era.
 #[derive(Debug, Default)]
 pub struct SimulatedSink {
     arrivals: Mutex<BTreeMap<(StoreTable, RowKey), (StoreVersion, Instant)>>,
+    existing: Mutex<BTreeSet<(StoreTable, RowKey)>>,
+    /// The era of the rows of each table.
+    eras: Mutex<BTreeMap<StoreTable, StoreEra>>,
+    restorations: Mutex<BTreeMap<StoreTable, usize>>,
 }
 
 impl SimulatedSink {
@@ -26,26 +31,58 @@
         let (known, at) = arrivals.get(&(table, key.clone()))?;
         (*known >= version).then_some(*at)
     }
-}
 
-impl RowSink for SimulatedSink {
-    fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], _: RowSource, now: Instant) {
+    /// Returns how many rows of a table exist.
+    pub fn existing(&self, table: StoreTable) -> usize {
+        let existing = self.existing.lock().unwrap();
+        existing.iter().filter(|(it, _)| *it == table).count()
+    }
+
+    /// Returns how often a table was restored.
+    pub fn restorations(&self, table: StoreTable) -> usize {
+        let restorations = self.restorations.lock().unwrap();
+        restorations.get(&table).copied().unwrap_or_default()
+    }
+
+    fn record(&self, table: StoreTable, rows: &[SharedRow], now: Instant) {
         let mut arrivals = self.arrivals.lock().unwrap();
         for row in rows {
             let known = arrivals.insert((table, row.key.clone()), (row.version, now));
             let is_newer = known.is_none_or(|(version, _)| version < row.version);
+            let place = (table, row.key.clone());
+            let mut existing = self.existing.lock().unwrap();
+            match row.value {
+                Some(_) => existing.insert(place),
+                None => existing.remove(&place),
+            };
             assert!(is_newer, "{table} {} went back to {}", row.key, row.version);
         }
     }
+}
 
-    fn table_restored(
-        &self,
-        table: StoreTable,
-        rows: &[SharedRow],
-        source: RowSource,
-        now: Instant,
-    ) {
-        self.rows_changed(table, rows, source, now);
+impl RowSink for SimulatedSink {
+    fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], _: RowSource, now: Instant) {
+        let mut eras = self.eras.lock().unwrap();
+        for row in rows {
+            let era = *eras.entry(table).or_insert(row.version.era);
+            assert_eq!(row.version.era, era, "{table} {}", row.key);
+        }
+        drop(eras);
+        self.record(table, rows, now);
+    }
+
+    fn table_restored(&self, table: StoreTable, rows: &[SharedRow], _: RowSource, now: Instant) {
+        let mut eras = self.eras.lock().unwrap();
+        if let Some(row) = rows.first() {
+            let previous = eras.insert(table, row.version.era);
+            assert!(previous.is_none_or(|era| era < row.version.era), "{table}");
+            assert!(rows.iter().all(|it| it.version.era == row.version.era));
+        } else {
+            eras.remove(&table);
+        }
+        drop(eras);
+        *self.restorations.lock().unwrap().entry(table).or_default() += 1;
+        self.record(table, rows, now);
     }
 
     fn store_called(&self, _: StoreTable, _: bool, _: Instant) {}
--- a/crates/cuminlb-replica/tests/replica/simulated_store.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_store.rs
@@ -22,10 +22,20 @@
 /// Bytes of a call's response beyond the values, which are sent as Base64.
 const ROW_OVERHEAD_BYTES: u64 = 120;
 
+/// The rows of all tables.
+type Tables = BTreeMap<StoreTable, BTreeMap<RowKey, SharedRow>>;
+
+/// The rows of the store and the version of its latest change at one time.
+#[derive(Clone, Debug)]
+pub struct SimulatedCopy {
+    rows: Tables,
+    version: RowVersion,
+}
+
 /// The rows of the store, its link, and how much it was used.
 #[derive(Debug)]
 pub struct SimulatedRows {
-    rows: Mutex<BTreeMap<StoreTable, BTreeMap<RowKey, SharedRow>>>,
+    rows: Mutex<Tables>,
     version: watch::Sender<StoreVersion>,
     link: SimulatedLink,
     pub calls: AtomicU64,
@@ -59,6 +69,34 @@
         version
     }
 
+    /// Returns a copy of the rows.
+    pub fn copy(&self) -> SimulatedCopy {
+        SimulatedCopy {
+            rows: self.rows.lock().unwrap().clone(),
+            version: self.version.borrow().row,
+        }
+    }
+
+    /// Restores the rows from a copy, which begins a new era. Long polls in flight are cut.
+    pub fn restore(&self, copy: &SimulatedCopy) {
+        let previous = *self.version.borrow();
+        let era = previous.era.next();
+        let mut restored = copy.rows.clone();
+        for row in restored.values_mut().flat_map(BTreeMap::values_mut) {
+            row.version.era = era;
+        }
+        *self.rows.lock().unwrap() = restored;
+        let version = StoreVersion::new(era, copy.version);
+        self.version.send_replace(version);
+    }
+
+    /// Returns the rows of a table, without removed ones.
+    pub fn table(&self, table: StoreTable) -> Vec<SharedRow> {
+        let rows = self.rows.lock().unwrap();
+        let rows = rows.get(&table).into_iter().flat_map(BTreeMap::values);
+        rows.filter(|row| row.value.is_some()).cloned().collect()
+    }
+
     fn changes(&self, table: StoreTable, after: StoreVersion) -> RowChangeSet {
         let rows = self.rows.lock().unwrap();
         let rows = rows.get(&table).into_iter().flat_map(BTreeMap::values);
@@ -146,8 +184,18 @@
     ) -> Result<RowChangeSet, StoreError> {
         self.begin_call().await?;
         let mut versions = self.rows.version.subscribe();
-        let has_changes = versions.wait_for(|_| !self.rows.changes(table, after).rows.is_empty());
+        if versions.borrow().era != after.era {
+            return Err(StoreError::HistoryGone);
+        }
+        let has_changes = versions.wait_for(|latest| {
+            latest.era != after.era || !self.rows.changes(table, after).rows.is_empty()
+        });
         let _ = timeout(wait_ms.duration(), has_changes).await;
+        if versions.borrow().era != after.era {
+            return Err(StoreError::NoResponse {
+                timeout_ms: wait_ms,
+            });
+        }
         if self.is_refused.load(Ordering::Relaxed) {
             return Err(StoreError::Refused { status: 503 });
         }
