--- a/crates/cuminlb-gateway/tests/panics.rs
+++ b/crates/cuminlb-gateway/tests/panics.rs
@@ -54,7 +54,7 @@
     async fn changes(
         &self,
         _: StoreTable,
-        _: RowVersion,
+        _: StoreVersion,
         _: Millis,
     ) -> Result<RowChangeSet, StoreError> {
         Err(unreachable_store())
@@ -64,7 +64,7 @@
         &self,
         _: StoreTable,
         _: &RowKey,
-        _: RowVersion,
+        _: StoreVersion,
         _: &[u8],
     ) -> Result<WriteOutcome, StoreError> {
         Err(unreachable_store())
--- a/crates/cuminlb-replica/tests/replica/main.rs
+++ b/crates/cuminlb-replica/tests/replica/main.rs
@@ -9,10 +9,17 @@
 )]
 
 mod chunks;
+mod era_history;
 mod following;
 mod large_catalog;
+mod mirror_eras;
+mod mirror_restorations;
 mod mirrors;
+mod random_restorations;
+mod relay_eras;
+mod replica_eras;
 mod restarts;
+mod restorations;
 mod simulated_fleet;
 mod simulated_link;
 mod simulated_peer;
--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -189,7 +189,7 @@
         &self,
         table: StoreTable,
         row_key: &RowKey,
-        version: RowVersion,
+        version: StoreVersion,
         start: Instant,
     ) -> Duration {
         let limit = Duration::from_secs(60);
@@ -206,6 +206,24 @@
         }
     }
 
+    /// Checks that every running node has the rows of the store, and no others.
+    pub fn assert_current(&self) {
+        for (id, node) in self.running() {
+            let process = node.process();
+            for table in StoreTable::ALL {
+                for row in self.rows.table(table) {
+                    let known = process.replica().row(table, &row.key);
+                    let known = known.map(|known| (known.version, known.value));
+                    let expected = Some((row.version, row.value));
+                    assert!(known == expected, "{id} {table} {}", row.key);
+                }
+                let expected = self.rows.table(table).len();
+                let known = process.sink.existing(table);
+                assert_eq!(known, expected, "{id} {table}");
+            }
+        }
+    }
+
     fn running(&self) -> impl Iterator<Item = (&NodeId, &Arc<SimulatedNode>)> {
         self.nodes.iter().filter(|(_, node)| !node.is_lost())
     }
@@ -215,6 +233,16 @@
     text.parse().unwrap()
 }
 
+/// Returns a version of a store that was never restored.
+pub fn at(version: u64) -> StoreVersion {
+    at_era(0, version)
+}
+
+/// Returns a version of an era.
+pub fn at_era(era: u64, version: u64) -> StoreVersion {
+    StoreVersion::new(StoreEra(era), RowVersion(version))
+}
+
 pub fn node_id(number: usize) -> NodeId {
     format!("n{number:03}").parse().unwrap()
 }
--- a/crates/cuminlb-replica/tests/replica/simulated_store.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_store.rs
@@ -22,11 +22,21 @@
 /// Bytes of a call's response beyond the values, which are sent as Base64.
 const ROW_OVERHEAD_BYTES: u64 = 120;
 
+/// The rows of all tables.
+type Tables = BTreeMap<StoreTable, BTreeMap<RowKey, SharedRow>>;
+
+/// The rows of the store and the version of its latest change at one time.
+#[derive(Clone, Debug)]
+pub struct SimulatedCopy {
+    rows: Tables,
+    version: RowVersion,
+}
+
 /// The rows of the store, its link, and how much it was used.
 #[derive(Debug)]
 pub struct SimulatedRows {
-    rows: Mutex<BTreeMap<StoreTable, BTreeMap<RowKey, SharedRow>>>,
-    version: watch::Sender<RowVersion>,
+    rows: Mutex<Tables>,
+    version: watch::Sender<StoreVersion>,
     link: SimulatedLink,
     pub calls: AtomicU64,
     pub bytes: AtomicU64,
@@ -36,7 +46,7 @@
     pub fn new(rate: LinkRate) -> Self {
         Self {
             rows: Mutex::default(),
-            version: watch::Sender::new(RowVersion(0)),
+            version: watch::Sender::new(StoreVersion::default()),
             link: SimulatedLink::new(rate),
             calls: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
@@ -44,8 +54,9 @@
     }
 
     /// Writes a row and returns its version.
-    pub fn put(&self, table: StoreTable, key: &RowKey, value: Option<Vec<u8>>) -> RowVersion {
-        let version = self.version.borrow().next();
+    pub fn put(&self, table: StoreTable, key: &RowKey, value: Option<Vec<u8>>) -> StoreVersion {
+        let previous = *self.version.borrow();
+        let version = StoreVersion::new(previous.era, previous.row.next());
         let row = SharedRow {
             key: key.clone(),
             version,
@@ -58,7 +69,35 @@
         version
     }
 
-    fn changes(&self, table: StoreTable, after: RowVersion) -> RowChangeSet {
+    /// Returns a copy of the rows.
+    pub fn copy(&self) -> SimulatedCopy {
+        SimulatedCopy {
+            rows: self.rows.lock().unwrap().clone(),
+            version: self.version.borrow().row,
+        }
+    }
+
+    /// Restores the rows from a copy, which begins a new era. Long polls in flight are cut.
+    pub fn restore(&self, copy: &SimulatedCopy) {
+        let previous = *self.version.borrow();
+        let era = previous.era.next();
+        let mut restored = copy.rows.clone();
+        for row in restored.values_mut().flat_map(BTreeMap::values_mut) {
+            row.version.era = era;
+        }
+        *self.rows.lock().unwrap() = restored;
+        let version = StoreVersion::new(era, copy.version);
+        self.version.send_replace(version);
+    }
+
+    /// Returns the rows of a table, without removed ones.
+    pub fn table(&self, table: StoreTable) -> Vec<SharedRow> {
+        let rows = self.rows.lock().unwrap();
+        let rows = rows.get(&table).into_iter().flat_map(BTreeMap::values);
+        rows.filter(|row| row.value.is_some()).cloned().collect()
+    }
+
+    fn changes(&self, table: StoreTable, after: StoreVersion) -> RowChangeSet {
         let rows = self.rows.lock().unwrap();
         let rows = rows.get(&table).into_iter().flat_map(BTreeMap::values);
         RowChangeSet {
@@ -118,7 +157,7 @@
 impl RowStore for SimulatedStore {
     async fn read_table(&self, table: StoreTable) -> Result<RowChangeSet, StoreError> {
         self.begin_call().await?;
-        let mut changes = self.rows.changes(table, RowVersion(0));
+        let mut changes = self.rows.changes(table, StoreVersion::default());
         changes.is_whole = true;
         changes.rows.retain(|row| row.value.is_some());
         self.send(changes, CALL_TIMEOUT).await
@@ -131,7 +170,7 @@
         timeout_ms: Millis,
     ) -> Result<Option<SharedRow>, StoreError> {
         self.begin_call().await?;
-        let mut changes = self.rows.changes(table, RowVersion(0));
+        let mut changes = self.rows.changes(table, StoreVersion::default());
         changes.rows.retain(|row| row.key == *key);
         let mut changes = self.send(changes, timeout_ms.duration()).await?;
         Ok(changes.rows.pop())
@@ -140,13 +179,23 @@
     async fn changes(
         &self,
         table: StoreTable,
-        after: RowVersion,
+        after: StoreVersion,
         wait_ms: Millis,
     ) -> Result<RowChangeSet, StoreError> {
         self.begin_call().await?;
         let mut versions = self.rows.version.subscribe();
-        let has_changes = versions.wait_for(|_| !self.rows.changes(table, after).rows.is_empty());
+        if versions.borrow().era != after.era {
+            return Err(StoreError::HistoryGone);
+        }
+        let has_changes = versions.wait_for(|latest| {
+            latest.era != after.era || !self.rows.changes(table, after).rows.is_empty()
+        });
         let _ = timeout(wait_ms.duration(), has_changes).await;
+        if versions.borrow().era != after.era {
+            return Err(StoreError::NoResponse {
+                timeout_ms: wait_ms,
+            });
+        }
         if self.is_refused.load(Ordering::Relaxed) {
             return Err(StoreError::Refused { status: 503 });
         }
@@ -158,7 +207,7 @@
         &self,
         table: StoreTable,
         key: &RowKey,
-        _: RowVersion,
+        _: StoreVersion,
         value: &[u8],
     ) -> Result<WriteOutcome, StoreError> {
         self.begin_call().await?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod native_plain_silence;
 mod native_raw_responses;
 mod native_refusals;
+mod native_restore;
 mod native_silence;
 mod native_site;
 mod native_stops;
