Move the decisions about the leader's lease to cuminlb-fleet

Cause: what a write of the lease row means was decided in the gateway's LeaseState between its calls to the store, so that no test without a network could reach it.

Change: LeaseCandidate decides when a node may acquire the lease, on which version it writes, and what an answer means to it. The gateway's LeaseState reads the replica, sends the write and logs. HeldLease and ObservedLease are generic over the row version, because the leader's lease will need the store's era.

--- a/crates/cuminlb-fleet/src/lease/held_lease.rs
+++ b/crates/cuminlb-fleet/src/lease/held_lease.rs
@@ -5,25 +5,20 @@
 
 use super::LeaseTiming;
 
-/// A lease as its holder knows it.
+/// A lease as its holder knows it, with a row version of type `V`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeldLease {
+pub struct HeldLease<V = RowVersion> {
     /// The fencing number, which is the same from acquisition through all renewals.
     pub fencing: FencingNumber,
     /// The version of the row that this holder last wrote.
-    pub version: RowVersion,
+    pub version: V,
     /// The end of the time in which the holder may act.
     pub valid_until: Instant,
 }
 
-impl HeldLease {
+impl<V> HeldLease<V> {
     /// Creates the state of a lease that was acquired or renewed by a write sent at `sent_at`.
-    pub fn new(
-        fencing: FencingNumber,
-        version: RowVersion,
-        sent_at: Instant,
-        timing: &LeaseTiming,
-    ) -> Self {
+    pub fn new(fencing: FencingNumber, version: V, sent_at: Instant, timing: &LeaseTiming) -> Self {
         let usable_ms = timing.length_ms.saturating_sub(timing.margin_ms);
         Self {
             fencing,
--- a/crates/cuminlb-fleet/src/lease/mod.rs
+++ b/crates/cuminlb-fleet/src/lease/mod.rs
@@ -6,9 +6,17 @@
 //! different machines are never compared.
 
 mod held_lease;
+mod lease_answer;
+mod lease_candidate;
 mod lease_timing;
+mod lease_write;
+mod lease_write_outcome;
 mod observed_lease;
 
 pub use self::held_lease::HeldLease;
+pub use self::lease_answer::LeaseAnswer;
+pub use self::lease_candidate::LeaseCandidate;
 pub use self::lease_timing::LeaseTiming;
+pub use self::lease_write::LeaseWrite;
+pub use self::lease_write_outcome::LeaseWriteOutcome;
 pub use self::observed_lease::ObservedLease;
--- a/crates/cuminlb-fleet/src/lease/observed_lease.rs
+++ b/crates/cuminlb-fleet/src/lease/observed_lease.rs
@@ -5,25 +5,21 @@
 
 use crate::rows::LeaseRow;
 
-/// A lease of another holder, as observed by a node that may take it over.
+/// A lease of another holder, as observed by a node that may take it over, with a row version of
+/// type `V`.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ObservedLease {
+pub struct ObservedLease<V = RowVersion> {
     /// The row.
     pub row: LeaseRow,
     /// The version of the row.
-    pub version: RowVersion,
+    pub version: V,
     /// When this version was first seen, on the clock of the observing node.
     pub first_seen_at: Instant,
 }
 
-impl ObservedLease {
+impl<V: PartialEq> ObservedLease<V> {
     /// Records a read of the row; a version that was seen before keeps its first time.
-    pub fn observe(
-        previous: Option<Self>,
-        version: RowVersion,
-        row: LeaseRow,
-        now: Instant,
-    ) -> Self {
+    pub fn observe(previous: Option<Self>, version: V, row: LeaseRow, now: Instant) -> Self {
         match previous {
             Some(seen) if seen.version == version => seen,
             _ => Self {
--- a/crates/cuminlb-gateway/src/leading/keep_lease.rs
+++ b/crates/cuminlb-gateway/src/leading/keep_lease.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminlb_fleet::lease::LeaseWriteOutcome;
 use cuminlb_types::prelude::*;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -10,7 +11,7 @@
 use super::SharedLease;
 use super::active_lease::ActiveLease;
 use super::lease_rows::LEASE_TIMING;
-use super::lease_state::{LeaseState, LeaseWriteOutcome};
+use super::lease_state::LeaseState;
 use super::store_outage::is_store_outage;
 use crate::gateway::Gateway;
 
@@ -34,7 +35,7 @@
 /// While the store is unavailable to all nodes, none of them can acquire the lease, and this node
 /// extends its own.
 pub(crate) async fn keep_lease(gateway: Arc<Gateway>, lease: SharedLease, stop: CancellationToken) {
-    let mut state = LeaseState::new();
+    let mut state = LeaseState::new(gateway.settings.id.clone());
     let mut acquirable_since = None;
     while !stop.is_cancelled() {
         if state.held().is_none() {
--- a/crates/cuminlb-gateway/src/leading/lead.rs
+++ b/crates/cuminlb-gateway/src/leading/lead.rs
@@ -31,7 +31,7 @@
         let Some(held) = held.map(|lease| lease.held) else {
             continue;
         };
-        let base_epoch = Epoch(held.version.get() << EPOCH_BITS_PER_LEASE);
+        let base_epoch = Epoch(held.version.row.get() << EPOCH_BITS_PER_LEASE);
         info!(epoch:% = base_epoch, fencing:% = held.fencing; "leading");
         Leader::new(Arc::clone(&gateway), base_epoch)
             .run(&mut lease, &stop)
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -22,10 +22,10 @@
 }
 
 /// Returns the lease as this node knows it, with the version of its row.
-pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, RowVersion)> {
+pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, StoreVersion)> {
     let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
     match serde_json::from_slice(row.value.as_deref().unwrap_or_default()) {
-        Ok(lease) => Some((lease, row.version)),
+        Ok(lease) => Some((lease, StoreVersion::new(StoreEra(0), row.version))),
         Err(error) => {
             warn!("failed to decode the leader's lease: {error}");
             None
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -1,7 +1,7 @@
-//! The lease as this node observes, acquires and renews it.
+//! The lease as this node reads it from the replica and writes it to the store.
 
 use cuminlb_catalog::{SharedRow, StoreError, StoreTable, WriteOutcome};
-use cuminlb_fleet::lease::{HeldLease, ObservedLease};
+use cuminlb_fleet::lease::{HeldLease, LeaseAnswer, LeaseCandidate, LeaseWrite, LeaseWriteOutcome};
 use cuminlb_fleet::rows::LeaseRow;
 use cuminlb_types::prelude::*;
 use log::{info, warn};
@@ -10,53 +10,28 @@
 use super::lease_rows::{LEASE_TIMING, lease_key, read_lease};
 use crate::gateway::Gateway;
 
-/// The outcome of writing the lease row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LeaseWriteOutcome {
-    /// This node holds the lease.
-    Held,
-    /// Another node holds it.
-    Lost,
-    /// The store did not respond.
-    Unknown,
-}
-
 /// The lease as this node has observed it or holds it.
 #[derive(Debug)]
 pub(super) struct LeaseState {
-    incarnation: Incarnation,
-    seen: Option<ObservedLease>,
-    held: Option<HeldLease>,
-    /// When the latest write was sent, which may have taken effect without a response.
-    sent_at: Option<Instant>,
+    candidate: LeaseCandidate,
 }
 
 impl LeaseState {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(node: NodeId) -> Self {
+        let incarnation = Incarnation(UnixMillis::now().get());
         Self {
-            incarnation: Incarnation(UnixMillis::now().get()),
-            seen: None,
-            held: None,
-            sent_at: None,
+            candidate: LeaseCandidate::new(node, incarnation, LEASE_TIMING),
         }
     }
 
     /// Returns the lease that this node holds, whether or not it is still valid.
-    pub(super) const fn held(&self) -> Option<HeldLease> {
-        self.held
+    pub(super) fn held(&self) -> Option<HeldLease<StoreVersion>> {
+        self.candidate.held().copied()
     }
 
     /// Extends the validity of the lease to a later time.
     pub(super) fn extend(&mut self, until: Instant) {
-        if let Some(held) = &mut self.held {
-            held.valid_until = held.valid_until.max(until);
-        }
-    }
-
-    /// Drops the lease without writing its row.
-    pub(super) fn clear(&mut self) {
-        self.held = None;
-        self.seen = None;
+        self.candidate.extend(until);
     }
 
     /// Returns whether the lease of another node has ended, so that this node may acquire it.
@@ -64,12 +39,7 @@
         let Some((row, version)) = read_lease(&gateway.replica) else {
             return gateway.replica.version(StoreTable::Nodes) > RowVersion(0);
         };
-        // The earlier incarnation of this node has ended, so nobody acts on its lease.
-        let is_own = row.holder == gateway.settings.id && row.incarnation != self.incarnation;
-        let seen = ObservedLease::observe(self.seen.take(), version, row, now);
-        let may_acquire = is_own || seen.is_released() || seen.has_expired(now);
-        self.seen = Some(seen);
-        may_acquire
+        self.candidate.may_acquire(row, version, now)
     }
 
     /// Acquires or renews the lease; a length of zero releases it.
@@ -78,76 +48,72 @@
         gateway: &Gateway,
         length_ms: Millis,
     ) -> LeaseWriteOutcome {
-        let (expected, fencing) = match (&self.held, &self.seen) {
-            (Some(held), _) => (held.version, held.fencing),
-            (None, Some(seen)) => (seen.version, seen.row.fencing.next()),
-            (None, None) => (RowVersion(0), FencingNumber(1)),
-        };
-        let row = LeaseRow {
-            holder: gateway.settings.id.clone(),
-            incarnation: self.incarnation,
-            fencing,
-            length_ms,
-            idle: length_ms == Millis(0),
-        };
-        let (Some(key), Ok(value)) = (lease_key(), serde_json::to_vec(&row)) else {
+        let write = self.candidate.prepare_write(length_ms, Instant::now());
+        let (Some(key), Ok(value)) = (lease_key(), serde_json::to_vec(&write.row)) else {
             warn!("failed to encode the lease row");
+            self.candidate.clear();
             return LeaseWriteOutcome::Lost;
         };
-        let sent_at = Instant::now();
         let store = &gateway.edges.store;
+        let expected = write.expected.row;
         let outcome = store.write(StoreTable::Nodes, &key, expected, &value).await;
-        let previous_sent_at = self.sent_at.replace(sent_at);
-        match outcome {
-            Ok(WriteOutcome::Written { version }) => {
-                if self.held.is_none() {
-                    info!(row_version:% = version, fencing:% = fencing; "lease taken");
-                }
-                self.held = Some(HeldLease::new(fencing, version, sent_at, &LEASE_TIMING));
-                LeaseWriteOutcome::Held
-            }
-            Ok(WriteOutcome::Conflict { found }) => {
-                self.handle_conflict(found, &row, previous_sent_at.unwrap_or(sent_at))
-            }
-            Err(error) => {
-                self.log_failure(&error);
-                LeaseWriteOutcome::Unknown
-            }
-        }
+        let was_held = self.candidate.held().is_some();
+        let answer = read_answer(outcome, was_held);
+        let answered_version = answer_version(&answer);
+        let outcome = self.candidate.handle_answer(&write, answer);
+        log_change(&write, was_held, outcome, answered_version);
+        outcome
     }
+}
 
-    /// Handles a row that was not as expected. Either another node holds the lease, or an earlier
-    /// write of this node took effect although its response was lost.
-    fn handle_conflict(
-        &mut self,
-        found: Option<SharedRow>,
-        own: &LeaseRow,
-        previous_sent_at: Instant,
-    ) -> LeaseWriteOutcome {
-        let lease = found
-            .as_ref()
-            .and_then(|row| serde_json::from_slice::<LeaseRow>(row.value.as_deref()?).ok());
-        let version = found.map(|row| row.version);
-        match (version, lease) {
-            (Some(version), Some(lease))
-                if lease.holder == own.holder && lease.incarnation == own.incarnation =>
-            {
-                let timing = &LEASE_TIMING;
-                let held = HeldLease::new(lease.fencing, version, previous_sent_at, timing);
-                self.held = Some(held);
-                LeaseWriteOutcome::Held
-            }
-            (version, _) => {
-                if self.held.is_some() {
-                    warn!(row_version = version.map(RowVersion::get); "lease lost");
-                }
-                self.clear();
-                LeaseWriteOutcome::Lost
+/// Translates the outcome of a write of the lease row.
+fn read_answer(outcome: Result<WriteOutcome, StoreError>, is_held: bool) -> LeaseAnswer {
+    match outcome {
+        Ok(WriteOutcome::Written { version }) => LeaseAnswer::Written {
+            version: StoreVersion::new(StoreEra(0), version),
+        },
+        Ok(WriteOutcome::Conflict { found }) => LeaseAnswer::Conflict {
+            found: found.as_ref().and_then(decode_lease),
+        },
+        Err(error) => {
+            warn!(is_held = is_held; "the lease was not written: {error}");
+            match error {
+                StoreError::Unreachable { .. } | StoreError::Refused { .. } => LeaseAnswer::Refused,
+                StoreError::NoResponse { .. }
+                | StoreError::HistoryGone
+                | StoreError::Malformed { .. } => LeaseAnswer::Unknown,
             }
         }
     }
+}
+
+fn decode_lease(row: &SharedRow) -> Option<(LeaseRow, StoreVersion)> {
+    let lease = serde_json::from_slice(row.value.as_deref()?).ok()?;
+    Some((lease, StoreVersion::new(StoreEra(0), row.version)))
+}
 
-    fn log_failure(&self, error: &StoreError) {
-        warn!(is_held = self.held.is_some(); "the lease was not written: {error}");
+fn answer_version(answer: &LeaseAnswer) -> Option<StoreVersion> {
+    match answer {
+        LeaseAnswer::Written { version } => Some(*version),
+        LeaseAnswer::Conflict { found } => found.as_ref().map(|(_, version)| *version),
+        LeaseAnswer::Refused | LeaseAnswer::Unknown => None,
+    }
+}
+
+fn log_change(
+    write: &LeaseWrite,
+    was_held: bool,
+    outcome: LeaseWriteOutcome,
+    version: Option<StoreVersion>,
+) {
+    let version = version.map(|version| version.to_string());
+    match (was_held, outcome) {
+        (false, LeaseWriteOutcome::Held) => {
+            info!(row_version = version, fencing:% = write.row.fencing; "lease taken");
+        }
+        (true, LeaseWriteOutcome::Lost) => {
+            warn!(row_version = version; "lease lost");
+        }
+        _ => {}
     }
 }
