Let the epochs of groups rise over restorations of the store

What callers would see: after the store came back from a copy, groups that can't be formed, because engines refuse joins whose epoch is lower than one they have seen; or two groups under one name and epoch.

Cause: a leader issues epochs above the version of the lease's row times 2^16, and the versions go back when the store is restored.

--- a/crates/cuminlb-fleet/tests/lease/main.rs
+++ b/crates/cuminlb-fleet/tests/lease/main.rs
@@ -7,5 +7,6 @@
     reason = "a test fails by panicking"
 )]
 
+mod epochs;
 mod lost_answers;
 mod support;
--- a/crates/cuminlb-fleet/tests/lease/support.rs
+++ b/crates/cuminlb-fleet/tests/lease/support.rs
@@ -2,6 +2,10 @@
 
 use cuminlb_fleet::lease::{LeaseCandidate, LeaseTiming};
 use cuminlb_types::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+/// The seed of the random cases.
+const SEED: u64 = 0x0e90_c4a5;
 
 pub const TIMING: LeaseTiming = LeaseTiming {
     length_ms: Millis(1_800),
@@ -19,3 +23,12 @@
 pub fn version(era: u64, row: u64) -> StoreVersion {
     StoreVersion::new(StoreEra(era), RowVersion(row))
 }
+
+/// Returns a runner of random cases.
+pub fn runner() -> TestRunner {
+    TestRunner::new(Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    })
+}
--- a/crates/cuminlb-gateway/src/leading/lead.rs
+++ b/crates/cuminlb-gateway/src/leading/lead.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cuminlb_types::prelude::*;
+use cuminlb_fleet::lease::base_epoch;
 use log::info;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -11,9 +11,6 @@
 use super::leader::Leader;
 use crate::gateway::Gateway;
 
-/// Base-2 logarithm of the number of epochs that one lease may issue.
-const EPOCH_BITS_PER_LEASE: u32 = 16;
-
 /// Leads while this node holds the lease, until `stop` is cancelled.
 pub(crate) async fn lead(
     gateway: Arc<Gateway>,
@@ -31,7 +28,7 @@
         let Some(held) = held.map(|lease| lease.held) else {
             continue;
         };
-        let base_epoch = Epoch(held.version.row.get() << EPOCH_BITS_PER_LEASE);
+        let base_epoch = base_epoch(held.version);
         info!(epoch:% = base_epoch, fencing:% = held.fencing; "leading");
         Leader::new(Arc::clone(&gateway), base_epoch)
             .run(&mut lease, &stop)
