Keep the lease to one holder over restorations of the store

What callers would see: after the store came back from a copy, two leaders that order the same engines about, or a leader that gives up although nobody else leads and groups that aren't repaired for seconds.

Cause: LeaseCandidate took the row of the lease for the latest word about its holder. A copy lacks the latest acquisition and renewals; its row may say released, name an own earlier start, or have a version that is given out again, which a late or repeated write then matches.

Change: the row states the era in which it was written. A row of an earlier era than the store's, or a missing one, is taken at once only by the holder of a lease that is still valid, with its fencing number, on the version that the copy has. All others wait for the full length and the extension that a holder may give itself, since they first saw that row in this era, even if it says released or names their own earlier start. A write whose answer is of a later era than its condition gives no lease.

Why an unanswered write of the old era does no harm when it lands later: its row states the old era, so that nobody, its sender included, takes it for a lease; a valid holder writes over it, and all others wait in full.

A node that starts after a restoration whose copy has no row of the lease at all can't tell this from a new site, and takes the lease at once.

Evidence: two_nodes_never_hold_the_lease_at_once_although_the_store_is_restored plays 2 to 4 nodes with restorations, pauses, late writes, lost answers and starts at any moment. The gateway passes era 0 until the store's era arrives.

--- a/crates/cuminlb-fleet/src/lease/lease_answer.rs
+++ b/crates/cuminlb-fleet/src/lease/lease_answer.rs
@@ -14,8 +14,10 @@
     },
     /// The row was not at the expected version; nothing was written.
     Conflict {
-        /// The current row with its version; `None` if there is none or it can't be decoded.
-        found: Option<(LeaseRow, StoreVersion)>,
+        /// The current row; `None` if there is none or it can't be decoded.
+        found: Option<LeaseRow>,
+        /// The version of the current row; row version zero if there is none.
+        version: StoreVersion,
     },
     /// The write has had no effect and will have none.
     Refused,
--- a/crates/cuminlb-fleet/src/lease/lease_write_outcome.rs
+++ b/crates/cuminlb-fleet/src/lease/lease_write_outcome.rs
@@ -7,6 +7,9 @@
     Held,
     /// The sender does not hold the lease.
     Lost,
+    /// The store was restored while the sender's lease is valid; the row must be written again at
+    /// once.
+    Restored,
     /// The store did not respond; a lease that is held remains valid for its time.
     Unknown,
 }
--- a/crates/cuminlb-fleet/src/lease/mod.rs
+++ b/crates/cuminlb-fleet/src/lease/mod.rs
@@ -5,6 +5,7 @@
 //! over waits for the full length after it first saw the current version of the row. Clocks of
 //! different machines are never compared.
 
+mod absent_lease;
 mod base_epoch;
 mod held_lease;
 mod lease_answer;
@@ -14,6 +15,7 @@
 mod lease_write_outcome;
 mod observed_lease;
 
+pub use self::absent_lease::AbsentLease;
 pub use self::base_epoch::base_epoch;
 pub use self::held_lease::HeldLease;
 pub use self::lease_answer::LeaseAnswer;
--- a/crates/cuminlb-fleet/src/rows/lease_row.rs
+++ b/crates/cuminlb-fleet/src/rows/lease_row.rs
@@ -19,4 +19,8 @@
     /// Whether the holder released the lease while nothing that it had permitted was in flight.
     #[serde(default)]
     pub idle: bool,
+    /// The era of the store in which the holder wrote the row. A row of an earlier era than the
+    /// store's comes from the copy that the store was restored from.
+    #[serde(default)]
+    pub era: StoreEra,
 }
--- a/crates/cuminlb-fleet/tests/freshness/message_handlers.rs
+++ b/crates/cuminlb-fleet/tests/freshness/message_handlers.rs
@@ -149,6 +149,7 @@
             fencing,
             length_ms: TIMING.length_ms,
             idle: false,
+            era: StoreEra::default(),
         };
         self.last_version = self.last_version.next();
         self.row = Some((self.last_version, row));
--- a/crates/cuminlb-fleet/tests/lease/main.rs
+++ b/crates/cuminlb-fleet/tests/lease/main.rs
@@ -9,4 +9,8 @@
 
 mod epochs;
 mod lost_answers;
+mod restored_rows;
+mod restored_store;
+mod simulated_node;
+mod simulation;
 mod support;
--- a/crates/cuminlb-gateway/src/leading/keep_lease.rs
+++ b/crates/cuminlb-gateway/src/leading/keep_lease.rs
@@ -10,7 +10,7 @@
 
 use super::SharedLease;
 use super::active_lease::ActiveLease;
-use super::lease_rows::LEASE_TIMING;
+use super::lease_rows::{LEASE_TIMING, MAX_EXTENSION_MS};
 use super::lease_state::LeaseState;
 use super::store_outage::is_store_outage;
 use crate::gateway::Gateway;
@@ -26,9 +26,6 @@
 /// it all at once.
 const MAX_ACQUIRE_JITTER_MS: u64 = 120;
 
-/// How long a lease remains valid, from the check that found the store unavailable to all nodes.
-const OUTAGE_EXTENSION: Duration = Duration::from_millis(700);
-
 /// Acquires the lease when no node holds it and renews it, until `stop` is cancelled; then releases
 /// it.
 ///
@@ -57,7 +54,7 @@
         }
         let written = state.write(&gateway, LEASE_TIMING.length_ms).await;
         if written == LeaseWriteOutcome::Unknown && is_store_outage(&gateway).await {
-            state.extend(Instant::now() + OUTAGE_EXTENSION);
+            state.extend(Instant::now() + MAX_EXTENSION_MS.duration());
         }
         lease.send_replace(state.held().map(ActiveLease::new));
     }
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -16,6 +16,9 @@
     margin_ms: Millis(300),
 };
 
+/// How long a lease remains valid, from the check that found the store unavailable to all nodes.
+pub(super) const MAX_EXTENSION_MS: Millis = Millis(700);
+
 /// Returns the key of the lease row.
 pub(super) fn lease_key() -> Option<RowKey> {
     LEASE_KEY.parse().ok()
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use super::lease_rows::{LEASE_TIMING, lease_key, read_lease};
+use super::lease_rows::{LEASE_TIMING, MAX_EXTENSION_MS, lease_key, read_lease};
 use crate::gateway::Gateway;
 
 /// The lease as this node has observed it or holds it.
@@ -20,7 +20,7 @@
     pub(super) fn new(node: NodeId) -> Self {
         let incarnation = Incarnation(UnixMillis::now().get());
         Self {
-            candidate: LeaseCandidate::new(node, incarnation, LEASE_TIMING),
+            candidate: LeaseCandidate::new(node, incarnation, LEASE_TIMING, MAX_EXTENSION_MS),
         }
     }
 
@@ -36,18 +36,29 @@
 
     /// Returns whether the lease of another node has ended, so that this node may acquire it.
     pub(super) fn may_acquire(&mut self, gateway: &Gateway, now: Instant) -> bool {
-        let Some((row, version)) = read_lease(&gateway.replica) else {
-            return gateway.replica.version(StoreTable::Nodes) > RowVersion(0);
-        };
-        self.candidate.may_acquire(row, version, now)
+        let table_version =
+            StoreVersion::new(StoreEra(0), gateway.replica.version(StoreTable::Nodes));
+        match read_lease(&gateway.replica) {
+            Some((row, version)) => self.candidate.may_acquire(row, version, now),
+            None if table_version.row == RowVersion(0) => false,
+            None => self.candidate.may_acquire_absent(table_version.era, now),
+        }
     }
 
-    /// Acquires or renews the lease; a length of zero releases it.
+    /// Acquires or renews the lease; a length of zero releases it. If the store was restored while
+    /// this node's lease is valid, the row is written once more, on the version that the copy has.
     pub(super) async fn write(
         &mut self,
         gateway: &Gateway,
         length_ms: Millis,
     ) -> LeaseWriteOutcome {
+        match self.write_once(gateway, length_ms).await {
+            LeaseWriteOutcome::Restored => self.write_once(gateway, length_ms).await,
+            outcome => outcome,
+        }
+    }
+
+    async fn write_once(&mut self, gateway: &Gateway, length_ms: Millis) -> LeaseWriteOutcome {
         let write = self.candidate.prepare_write(length_ms, Instant::now());
         let (Some(key), Ok(value)) = (lease_key(), serde_json::to_vec(&write.row)) else {
             warn!("failed to encode the lease row");
@@ -60,7 +71,7 @@
         let was_held = self.candidate.held().is_some();
         let answer = read_answer(outcome, was_held);
         let answered_version = answer_version(&answer);
-        let outcome = self.candidate.handle_answer(&write, answer);
+        let outcome = self.candidate.handle_answer(&write, answer, Instant::now());
         log_change(&write, was_held, outcome, answered_version);
         outcome
     }
@@ -74,6 +85,10 @@
         },
         Ok(WriteOutcome::Conflict { found }) => LeaseAnswer::Conflict {
             found: found.as_ref().and_then(decode_lease),
+            version: StoreVersion::new(
+                StoreEra(0),
+                found.map(|row| row.version).unwrap_or_default(),
+            ),
         },
         Err(error) => {
             warn!(is_held = is_held; "the lease was not written: {error}");
@@ -87,15 +102,13 @@
     }
 }
 
-fn decode_lease(row: &SharedRow) -> Option<(LeaseRow, StoreVersion)> {
-    let lease = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    Some((lease, StoreVersion::new(StoreEra(0), row.version)))
+fn decode_lease(row: &SharedRow) -> Option<LeaseRow> {
+    serde_json::from_slice(row.value.as_deref()?).ok()
 }
 
 fn answer_version(answer: &LeaseAnswer) -> Option<StoreVersion> {
     match answer {
-        LeaseAnswer::Written { version } => Some(*version),
-        LeaseAnswer::Conflict { found } => found.as_ref().map(|(_, version)| *version),
+        LeaseAnswer::Written { version } | LeaseAnswer::Conflict { version, .. } => Some(*version),
         LeaseAnswer::Refused | LeaseAnswer::Unknown => None,
     }
 }
@@ -111,6 +124,9 @@
         (false, LeaseWriteOutcome::Held) => {
             info!(row_version = version, fencing:% = write.row.fencing; "lease taken");
         }
+        (_, LeaseWriteOutcome::Restored) => {
+            info!(row_version = version, fencing:% = write.row.fencing; "lease kept over a restoration");
+        }
         (true, LeaseWriteOutcome::Lost) => {
             warn!(row_version = version; "lease lost");
         }
--- a/src/cuminlb/control/lease_manager.rs
+++ b/src/cuminlb/control/lease_manager.rs
@@ -234,6 +234,7 @@
             fencing,
             length_ms,
             idle: false,
+            era: StoreEra::default(),
         }
     }
 }
