Move the entries of instances to cuminlb-replica

Cause: what a node keeps of the entries of instances was decided in the gateway, whose types no test can reach without a network.

Change: InstanceRecords is a public type of cuminlb-replica. Nothing else.

--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -5,14 +5,13 @@
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::{Catalog, DesiredRow, SharedRow, StoreTable, WireFormat};
-use cuminlb_replica::{NodeRow, RowSink, RowSource};
+use cuminlb_replica::{InstanceRecords, NodeRow, RowSink, RowSource};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::Directory;
-use super::instance_records::InstanceRecords;
 use crate::metrics::{GatewayMetrics, StoreLabels};
 
 /// All that a node knows about the platform.
--- a/crates/cuminlb-gateway/src/knowledge/mod.rs
+++ b/crates/cuminlb-gateway/src/knowledge/mod.rs
@@ -5,7 +5,6 @@
 //! [`RelayService`] serves them. [`register_node`] lists this node in the store.
 
 mod directory;
-mod instance_records;
 #[expect(
     clippy::module_inception,
     reason = "the module is named after its main type"
--- a/crates/cuminlb-gateway/src/knowledge/instance_records.rs
+++ b/crates/cuminlb-replica/src/records/instance_records.rs
@@ -22,7 +22,7 @@
 
 /// The entries of instances.
 #[derive(Debug, Default)]
-pub(crate) struct InstanceRecords {
+pub struct InstanceRecords {
     entries: BTreeMap<InstanceId, Arc<InstanceEntry>>,
     /// Until when each instance is cold.
     cold_until: BTreeMap<InstanceId, Instant>,
@@ -35,13 +35,13 @@
 
 impl InstanceRecords {
     /// Records that the store can't be reached.
-    pub(crate) fn record_store_failure(&mut self, now: Instant) {
+    pub fn record_store_failure(&mut self, now: Instant) {
         self.store_failed_at = Some(now);
     }
 
     /// Stores the entry of an instance. Returns whether more than its heartbeat has changed, or the
     /// entry was unlisted before.
-    pub(crate) fn put(&mut self, entry: InstanceEntry, now: Instant) -> bool {
+    pub fn put(&mut self, entry: InstanceEntry, now: Instant) -> bool {
         self.lapsed.remove(&entry.id);
         let was_unlisted = self.unlisted.remove(&entry.id).is_some();
         let is_same = self.entries.get(&entry.id).is_some_and(|known| {
@@ -59,7 +59,7 @@
     }
 
     /// Handles the removal of an entry from the store.
-    pub(crate) fn remove(&mut self, id: &InstanceId, now: Instant) {
+    pub fn remove(&mut self, id: &InstanceId, now: Instant) {
         let is_recent = |at: Instant| now.duration_since(at) < LAPSE_WINDOW;
         let Some(entry) = self.entries.get(id) else {
             return;
@@ -75,7 +75,7 @@
 
     /// Moves vanished entries whose use has expired to the unlisted ones, and removes unlisted
     /// entries that have expired. Returns whether there were any.
-    pub(crate) fn remove_expired(&mut self, now: Instant) -> bool {
+    pub fn remove_expired(&mut self, now: Instant) -> bool {
         let expired_lapsed = take_expired(&mut self.lapsed, now);
         let expired_unlisted = take_expired(&mut self.unlisted, now);
         for id in &expired_lapsed {
@@ -88,17 +88,17 @@
     }
 
     /// Returns the instances whose entries have vanished.
-    pub(crate) fn unlisted(&self) -> BTreeSet<InstanceId> {
+    pub fn unlisted(&self) -> BTreeSet<InstanceId> {
         self.unlisted.keys().cloned().collect()
     }
 
     /// Returns the entries.
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &Arc<InstanceEntry>> {
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<InstanceEntry>> {
         self.entries.values()
     }
 
     /// Returns the instances that are cold, and until when.
-    pub(crate) fn cold_until(&self, now: Instant) -> BTreeMap<InstanceId, Instant> {
+    pub fn cold_until(&self, now: Instant) -> BTreeMap<InstanceId, Instant> {
         let cold = self.cold_until.iter().filter(|(_, until)| **until > now);
         cold.map(|(id, until)| (id.clone(), *until)).collect()
     }
