Keep a draining instance out until it starts again

What callers would see: requests sent to an instance that has said that it drains, or has drained, once a row says ready again: 503, or a connection cut after its time.

Cause: InstanceRecords took the latest row as it was, and remembered nothing of an instance whose entry was removed. A store restored from a copy lists it as ready again.

Change: an entry of the same incarnation as one that drained stays leaving, also for 60 s after it was removed, for 4,096 instances at most. Instances that state no start (incarnation 0) are taken as they say.

Evidence: a_draining_instance_is_not_used_again_in_the_same_incarnation and a_drained_instance_is_not_used_again_in_the_same_incarnation failed before; all four tests of the file pass now.

--- /dev/null
+++ b/crates/cuminlb-replica/src/records/departed_instances.rs
@@ -0,0 +1,65 @@
+//! The instances that have left.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminlb_types::prelude::*;
+use tokio::time::Instant;
+
+/// How long an instance is known to have left.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// Maximum number of instances that are kept; those that left first go first.
+const MAX_INSTANCES: usize = 4_096;
+
+/// An instance that has left.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    incarnation: Incarnation,
+    has_drained: bool,
+    known_until: Instant,
+}
+
+/// The instances that have left lately, with their incarnations.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DepartedInstances {
+    departures: BTreeMap<InstanceId, Departure>,
+}
+
+impl DepartedInstances {
+    /// Records that an instance has left, after draining or without.
+    pub(super) fn record(
+        &mut self,
+        id: InstanceId,
+        incarnation: Incarnation,
+        has_drained: bool,
+        now: Instant,
+    ) {
+        let departure = Departure {
+            incarnation,
+            has_drained,
+            known_until: now + RETENTION,
+        };
+        self.departures.insert(id, departure);
+        if self.departures.len() > MAX_INSTANCES {
+            let departures = self.departures.iter();
+            let first = departures.min_by_key(|(_, departure)| departure.known_until);
+            let first = first.map(|(id, _)| id.clone());
+            first.and_then(|id| self.departures.remove(&id));
+        }
+    }
+
+    /// Returns whether an incarnation of an instance has drained. Instances that state no start
+    /// can't be told apart from their next incarnation.
+    pub(super) fn has_drained(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
+        let departure = self.departures.get(id);
+        incarnation != Incarnation(0)
+            && departure.is_some_and(|it| it.has_drained && it.incarnation == incarnation)
+    }
+
+    /// Forgets the instances that left long ago.
+    pub(super) fn remove_expired(&mut self, now: Instant) {
+        self.departures
+            .retain(|_, departure| now < departure.known_until);
+    }
+}
--- a/crates/cuminlb-replica/src/records/instance_records.rs
+++ b/crates/cuminlb-replica/src/records/instance_records.rs
@@ -8,6 +8,8 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
+use super::DepartedInstances;
+
 /// How long an entry that vanished shortly after a failure of the store is still used. The store
 /// removes the entries of instances whose heartbeats it could not receive, and the instances that
 /// are alive write theirs again.
@@ -30,6 +32,7 @@
     lapsed: BTreeMap<InstanceId, Instant>,
     /// Entries that vanished, with the time until which they are kept as members of their groups.
     unlisted: BTreeMap<InstanceId, Instant>,
+    departed: DepartedInstances,
     store_failed_at: Option<Instant>,
 }
 
@@ -41,7 +44,10 @@
 
     /// Stores the entry of an instance. Returns whether more than its heartbeat has changed, or the
     /// entry was unlisted before.
-    pub fn put(&mut self, entry: InstanceEntry, now: Instant) -> bool {
+    ///
+    /// An instance that drains is never ready again in the same incarnation.
+    pub fn put(&mut self, mut entry: InstanceEntry, now: Instant) -> bool {
+        entry.is_leaving |= self.has_drained(&entry);
         self.lapsed.remove(&entry.id);
         let was_unlisted = self.unlisted.remove(&entry.id).is_some();
         let is_same = self.entries.get(&entry.id).is_some_and(|known| {
@@ -65,7 +71,7 @@
             return;
         };
         if entry.is_leaving {
-            self.delete(id);
+            self.depart(id, now);
         } else if self.store_failed_at.is_some_and(is_recent) {
             self.lapsed.entry(id.clone()).or_insert(now + LAPSE_GRACE);
         } else {
@@ -82,8 +88,9 @@
             self.unlisted.insert(id.clone(), now + UNLISTED_RETENTION);
         }
         for id in &expired_unlisted {
-            self.delete(id);
+            self.depart(id, now);
         }
+        self.departed.remove_expired(now);
         !expired_lapsed.is_empty() || !expired_unlisted.is_empty()
     }
 
@@ -103,11 +110,25 @@
         cold.map(|(id, until)| (id.clone(), *until)).collect()
     }
 
-    fn delete(&mut self, id: &InstanceId) {
+    /// Returns whether the incarnation that wrote an entry is known to drain or to have drained.
+    fn has_drained(&self, entry: &InstanceEntry) -> bool {
+        let drains = self.entries.get(&entry.id).is_some_and(|known| {
+            known.is_leaving
+                && known.incarnation == entry.incarnation
+                && entry.incarnation != Incarnation(0)
+        });
+        drains || self.departed.has_drained(&entry.id, entry.incarnation)
+    }
+
+    /// Removes an instance and records that it has left.
+    fn depart(&mut self, id: &InstanceId, now: Instant) {
         self.cold_until.remove(id);
         self.lapsed.remove(id);
         self.unlisted.remove(id);
-        self.entries.remove(id);
+        if let Some(entry) = self.entries.remove(id) {
+            self.departed
+                .record(id.clone(), entry.incarnation, entry.is_leaving, now);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/cuminlb-replica/tests/records/main.rs
@@ -0,0 +1,11 @@
+//! Tests of what a node keeps of the rows that it has read.
+#![allow(
+    clippy::expect_used,
+    clippy::unwrap_used,
+    clippy::panic,
+    unreachable_pub,
+    reason = "a test fails by panicking"
+)]
+
+mod draining;
+mod support;
