Keep what is known of instances over a restoration of the store

What callers would see: after the store came back from a copy, 503 or slow answers because instances that registered since are taken as gone, requests to instances that have left or drain, and to groups that are no more.

Cause: InstanceRecords had only one way to take a row or its absence: as the instance's latest word. A copy holds what was true some seconds ago.

Change: restore and restore_absence take the rows of a copy. A known entry is kept against one that was written before it (an earlier start, or the same start and an earlier order). An instance that the copy lacks is used for the lapse time of 1.8 s, in which one that is alive writes again; then it counts as vanished, or as drained if it drained. An instance that is known to have vanished or left gets nothing although the copy lists it, until it writes or starts again, or until the store has listed it for 15 s (vanished) or 60 s since it left. An unknown one is used at once.

--- a/crates/cuminlb-replica/src/records/departed_instances.rs
+++ b/crates/cuminlb-replica/src/records/departed_instances.rs
@@ -57,6 +57,12 @@
             && departure.is_some_and(|it| it.has_drained && it.incarnation == incarnation)
     }
 
+    /// Returns until when an incarnation of an instance is known to have left, if it is.
+    pub(super) fn known_until(&self, id: &InstanceId, incarnation: Incarnation) -> Option<Instant> {
+        let departure = self.departures.get(id)?;
+        (incarnation <= departure.incarnation).then_some(departure.known_until)
+    }
+
     /// Forgets the instances that left long ago.
     pub(super) fn remove_expired(&mut self, now: Instant) {
         self.departures
--- a/crates/cuminlb-replica/src/records/instance_records.rs
+++ b/crates/cuminlb-replica/src/records/instance_records.rs
@@ -22,6 +22,13 @@
 /// turns out to be silent. It may only be partitioned from the store.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(15);
 
+/// An entry that is not used until a time.
+#[derive(Debug)]
+struct WithheldEntry {
+    entry: InstanceEntry,
+    until: Instant,
+}
+
 /// The entries of instances.
 #[derive(Debug, Default)]
 pub struct InstanceRecords {
@@ -33,6 +40,8 @@
     /// Entries that vanished, with the time until which they are kept as members of their groups.
     unlisted: BTreeMap<InstanceId, Instant>,
     departed: DepartedInstances,
+    /// Entries of the copy that the store was restored from whose instances are known to have left.
+    withheld: BTreeMap<InstanceId, WithheldEntry>,
     store_failed_at: Option<Instant>,
 }
 
@@ -49,6 +58,7 @@
     pub fn put(&mut self, mut entry: InstanceEntry, now: Instant) -> bool {
         entry.is_leaving |= self.has_drained(&entry);
         self.lapsed.remove(&entry.id);
+        self.withheld.remove(&entry.id);
         let was_unlisted = self.unlisted.remove(&entry.id).is_some();
         let is_same = self.entries.get(&entry.id).is_some_and(|known| {
             InstanceEntry {
@@ -67,6 +77,7 @@
     /// Handles the removal of an entry from the store.
     pub fn remove(&mut self, id: &InstanceId, now: Instant) {
         let is_recent = |at: Instant| now.duration_since(at) < LAPSE_WINDOW;
+        self.withheld.remove(id);
         let Some(entry) = self.entries.get(id) else {
             return;
         };
@@ -79,19 +90,63 @@
         }
     }
 
-    /// Moves vanished entries whose use has expired to the unlisted ones, and removes unlisted
-    /// entries that have expired. Returns whether there were any.
+    /// Records that the store was restored from a copy. Instances whose heartbeats it could not
+    /// receive meanwhile write their entries again.
+    pub fn record_restoration(&mut self, now: Instant) {
+        self.record_store_failure(now);
+    }
+
+    /// Handles an entry of the copy that the store was restored from. Returns whether more than a
+    /// heartbeat has changed.
+    ///
+    /// A known entry that was written later is kept, and so is an instance that is known to have
+    /// left, until it writes again or the copy has listed it for long.
+    pub fn restore(&mut self, entry: InstanceEntry, now: Instant) -> bool {
+        if let Some(until) = self.withheld_until(&entry, now) {
+            let id = entry.id.clone();
+            self.withheld.insert(id, WithheldEntry { entry, until });
+            return false;
+        }
+        let order = |entry: &InstanceEntry| (entry.incarnation, entry.orders);
+        let known = self.entries.get(&entry.id);
+        if known.is_some_and(|known| order(known) >= order(&entry)) {
+            return false;
+        }
+        self.put(entry, now)
+    }
+
+    /// Handles an instance that the copy lacks. If it is alive, it writes its entry again.
+    pub fn restore_absence(&mut self, id: &InstanceId, now: Instant) {
+        self.withheld.remove(id);
+        if self.entries.contains_key(id) && !self.unlisted.contains_key(id) {
+            self.lapsed.entry(id.clone()).or_insert(now + LAPSE_GRACE);
+        }
+    }
+
+    /// Moves vanished entries whose use has expired to the unlisted ones, removes unlisted entries
+    /// that have expired, and uses entries that were withheld for long. Returns whether there were
+    /// any.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
-        let expired_lapsed = take_expired(&mut self.lapsed, now);
-        let expired_unlisted = take_expired(&mut self.unlisted, now);
-        for id in &expired_lapsed {
-            self.unlisted.insert(id.clone(), now + UNLISTED_RETENTION);
+        let expired_lapsed = take_expired(&mut self.lapsed, now, |until| *until);
+        let expired_unlisted = take_expired(&mut self.unlisted, now, |until| *until);
+        for (id, _) in &expired_lapsed {
+            if self.entries.get(id).is_some_and(|entry| entry.is_leaving) {
+                self.depart(id, now);
+            } else {
+                self.unlisted.insert(id.clone(), now + UNLISTED_RETENTION);
+            }
         }
-        for id in &expired_unlisted {
+        for (id, _) in &expired_unlisted {
             self.depart(id, now);
         }
         self.departed.remove_expired(now);
-        !expired_lapsed.is_empty() || !expired_unlisted.is_empty()
+        let listed_long = take_expired(&mut self.withheld, now, |withheld| withheld.until);
+        let is_changed =
+            !(expired_lapsed.is_empty() && expired_unlisted.is_empty() && listed_long.is_empty());
+        for (_, withheld) in listed_long {
+            self.put(withheld.entry, now);
+        }
+        is_changed
     }
 
     /// Returns the instances whose entries have vanished.
@@ -120,6 +175,18 @@
         drains || self.departed.has_drained(&entry.id, entry.incarnation)
     }
 
+    /// Returns until when an entry of a copy is not used, because the instance is known to have
+    /// vanished or left since.
+    fn withheld_until(&self, entry: &InstanceEntry, now: Instant) -> Option<Instant> {
+        let id = &entry.id;
+        let has_vanished = self.lapsed.contains_key(id) || self.unlisted.contains_key(id);
+        let known = self.entries.get(id).filter(|_| has_vanished);
+        if known.is_some_and(|known| entry.incarnation <= known.incarnation) {
+            return Some(now + UNLISTED_RETENTION);
+        }
+        self.departed.known_until(id, entry.incarnation)
+    }
+
     /// Removes an instance and records that it has left.
     fn depart(&mut self, id: &InstanceId, now: Instant) {
         self.cold_until.remove(id);
@@ -133,9 +200,12 @@
 }
 
 /// Removes and returns the instances whose time has expired.
-fn take_expired(deadlines: &mut BTreeMap<InstanceId, Instant>, now: Instant) -> Vec<InstanceId> {
-    let expired = deadlines.iter().filter(|(_, until)| now >= **until);
-    let expired: Vec<InstanceId> = expired.map(|(id, _)| id.clone()).collect();
-    deadlines.retain(|_, until| now < *until);
-    expired
+fn take_expired<T>(
+    instances: &mut BTreeMap<InstanceId, T>,
+    now: Instant,
+    until: impl Fn(&T) -> Instant,
+) -> Vec<(InstanceId, T)> {
+    instances
+        .extract_if(.., |_, value| now >= until(value))
+        .collect()
 }
--- a/crates/cuminlb-replica/tests/records/main.rs
+++ b/crates/cuminlb-replica/tests/records/main.rs
@@ -8,4 +8,5 @@
 )]
 
 mod draining;
+mod restored_instances;
 mod support;
