--- a/crates/cuminlb-replica/tests/records/main.rs
+++ b/crates/cuminlb-replica/tests/records/main.rs
@@ -9,4 +9,5 @@
 
 mod draining;
 mod restored_instances;
+mod restored_orders;
 mod support;
