--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -1,35 +1,25 @@
 //! The state of the platform as this node knows it, built from the rows of the store.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use cuminlb_assembly::GroupView;
-use cuminlb_catalog::{Catalog, DesiredRow, SharedRow, StoreTable, WireFormat};
-use cuminlb_replica::{InstanceRecords, NodeRow, RowSink, RowSource};
-use cuminlb_types::prelude::*;
-use log::{info, warn};
+use cuminlb_catalog::{Catalog, SharedRow, StoreTable, WireFormat};
+use cuminlb_replica::{RowSink, RowSource};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::Directory;
+use super::row_news::RowNews;
+use super::row_records::RowRecords;
 use crate::metrics::{GatewayMetrics, StoreLabels};
 
 /// All that a node knows about the platform.
 pub(crate) struct Knowledge {
-    wire: Arc<dyn WireFormat>,
     metrics: GatewayMetrics,
-    state: Mutex<State>,
+    records: Mutex<RowRecords>,
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     directory: watch::Sender<Arc<Directory>>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    instances: InstanceRecords,
-    nodes: Arc<BTreeMap<NodeId, NodeRow>>,
-    zones_out: BTreeSet<ZoneId>,
-}
-
 impl std::fmt::Debug for Knowledge {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Knowledge").finish_non_exhaustive()
@@ -40,9 +30,8 @@
     /// Creates the knowledge of a node that has read nothing.
     pub(crate) fn new(wire: Arc<dyn WireFormat>, metrics: GatewayMetrics) -> Self {
         Self {
-            wire,
             metrics,
-            state: Mutex::default(),
+            records: Mutex::new(RowRecords::new(wire)),
             catalog: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
         }
@@ -63,158 +52,52 @@
         self.directory.subscribe()
     }
 
-    /// Removes expired entries of instances that vanished and have not come back.
+    /// Removes what has been missing in the store for long.
     pub(crate) fn remove_expired(&self, now: Instant) {
-        let mut state = self.state();
-        if state.instances.remove_expired(now) {
-            self.publish(&state, now);
+        let mut records = self.records();
+        if records.remove_expired(now) {
+            self.publish(&records, now);
         }
     }
 
-    fn apply_desired(&self, state: &mut State, new_rows: &[SharedRow], source: RowSource) -> bool {
-        let mut changed = false;
-        for row in new_rows {
-            if row.value.is_none() {
-                if let Ok(DesiredRow::ZoneOut(zone)) = self.wire.read_desired(row) {
-                    info!(
-                        zone:% = zone, row_version:% = row.version, source:% = source;
-                        "zone taken back"
-                    );
-                    changed |= state.zones_out.remove(&zone);
-                }
-                continue;
-            }
-            match self.wire.read_desired(row) {
-                Ok(DesiredRow::Catalog(catalog)) => changed |= self.activate(*catalog, row, source),
-                Ok(DesiredRow::ZoneOut(zone)) => {
-                    info!(
-                        zone:% = zone, row_version:% = row.version, source:% = source;
-                        "zone out"
-                    );
-                    changed |= state.zones_out.insert(zone);
-                }
-                Ok(DesiredRow::Unknown) => {}
-                Err(error) => warn!(row_version:% = row.version; "{error}"),
-            }
-        }
-        changed
-    }
-
-    /// Activates a catalog if it is newer than the active one.
-    fn activate(&self, catalog: Catalog, row: &SharedRow, source: RowSource) -> bool {
-        let active_version = self.catalog().map(|catalog| catalog.version);
-        if active_version.is_some_and(|version| version >= catalog.version) {
-            return false;
-        }
-        info!(
-            catalog:% = catalog.version, row_version:% = row.version, source:% = source;
-            "catalog in force"
-        );
-        self.catalog.send_replace(Some(Arc::new(catalog)));
-        true
-    }
-
-    fn apply_instances(&self, state: &mut State, new_rows: &[SharedRow], now: Instant) -> bool {
-        let mut changed = false;
-        for row in new_rows {
-            let Ok(id) = row.key.as_str().parse::<InstanceId>() else {
-                continue;
-            };
-            if row.value.is_none() {
-                info!(instance:% = id, row_version:% = row.version; "instance gone");
-                state.instances.remove(&id, now);
-                changed = true;
-                continue;
-            }
-            match self.wire.read_instance(row) {
-                Ok(entry) => {
-                    let is_leaving = entry.is_leaving;
-                    let is_changed = state.instances.put(entry, now);
-                    if is_changed {
-                        log::debug!(
-                            instance:% = id, row_version:% = row.version;
-                            "instance changed"
-                        );
-                    }
-                    if is_changed && is_leaving {
-                        info!(instance:% = id, row_version:% = row.version; "instance leaving");
-                    }
-                    changed |= is_changed;
-                }
-                Err(error) => {
-                    warn!(row_version:% = row.version; "{error}");
-                    state.instances.remove(&id, now);
-                    changed = true;
-                }
-            }
+    fn apply(
+        &self,
+        table: StoreTable,
+        rows: &[SharedRow],
+        news: RowNews,
+        source: RowSource,
+        now: Instant,
+    ) {
+        let mut records = self.records();
+        if records.apply(table, rows, news, source, now) {
+            self.publish(&records, now);
         }
-        changed
     }
 
-    /// Applies rows of the nodes; rows of other kinds, such as leases, change nothing here.
-    fn apply_nodes(state: &mut State, new_rows: &[SharedRow]) -> bool {
-        let mut changed = false;
-        for row in new_rows {
-            let Some(node) = NodeRow::node(&row.key) else {
-                continue;
+    fn publish(&self, records: &RowRecords, now: Instant) {
+        self.catalog.send_if_modified(|known| {
+            let is_known = match (known.as_ref(), records.catalog()) {
+                (Some(known), Some(active)) => Arc::ptr_eq(known, active),
+                (None, None) => true,
+                _ => false,
             };
-            let nodes = Arc::make_mut(&mut state.nodes);
-            changed = true;
-            match row.value.as_deref().map(serde_json::from_slice) {
-                None => {
-                    nodes.remove(&node);
-                }
-                Some(Ok(node_row)) => {
-                    nodes.insert(node, node_row);
-                }
-                Some(Err(error)) => {
-                    warn!(node:% = node; "failed to decode the row of a node: {error}");
-                    nodes.remove(&node);
-                }
+            if !is_known {
+                *known = records.catalog().cloned();
             }
-        }
-        changed
+            !is_known
+        });
+        self.directory
+            .send_replace(Arc::new(records.directory(now)));
     }
 
-    fn publish(&self, state: &State, now: Instant) {
-        let mut directory = Directory {
-            zones_out: state.zones_out.clone(),
-            unlisted: state.instances.unlisted(),
-            cold_until: state.instances.cold_until(now),
-            nodes: Arc::clone(&state.nodes),
-            ..Directory::default()
-        };
-        for entry in state.instances.entries() {
-            let service = directory.services.entry(entry.service.clone()).or_default();
-            service.insert(entry.id.clone(), Arc::clone(entry));
-        }
-        if let Some(catalog) = self.catalog() {
-            for service in catalog.engine_services() {
-                if let Some(engine) = &service.engine {
-                    let groups = GroupView::collect(engine, directory.instances(&service.id));
-                    directory.groups.insert(service.id.clone(), groups);
-                }
-            }
-        }
-        self.directory.send_replace(Arc::new(directory));
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn records(&self) -> MutexGuard<'_, RowRecords> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl RowSink for Knowledge {
     fn rows_changed(&self, table: StoreTable, rows: &[SharedRow], source: RowSource, now: Instant) {
-        let mut state = self.state();
-        let changed = match table {
-            StoreTable::Desired => self.apply_desired(&mut state, rows, source),
-            StoreTable::Instances => self.apply_instances(&mut state, rows, now),
-            StoreTable::Nodes => Self::apply_nodes(&mut state, rows),
-        };
-        if changed {
-            self.publish(&state, now);
-        }
+        self.apply(table, rows, RowNews::Changed, source, now);
     }
 
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant) {
@@ -224,12 +107,12 @@
         };
         self.metrics.store_calls.get_or_create(&labels).inc();
         if !is_ok {
-            self.state().instances.record_store_failure(now);
+            self.records().instances.record_store_failure(now);
         }
     }
 
     fn peer_lost_store(&self, now: Instant) {
-        self.state().instances.record_store_failure(now);
+        self.records().instances.record_store_failure(now);
     }
 
     fn peer_asked(&self) {
--- a/crates/cuminlb-gateway/src/knowledge/mod.rs
+++ b/crates/cuminlb-gateway/src/knowledge/mod.rs
@@ -14,6 +14,8 @@
 mod peer_links;
 mod register_node;
 mod relay_service;
+mod row_news;
+mod row_records;
 
 pub(crate) use self::directory::Directory;
 pub(crate) use self::knowledge::Knowledge;
