Send news to the known leader while a copy names an earlier one

What callers would see: after the store came back from a copy, a stream that waits for up to a second longer while its group is stalled, because the suspicion went to a node that leads no more.

Cause: current_leader took the row of the lease as it was.

Change: KnownHolder keeps the leader that a node knew while the row is of an earlier era than the store's, or missing; a node that knows none takes the copy's. Knowledge publishes it.

Evidence: with the row taken as it is, news_go_to_the_known_leader_although_the_copy_names_an_earlier_one failed; the three tests of known_holders pass now.

--- a/crates/cuminlb-fleet/src/lease/mod.rs
+++ b/crates/cuminlb-fleet/src/lease/mod.rs
@@ -8,6 +8,7 @@
 mod absent_lease;
 mod base_epoch;
 mod held_lease;
+mod known_holder;
 mod lease_answer;
 mod lease_candidate;
 mod lease_timing;
@@ -18,6 +19,7 @@
 pub use self::absent_lease::AbsentLease;
 pub use self::base_epoch::base_epoch;
 pub use self::held_lease::HeldLease;
+pub use self::known_holder::KnownHolder;
 pub use self::lease_answer::LeaseAnswer;
 pub use self::lease_candidate::LeaseCandidate;
 pub use self::lease_timing::LeaseTiming;
--- a/crates/cuminlb-fleet/tests/lease/main.rs
+++ b/crates/cuminlb-fleet/tests/lease/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod epochs;
+mod known_holders;
 mod lost_answers;
 mod restored_rows;
 mod restored_store;
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 
 use crate::Edges;
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
-use crate::leading::{Suspicions, current_leader};
+use crate::leading::Suspicions;
 use crate::metrics::{GatewayMetrics, RequestLabels};
 use crate::serving::{GroupChecks, InstanceChecks, LoadTracker, RetryBudgets};
 use crate::upstream::ConnectionPool;
@@ -60,7 +60,6 @@
             own_id: settings.id.clone(),
             zone: settings.zone.clone(),
             knowledge: Arc::clone(&knowledge),
-            replica: Arc::clone(&replica),
             links: Arc::clone(&peers),
         };
         let follower = Follower::new(
@@ -132,7 +131,7 @@
 
     /// Updates the gauges to the current state of this node.
     pub(crate) fn update_gauges(&self) {
-        let is_leader = current_leader(&self.replica).as_ref() == Some(&self.settings.id);
+        let is_leader = self.knowledge.leader().as_ref() == Some(&self.settings.id);
         self.metrics.is_leader.set(i64::from(is_leader));
         let catalog = self.knowledge.catalog();
         let version = catalog.map_or(0, |catalog| catalog.version.get());
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -4,6 +4,7 @@
 
 use cuminlb_catalog::{Catalog, SharedRow, StoreTable, WireFormat};
 use cuminlb_replica::{RowSink, RowSource};
+use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -18,6 +19,7 @@
     records: Mutex<RowRecords>,
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     directory: watch::Sender<Arc<Directory>>,
+    leader: watch::Sender<Option<NodeId>>,
 }
 
 impl std::fmt::Debug for Knowledge {
@@ -34,6 +36,7 @@
             records: Mutex::new(RowRecords::new(wire)),
             catalog: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
+            leader: watch::Sender::new(None),
         }
     }
 
@@ -47,6 +50,11 @@
         Arc::clone(&self.directory.borrow())
     }
 
+    /// Returns the leader as far as this node knows.
+    pub(crate) fn leader(&self) -> Option<NodeId> {
+        self.leader.borrow().clone()
+    }
+
     /// Returns a receiver that is notified of each new directory.
     pub(crate) fn directory_changes(&self) -> watch::Receiver<Arc<Directory>> {
         self.directory.subscribe()
@@ -72,6 +80,9 @@
         if records.apply(table, rows, news, source, now) {
             self.publish(&records, now);
         }
+        if table == StoreTable::Nodes {
+            self.leader.send_replace(records.leader().cloned());
+        }
     }
 
     fn publish(&self, records: &RowRecords, now: Instant) {
--- a/crates/cuminlb-gateway/src/knowledge/node_peers.rs
+++ b/crates/cuminlb-gateway/src/knowledge/node_peers.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 
 use cuminlb_peer::RelayPeer;
-use cuminlb_replica::{Membership, RelayLane, RelayPeers, Replica};
+use cuminlb_replica::{Membership, RelayLane, RelayPeers};
 use cuminlb_types::prelude::*;
 
 use super::{Knowledge, PeerLinks};
-use crate::leading::current_leader;
 
 /// The other nodes, as listed in the store.
 #[derive(Debug)]
@@ -17,7 +16,6 @@
     /// The availability zone of this node.
     pub(crate) zone: ZoneId,
     pub(crate) knowledge: Arc<Knowledge>,
-    pub(crate) replica: Arc<Replica>,
     pub(crate) links: Arc<PeerLinks>,
 }
 
@@ -26,7 +24,7 @@
         Membership {
             own_id: self.own_id.clone(),
             zone: self.zone.clone(),
-            leader: current_leader(&self.replica),
+            leader: self.knowledge.leader(),
             nodes: Arc::clone(&self.knowledge.directory().nodes),
         }
     }
--- a/crates/cuminlb-gateway/src/knowledge/row_records.rs
+++ b/crates/cuminlb-gateway/src/knowledge/row_records.rs
@@ -4,6 +4,7 @@
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::{Catalog, DesiredRow, SharedRow, StoreTable, WireFormat};
+use cuminlb_fleet::lease::KnownHolder;
 use cuminlb_replica::{
     CatalogOrigin, InstanceRecords, NodeRecords, NodeRow, RowSource, ZoneRecords,
 };
@@ -13,6 +14,7 @@
 
 use super::Directory;
 use super::row_news::RowNews;
+use crate::leading::{decode_lease, is_lease_key};
 
 /// What a node has made of the rows of the store.
 pub(super) struct RowRecords {
@@ -21,6 +23,7 @@
     pub(super) instances: InstanceRecords,
     nodes: NodeRecords,
     zones: ZoneRecords,
+    leader: KnownHolder,
 }
 
 impl RowRecords {
@@ -32,6 +35,7 @@
             instances: InstanceRecords::default(),
             nodes: NodeRecords::default(),
             zones: ZoneRecords::default(),
+            leader: KnownHolder::default(),
         }
     }
 
@@ -40,6 +44,11 @@
         self.catalog.as_ref().map(|(_, catalog)| catalog)
     }
 
+    /// Returns the leader as far as this node knows.
+    pub(super) const fn leader(&self) -> Option<&NodeId> {
+        self.leader.get()
+    }
+
     /// Applies rows of a table; returns whether anything but heartbeats has changed.
     pub(super) fn apply(
         &mut self,
@@ -193,8 +202,13 @@
         }
     }
 
-    /// Applies a row of a node; rows of other kinds, such as leases, change nothing here.
+    /// Applies a row of a node or of the leader's lease.
     fn apply_node(&mut self, row: &SharedRow, news: RowNews, now: Instant) -> bool {
+        if is_lease_key(&row.key) {
+            let version = StoreVersion::new(StoreEra(0), row.version);
+            self.leader.observe(decode_lease(row).as_ref(), version);
+            return false;
+        }
         let Some(node) = NodeRow::node(&row.key) else {
             return false;
         };
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -1,6 +1,6 @@
 //! The store row of the leader's lease.
 
-use cuminlb_catalog::StoreTable;
+use cuminlb_catalog::{SharedRow, StoreTable};
 use cuminlb_fleet::lease::LeaseTiming;
 use cuminlb_fleet::rows::LeaseRow;
 use cuminlb_replica::Replica;
@@ -24,11 +24,15 @@
     LEASE_KEY.parse().ok()
 }
 
-/// Returns the lease as this node knows it, with the version of its row.
-pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, StoreVersion)> {
-    let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
-    match serde_json::from_slice(row.value.as_deref().unwrap_or_default()) {
-        Ok(lease) => Some((lease, StoreVersion::new(StoreEra(0), row.version))),
+/// Returns whether a key is that of the lease row.
+pub(crate) fn is_lease_key(key: &RowKey) -> bool {
+    key.as_str() == LEASE_KEY
+}
+
+/// Returns the lease that a row holds, unless the row is removed or can't be decoded.
+pub(crate) fn decode_lease(row: &SharedRow) -> Option<LeaseRow> {
+    match serde_json::from_slice(row.value.as_deref()?) {
+        Ok(lease) => Some(lease),
         Err(error) => {
             warn!("failed to decode the leader's lease: {error}");
             None
@@ -36,8 +40,9 @@
     }
 }
 
-/// Returns the leader as far as this node knows.
-pub(crate) fn current_leader(replica: &Replica) -> Option<NodeId> {
-    let (lease, _) = read_lease(replica)?;
-    (lease.length_ms > Millis(0)).then_some(lease.holder)
+/// Returns the lease as this node knows it, with the version of its row.
+pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, StoreVersion)> {
+    let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
+    let version = StoreVersion::new(StoreEra(0), row.version);
+    Some((decode_lease(&row)?, version))
 }
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -1,13 +1,12 @@
 //! The lease as this node reads it from the replica and writes it to the store.
 
-use cuminlb_catalog::{SharedRow, StoreError, StoreTable, WriteOutcome};
+use cuminlb_catalog::{StoreError, StoreTable, WriteOutcome};
 use cuminlb_fleet::lease::{HeldLease, LeaseAnswer, LeaseCandidate, LeaseWrite, LeaseWriteOutcome};
-use cuminlb_fleet::rows::LeaseRow;
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::time::Instant;
 
-use super::lease_rows::{LEASE_TIMING, MAX_EXTENSION_MS, lease_key, read_lease};
+use super::lease_rows::{LEASE_TIMING, MAX_EXTENSION_MS, decode_lease, lease_key, read_lease};
 use crate::gateway::Gateway;
 
 /// The lease as this node has observed it or holds it.
@@ -102,10 +101,6 @@
     }
 }
 
-fn decode_lease(row: &SharedRow) -> Option<LeaseRow> {
-    serde_json::from_slice(row.value.as_deref()?).ok()
-}
-
 fn answer_version(answer: &LeaseAnswer) -> Option<StoreVersion> {
     match answer {
         LeaseAnswer::Written { version } | LeaseAnswer::Conflict { version, .. } => Some(*version),
--- a/crates/cuminlb-gateway/src/leading/mod.rs
+++ b/crates/cuminlb-gateway/src/leading/mod.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use self::keep_lease::keep_lease;
 pub(crate) use self::lead::lead;
-pub(crate) use self::lease_rows::current_leader;
+pub(crate) use self::lease_rows::{decode_lease, is_lease_key};
 pub(crate) use self::suspicions::Suspicions;
 
 /// The lease of this node as its tasks share it; `None` if it holds none.
--- a/crates/cuminlb-gateway/src/serving/share_crashes.rs
+++ b/crates/cuminlb-gateway/src/serving/share_crashes.rs
@@ -12,7 +12,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::Gateway;
-use crate::leading::current_leader;
 
 /// The minimum time between two exchanges, so that what is seen at about the same time is told at once.
 const MIN_PERIOD: Duration = Duration::from_millis(200);
@@ -70,7 +69,7 @@
     let now = Instant::now();
     let mut peers = gateway.follower.other_relays(now);
     peers.extend(gateway.load_board.followers(now));
-    peers.extend(current_leader(&gateway.replica));
+    peers.extend(gateway.knowledge.leader());
     peers.sort();
     peers.dedup();
     peers.retain(|peer| *peer != gateway.settings.id);
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -16,7 +16,6 @@
 use super::target::Target;
 use crate::gateway::Gateway;
 use crate::knowledge::Directory;
-use crate::leading::current_leader;
 
 /// Time within which a relay reports the result of a check.
 const RELAY_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -61,7 +60,7 @@
     }
 
     pub(super) async fn notify_leader(&self, notice: SuspicionNotice) {
-        let Some(leader) = current_leader(&self.replica) else {
+        let Some(leader) = self.knowledge.leader() else {
             warn!(instance:% = notice.head; "no leader to notify about a silent head");
             return;
         };
