--- a/crates/cuminlb-fleet/src/lease/held_lease.rs
+++ b/crates/cuminlb-fleet/src/lease/held_lease.rs
@@ -5,7 +5,7 @@
 
 use super::LeaseTiming;
 
-/// A lease as its holder knows it, with a row version of type `V`.
+/// A lease as its holder knows it. `V` is the version of its row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLease<V = RowVersion> {
     /// The fencing number, which is the same from acquisition through all renewals.
--- a/crates/cuminlb-fleet/src/lease/observed_lease.rs
+++ b/crates/cuminlb-fleet/src/lease/observed_lease.rs
@@ -5,8 +5,8 @@
 
 use crate::rows::LeaseRow;
 
-/// A lease of another holder, as observed by a node that may take it over, with a row version of
-/// type `V`.
+/// A lease of another holder, as observed by a node that may take it over. `V` is the version of its
+/// row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ObservedLease<V = RowVersion> {
     /// The row.
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -5,6 +5,7 @@
 use cuminlb_catalog::{Catalog, SharedRow, StoreTable, WireFormat};
 use cuminlb_replica::{RowSink, RowSource};
 use cuminlb_types::prelude::*;
+use log::info;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -111,6 +112,18 @@
         self.apply(table, rows, RowNews::Changed, source, now);
     }
 
+    fn table_restored(
+        &self,
+        table: StoreTable,
+        rows: &[SharedRow],
+        source: RowSource,
+        now: Instant,
+    ) {
+        let era = rows.first().map(|row| row.version.era.get());
+        info!(table:% = table, era = era, rows = rows.len(), source:% = source; "store restored");
+        self.rows_changed(table, rows, source, now);
+    }
+
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant) {
         let labels = StoreLabels {
             table: table.to_string(),
--- a/crates/cuminlb-gateway/src/knowledge/row_records.rs
+++ b/crates/cuminlb-gateway/src/knowledge/row_records.rs
@@ -146,7 +146,7 @@
     fn activate(&mut self, catalog: Catalog, row: &SharedRow, source: RowSource) -> bool {
         let origin = CatalogOrigin {
             catalog: catalog.version,
-            row: StoreVersion::new(StoreEra(0), row.version),
+            row: row.version,
         };
         let active = self.catalog.as_ref().map(|(origin, _)| origin);
         if active.is_some_and(|active| !origin.replaces(active)) {
@@ -205,8 +205,7 @@
     /// Applies a row of a node or of the leader's lease.
     fn apply_node(&mut self, row: &SharedRow, news: RowNews, now: Instant) -> bool {
         if is_lease_key(&row.key) {
-            let version = StoreVersion::new(StoreEra(0), row.version);
-            self.leader.observe(decode_lease(row).as_ref(), version);
+            self.leader.observe(decode_lease(row).as_ref(), row.version);
             return false;
         }
         let Some(node) = NodeRow::node(&row.key) else {
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -43,6 +43,5 @@
 /// Returns the lease as this node knows it, with the version of its row.
 pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, StoreVersion)> {
     let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
-    let version = StoreVersion::new(StoreEra(0), row.version);
-    Some((decode_lease(&row)?, version))
+    Some((decode_lease(&row)?, row.version))
 }
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -35,11 +35,10 @@
 
     /// Returns whether the lease of another node has ended, so that this node may acquire it.
     pub(super) fn may_acquire(&mut self, gateway: &Gateway, now: Instant) -> bool {
-        let table_version =
-            StoreVersion::new(StoreEra(0), gateway.replica.version(StoreTable::Nodes));
+        let table_version = gateway.replica.version(StoreTable::Nodes);
         match read_lease(&gateway.replica) {
             Some((row, version)) => self.candidate.may_acquire(row, version, now),
-            None if table_version.row == RowVersion(0) => false,
+            None if table_version == StoreVersion::default() => false,
             None => self.candidate.may_acquire_absent(table_version.era, now),
         }
     }
@@ -65,10 +64,14 @@
             return LeaseWriteOutcome::Lost;
         };
         let store = &gateway.edges.store;
-        let expected = write.expected.row;
+        let expected = write.expected;
         let outcome = store.write(StoreTable::Nodes, &key, expected, &value).await;
         let was_held = self.candidate.held().is_some();
-        let answer = read_answer(outcome, was_held);
+        if let Err(error) = &outcome {
+            warn!(is_held = was_held; "the lease was not written: {error}");
+        }
+        let era = gateway.replica.version(StoreTable::Nodes).era;
+        let answer = read_answer(outcome, era.max(write.expected.era));
         let answered_version = answer_version(&answer);
         let outcome = self.candidate.handle_answer(&write, answer, Instant::now());
         log_change(&write, was_held, outcome, answered_version);
@@ -76,28 +79,25 @@
     }
 }
 
-/// Translates the outcome of a write of the lease row.
-fn read_answer(outcome: Result<WriteOutcome, StoreError>, is_held: bool) -> LeaseAnswer {
+/// Translates the outcome of a write of the lease row. `era` is the latest one that is known.
+fn read_answer(outcome: Result<WriteOutcome, StoreError>, era: StoreEra) -> LeaseAnswer {
     match outcome {
-        Ok(WriteOutcome::Written { version }) => LeaseAnswer::Written {
-            version: StoreVersion::new(StoreEra(0), version),
+        Ok(WriteOutcome::Written { version }) => LeaseAnswer::Written { version },
+        Ok(WriteOutcome::Conflict { found: Some(row) }) => LeaseAnswer::Conflict {
+            found: decode_lease(&row),
+            version: row.version,
         },
-        Ok(WriteOutcome::Conflict { found }) => LeaseAnswer::Conflict {
-            found: found.as_ref().and_then(decode_lease),
-            version: StoreVersion::new(
-                StoreEra(0),
-                found.map(|row| row.version).unwrap_or_default(),
-            ),
+        Ok(WriteOutcome::Conflict { found: None }) => LeaseAnswer::Conflict {
+            found: None,
+            version: StoreVersion::new(era, RowVersion(0)),
         },
-        Err(error) => {
-            warn!(is_held = is_held; "the lease was not written: {error}");
-            match error {
-                StoreError::Unreachable { .. } | StoreError::Refused { .. } => LeaseAnswer::Refused,
-                StoreError::NoResponse { .. }
-                | StoreError::HistoryGone
-                | StoreError::Malformed { .. } => LeaseAnswer::Unknown,
-            }
-        }
+        Err(StoreError::Unreachable { .. } | StoreError::Refused { .. }) => LeaseAnswer::Refused,
+        Err(
+            StoreError::NoResponse { .. }
+            | StoreError::HistoryGone
+            | StoreError::EraEnded { .. }
+            | StoreError::Malformed { .. },
+        ) => LeaseAnswer::Unknown,
     }
 }
 
