Keep zones out, instances and nodes when the store is restored

What callers would see: requests to a zone that the operators had taken out and had confirmed, for the seconds until they write that again; to instances that have left; 503 for want of instances that the copy lacks.

Cause: Knowledge took the rows of a restored table for changes.

Change: they are applied as news of a restoration, which the records of cuminlb-replica keep apart from changes. The store counts as having failed at that moment, so that entries that vanish next get the lapse time.

--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -121,7 +121,10 @@
     ) {
         let era = rows.first().map(|row| row.version.era.get());
         info!(table:% = table, era = era, rows = rows.len(), source:% = source; "store restored");
-        self.rows_changed(table, rows, source, now);
+        if table == StoreTable::Instances {
+            self.records().instances.record_restoration(now);
+        }
+        self.apply(table, rows, RowNews::Restored, source, now);
     }
 
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant) {
--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -56,6 +56,12 @@
             .to_owned()
     }
 
+    /// Returns the epoch of an engine's group.
+    pub fn epoch(&self, engine: &str) -> Option<u64> {
+        let seat = self.fleet.engine(engine)?.seat()?;
+        Some(seat.1)
+    }
+
     /// Checks that no engine got an order that violates the protocol.
     pub fn assert_no_violations(&self) {
         for engine in self.engines() {
@@ -63,7 +69,7 @@
         }
     }
 
-    fn engines(&self) -> impl Iterator<Item = Arc<Engine>> {
+    pub fn engines(&self) -> impl Iterator<Item = Arc<Engine>> {
         let ids = (0..64).map(|number| format!("e{number}"));
         ids.map_while(|id| self.fleet.engine(&id))
     }
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use cuminlb_native_standins::{Engine, Fleet, PlainWorker, Store};
+use cuminlb_native_standins::{Engine, Fleet, PlainWorker, Store, StoreCopy};
 use cuminlb_standins::{Fault, StandinServer};
 use cuminlb_test_support::{HttpResponse, Process, Programs, SiteError, TestClient, wait_until};
 use http::{Method, StatusCode};
@@ -231,6 +231,28 @@
             .await
     }
 
+    /// Takes the store away from all nodes for a time, restores it from a copy, and gives it back.
+    /// The engines write their entries again.
+    pub async fn restore_store(&self, copy: &StoreCopy, away: Duration) {
+        for node in 0..self.nodes.len() {
+            self.refuse_store(node, true);
+        }
+        tokio::time::sleep(away).await;
+        let engines = self.engines().filter(|engine| engine.is_alive());
+        let entries = engines.filter_map(|engine| {
+            let entry = self.fleet.rows.get("servers", engine.id())?;
+            Some((engine, entry))
+        });
+        let entries: Vec<_> = entries.collect();
+        self.fleet.rows.restore(copy);
+        for (engine, entry) in entries {
+            self.fleet.rows.put("servers", engine.id(), &entry);
+        }
+        for node in 0..self.nodes.len() {
+            self.refuse_store(node, false);
+        }
+    }
+
     /// Makes the store refuse or serve the calls of one node.
     pub fn refuse_store(&self, node: usize, is_refused: bool) {
         let fault = if is_refused {
