Write a node's row again as soon as the store is restored

What callers would see: shares of retry budgets and of cold instances that jump for up to two seconds after a restoration, at nodes that start then.

Cause: a node looks every 2 s whether its row is still listed.

Change: it also looks when the table of the nodes was found restored.

Evidence: none beyond the review; NodeRecords keeps the row of a missing node at the others meanwhile, which restored_orders shows.

--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -21,6 +21,8 @@
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     directory: watch::Sender<Arc<Directory>>,
     leader: watch::Sender<Option<NodeId>>,
+    /// The number of times that the table of the nodes was found restored from a copy.
+    restorations: watch::Sender<u64>,
 }
 
 impl std::fmt::Debug for Knowledge {
@@ -38,6 +40,7 @@
             catalog: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
             leader: watch::Sender::new(None),
+            restorations: watch::Sender::new(0),
         }
     }
 
@@ -61,6 +64,11 @@
         self.directory.subscribe()
     }
 
+    /// Returns a receiver that is notified when the rows of the nodes were restored from a copy.
+    pub(crate) fn restorations(&self) -> watch::Receiver<u64> {
+        self.restorations.subscribe()
+    }
+
     /// Removes what has been missing in the store for long.
     pub(crate) fn remove_expired(&self, now: Instant) {
         let mut records = self.records();
@@ -125,6 +133,9 @@
             self.records().instances.record_restoration(now);
         }
         self.apply(table, rows, RowNews::Restored, source, now);
+        if table == StoreTable::Nodes {
+            self.restorations.send_modify(|count| *count += 1);
+        }
     }
 
     fn store_called(&self, table: StoreTable, is_ok: bool, now: Instant) {
--- a/crates/cuminlb-gateway/src/knowledge/register_node.rs
+++ b/crates/cuminlb-gateway/src/knowledge/register_node.rs
@@ -6,7 +6,7 @@
 use cuminlb_replica::{NodeCapacity, NodeRow};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::Gateway;
@@ -38,14 +38,17 @@
         warn!("failed to encode the row of this node");
         return;
     };
+    let mut restorations = gateway.knowledge.restorations();
     let keep_listed = async {
         wait_for_nodes(gateway).await;
         loop {
+            restorations.mark_unchanged();
             let known = gateway.replica.row(StoreTable::Nodes, &key);
             let is_listed = known.is_some_and(|known| known.value.as_ref() == Some(&value));
             // A row that was just written takes a while to come back with the other rows.
             if is_listed || write_row(gateway, &key, &value).await {
-                sleep(LISTED_CHECK_PERIOD).await;
+                // A restored store may lack the row.
+                let _ = timeout(LISTED_CHECK_PERIOD, restorations.changed()).await;
             } else {
                 sleep(RETRY_DELAY).await;
             }
