--- a/crates/cuminlb-gateway/src/knowledge/mod.rs
+++ b/crates/cuminlb-gateway/src/knowledge/mod.rs
@@ -5,7 +5,6 @@
 //! [`RelayService`] serves them. [`register_node`] lists this node in the store.
 
 mod directory;
-mod instance_records;
 #[expect(
     clippy::module_inception,
     reason = "the module is named after its main type"
@@ -15,6 +14,8 @@
 mod peer_links;
 mod register_node;
 mod relay_service;
+mod row_news;
+mod row_records;
 
 pub(crate) use self::directory::Directory;
 pub(crate) use self::knowledge::Knowledge;
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -1,6 +1,6 @@
 //! The store row of the leader's lease.
 
-use cuminlb_catalog::StoreTable;
+use cuminlb_catalog::{SharedRow, StoreTable};
 use cuminlb_fleet::lease::LeaseTiming;
 use cuminlb_fleet::rows::LeaseRow;
 use cuminlb_replica::Replica;
@@ -16,16 +16,23 @@
     margin_ms: Millis(300),
 };
 
+/// How long a lease remains valid, from the check that found the store unavailable to all nodes.
+pub(super) const MAX_EXTENSION_MS: Millis = Millis(700);
+
 /// Returns the key of the lease row.
 pub(super) fn lease_key() -> Option<RowKey> {
     LEASE_KEY.parse().ok()
 }
 
-/// Returns the lease as this node knows it, with the version of its row.
-pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, StoreVersion)> {
-    let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
-    match serde_json::from_slice(row.value.as_deref().unwrap_or_default()) {
-        Ok(lease) => Some((lease, row.version)),
+/// Returns whether a key is that of the lease row.
+pub(crate) fn is_lease_key(key: &RowKey) -> bool {
+    key.as_str() == LEASE_KEY
+}
+
+/// Returns the lease that a row holds, unless the row is removed or can't be decoded.
+pub(crate) fn decode_lease(row: &SharedRow) -> Option<LeaseRow> {
+    match serde_json::from_slice(row.value.as_deref()?) {
+        Ok(lease) => Some(lease),
         Err(error) => {
             warn!("failed to decode the leader's lease: {error}");
             None
@@ -33,8 +40,8 @@
     }
 }
 
-/// Returns the leader as far as this node knows.
-pub(crate) fn current_leader(replica: &Replica) -> Option<NodeId> {
-    let (lease, _) = read_lease(replica)?;
-    (lease.length_ms > Millis(0)).then_some(lease.holder)
+/// Returns the lease as this node knows it, with the version of its row.
+pub(super) fn read_lease(replica: &Replica) -> Option<(LeaseRow, StoreVersion)> {
+    let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
+    Some((decode_lease(&row)?, row.version))
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod native_raw_responses;
 mod native_refusals;
 mod native_restore;
+mod native_restored_orders;
 mod native_silence;
 mod native_site;
 mod native_stops;
