--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod native_path;
 mod native_raw_responses;
 mod native_restore;
+mod native_restored_lease;
 mod native_restored_orders;
 mod native_site;
 mod outage;
--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -56,12 +56,6 @@
             .to_owned()
     }
 
-    /// Returns the epoch of an engine's group.
-    pub fn epoch(&self, engine: &str) -> Option<u64> {
-        let seat = self.fleet.engine(engine)?.seat()?;
-        Some(seat.1)
-    }
-
     /// Checks that no engine got an order that violates the protocol.
     pub fn assert_no_violations(&self) {
         for engine in self.engines() {
--- a/tests/testsuite/native_restored_orders.rs
+++ b/tests/testsuite/native_restored_orders.rs
@@ -25,6 +25,12 @@
 /// Delay between two requests to each node.
 const REQUEST_PERIOD: Duration = Duration::from_millis(50);
 
+/// The number of restorations of a test of how fast a node reacts to one.
+const RESTORATIONS: u32 = 5;
+
+/// The time within which a node that a restored store lacks is listed again.
+const MAX_UNLISTED: Duration = Duration::from_millis(1_000);
+
 /// Sends a lookup to each node; returns the statuses, and the workers that ran them.
 async fn look_up(site: &NativeSite, id: &str) -> (Vec<StatusCode>, Vec<String>) {
     let mut statuses = Vec::new();
@@ -134,3 +140,30 @@
     .await
     .unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_the_copy_lacks_is_listed_again_at_once() {
+    let mut site = NativeSite::start(1, 2, SHORT_WORK).await;
+    site.wait_serving().await;
+    let copy = site.fleet.rows.copy();
+    site.add_node().await;
+    let is_listed = || site.fleet.rows.get("cuminlb", "node/n2").is_some();
+    for restoration in 0..RESTORATIONS {
+        wait_until("the node is listed", async || is_listed())
+            .await
+            .unwrap();
+        site.wait_serving().await;
+        sleep(REQUEST_PERIOD * restoration * 7).await;
+        site.restore_store(&copy, Duration::ZERO).await;
+        assert!(!is_listed());
+        let start = Instant::now();
+        wait_until("the node is listed again", async || is_listed())
+            .await
+            .unwrap();
+        assert!(
+            start.elapsed() < MAX_UNLISTED,
+            "restoration {restoration}: {:?}",
+            start.elapsed()
+        );
+    }
+}
