Check routes at all times of a restoration, and what nodes log of it

Cause: the tests of a restored store looked at the routes only now and then, and did not show that a node was among them that follows another one.

Change: a route of the lost catalog is requested at every node all the time, from before the restoration until the next catalog is active; some nodes call the store and others do not. Each table logs `store restored` once for each era that the node has seen, and `cuminlb_store_era` is that of the store.

--- a/tests/testsuite/native_feeds.rs
+++ b/tests/testsuite/native_feeds.rs
@@ -29,7 +29,7 @@
 }
 
 /// Returns the nodes that call the store within [`CALL_WINDOW`].
-async fn store_callers(site: &NativeSite) -> Vec<usize> {
+pub async fn store_callers(site: &NativeSite) -> Vec<usize> {
     let before = store_calls(site).await;
     sleep(CALL_WINDOW).await;
     let after = store_calls(site).await;
--- a/tests/testsuite/native_restore.rs
+++ b/tests/testsuite/native_restore.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
+use crate::native_feeds::store_callers;
 use crate::native_site::{HOST, NativeSite, PLAIN_SERVICE};
 
 /// The processing time of a plain request in tests that don't depend on it.
@@ -17,6 +18,9 @@
 /// The number of nodes, of which some follow the store and others a node.
 const NODES: usize = 4;
 
+/// The time between two checks that routes are served.
+const CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// How long the store serves no node before it comes back from the copy.
 const AWAY: Duration = Duration::from_millis(1_200);
 
@@ -80,6 +84,44 @@
     }
 }
 
+/// Checks that every node serves a route at any time.
+async fn keep_asserting(site: &NativeSite, name: &str) {
+    loop {
+        assert_serving(site, name).await;
+        sleep(CHECK_PERIOD).await;
+    }
+}
+
+/// Checks that every node comes to know the era of the store for each table, and logs it once for
+/// each era that it has seen.
+async fn check_era(site: &NativeSite, era: u64) {
+    for node in 0..NODES {
+        for table in ["desired", "instances", "nodes"] {
+            let mut eras = Vec::new();
+            wait_until("the table is restored", async || {
+                eras = restored_eras(&site.nodes[node].process.log(), table);
+                eras.last() == Some(&era)
+            })
+            .await
+            .unwrap();
+            assert!(eras.is_sorted_by(|left, right| left < right), "{eras:?}");
+        }
+        assert_eq!(site.metric(node, "cuminlb_store_era").await, era);
+        let log = site.nodes[node].process.log();
+        let begins = log.matches("the store begins an era").count() as u64;
+        assert!(begins <= era, "node {node}: {begins} lines");
+    }
+}
+
+/// Returns the eras in which a table was restored, as a node has logged them.
+fn restored_eras(log: &str, table: &str) -> Vec<u64> {
+    let lines = log.lines();
+    let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let restored = lines.filter(|line| line["message"] == "store restored");
+    let of_table = restored.filter(|line| line["table"] == table);
+    of_table.filter_map(|line| line["era"].as_u64()).collect()
+}
+
 /// Writes rows that no node reads, so that the version rises.
 fn raise_version(site: &NativeSite, writes: usize) {
     for _ in 0..writes {
@@ -102,19 +144,24 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn catalogs_take_effect_after_the_store_was_restored() {
     let site = start_site().await;
+    let callers = store_callers(&site).await;
+    assert!((1..NODES).contains(&callers.len()), "{callers:?}");
     let copy = site.fleet.rows.copy();
     check_catalog(&site, 2, &["two"], CATALOG_BOUND).await;
     raise_version(&site, CATCH_UP_WRITES);
-    restore_store(&site, &copy).await;
-    assert_serving(&site, "two").await;
-    sleep(Duration::from_secs(1)).await;
-    // The operator has not written the lost catalog again, which stays active.
-    assert_serving(&site, "two").await;
-    site.put_catalog(2, &[route("two")]);
-    sleep(Duration::from_secs(2)).await;
-    assert_serving(&site, "two").await;
-    check_catalog(&site, 3, &["two", "three"], CATALOG_BOUND).await;
-    assert_serving(&site, "two").await;
+    let restore = async {
+        restore_store(&site, &copy).await;
+        // The operator has not written the lost catalog again, which stays active.
+        sleep(Duration::from_secs(2)).await;
+        site.put_catalog(2, &[route("two")]);
+        sleep(Duration::from_secs(2)).await;
+        check_catalog(&site, 3, &["two", "three"], CATALOG_BOUND).await;
+    };
+    tokio::select! {
+        () = restore => {}
+        () = keep_asserting(&site, "two") => {}
+    }
+    check_era(&site, 1).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -129,6 +176,7 @@
     assert_serving(&site, "three").await;
     check_catalog(&site, 4, &["three", "four"], CATALOG_BOUND + MAX_STRETCH).await;
     check_catalog(&site, 5, &["four", "five"], CATALOG_BOUND).await;
+    check_era(&site, 2).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
