--- a/crates/cuminlb-gateway/src/knowledge/mod.rs
+++ b/crates/cuminlb-gateway/src/knowledge/mod.rs
@@ -1,7 +1,7 @@
 //! What a node knows about the platform.
 //!
 //! [`Knowledge`] turns the rows of the node's replica into a catalog and a [`Directory`] of
-//! instances, groups and nodes. [`PeerLinks`] holds the connections to the other nodes, and
+//! instances, groups and nodes; `RowRecords` applies them. [`PeerLinks`] holds the connections to the other nodes, and
 //! [`RelayService`] serves them. [`register_node`] lists this node in the store.
 
 mod directory;
--- a/crates/cuminlb-gateway/src/leading/mod.rs
+++ b/crates/cuminlb-gateway/src/leading/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! One node leads at a time, by a lease in the platform's store ([`keep_lease`]). The leader keeps
 //! no record of its own: groups are recorded in the entries of their members, and the version of
-//! the lease row is the base of the epochs that it issues, so that those of a later leader are
-//! higher. `cuminlb-assembly` decides what to do; [`Leader`] sends the orders and probes instances.
+//! the lease row, with the era of the store, is the base of the epochs that it issues, so that those
+//! of a later leader are higher. `cuminlb-assembly` decides what to do; [`Leader`] sends the orders and probes instances.
 
 mod active_lease;
 mod boot_time;
--- a/crates/cuminlb-replica/src/lib.rs
+++ b/crates/cuminlb-replica/src/lib.rs
@@ -7,6 +7,9 @@
 //! lacks much of it reads the row from the store, and otherwise requests the missing chunks from
 //! peers ([`ValueAssembly`]), apart from the news. [`FollowTiming`] derives all waits and timeouts
 //! from the time within which a change must be known everywhere.
+//!
+//! What a node knows may be newer than a row of the copy that the store was restored from.
+//! [`InstanceRecords`], [`ZoneRecords`], [`NodeRecords`] and [`CatalogOrigin`] decide what is kept.
 
 mod announcement;
 mod applied_rows;
