Play a restoration at the size of the target

Cause: after a restoration every follower gets each table whole, which at the target's size is a burst on the relays' links; its effect was not known.

Change: a simulated fleet of 370 nodes, 15 with fast links, with 730 instances, the rows of all nodes and a catalog, is restored.

--- a/crates/cuminlb-replica/tests/replica/restorations.rs
+++ b/crates/cuminlb-replica/tests/replica/restorations.rs
@@ -21,6 +21,15 @@
 /// The number of writes between a copy and the restoration.
 const LOST_WRITES: usize = 12;
 
+/// The nodes of the target, of which some have fast links, its instances, and the bound.
+const TARGET_NODES: usize = 370;
+const TARGET_FAST_NODES: usize = 15;
+const TARGET_INSTANCES: usize = 730;
+const TARGET_BOUND_MS: Millis = Millis(5_000);
+
+/// Length of the row of an instance.
+const INSTANCE_BYTES: usize = 300;
+
 const INSTANCES: StoreTable = StoreTable::Instances;
 
 /// Writes a small row and returns its version.
@@ -155,3 +164,24 @@
         );
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_nodes_of_the_target_have_news_of_a_restored_store_in_time() {
+    let fleet = SimulatedFleet::start(TARGET_NODES, TARGET_FAST_NODES, TARGET_BOUND_MS).await;
+    settle_catalog(&fleet, 1).await;
+    for number in 0..TARGET_INSTANCES {
+        let value = Some(vec![7; INSTANCE_BYTES]);
+        fleet
+            .rows
+            .put(INSTANCES, &key(&format!("i-{number}")), value);
+    }
+    for number in 0..TARGET_NODES {
+        put(&fleet, StoreTable::Nodes, &format!("node/{number}"));
+    }
+    sleep(TARGET_BOUND_MS.duration() * 2).await;
+    let copy = fleet.rows.copy();
+    write_lost_rows(&fleet).await;
+    fleet.rows.restore(&copy);
+    let slowest = spread(&fleet, "after").await;
+    assert!(slowest < TARGET_BOUND_MS.duration(), "{slowest:?}");
+}
