--- a/tests/testsuite/native_restored_orders.rs
+++ b/tests/testsuite/native_restored_orders.rs
@@ -28,6 +28,9 @@
 /// The number of restorations of a test of how fast a node reacts to one.
 const RESTORATIONS: u32 = 5;
 
+/// How much later each one comes after the node was listed than the one before.
+const RESTORATION_SHIFT: Duration = Duration::from_millis(350);
+
 /// The time within which a node that a restored store lacks is listed again.
 const MAX_UNLISTED: Duration = Duration::from_millis(1_000);
 
@@ -153,7 +156,7 @@
             .await
             .unwrap();
         site.wait_serving().await;
-        sleep(REQUEST_PERIOD * restoration * 7).await;
+        sleep(RESTORATION_SHIFT * restoration).await;
         site.restore_store(&copy, Duration::ZERO).await;
         assert!(!is_listed());
         let start = Instant::now();
