Test that silent streams are not offered beyond the retry budget

Cause: no test showed that the offers of silent streams keep to the budget, and that a stream which gets none stays at its instance. Change: 60 streams of one node fall silent while a second instance, silent too, appears. Not run on the code before.

--- a/tests/testsuite/native_silence.rs
+++ b/tests/testsuite/native_silence.rs
@@ -218,3 +218,20 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_streams_are_neither_lost_nor_offered_beyond_the_retry_budget() {
+    const STREAMS: usize = 60;
+    let site = SilenceSite::start(&[[Some(SILENT_WITHIN)]]).await;
+    let second = async {
+        sleep(Duration::from_millis(300)).await;
+        site.start_worker(0, 1, Some(SILENT)).await
+    };
+    let services = std::iter::repeat_n(0, STREAMS);
+    let streams = site.check_whole_streams_of(services, RESUMABLE);
+    let (second, ()) = tokio::join!(second, streams);
+    let offered = second.requests().len();
+    // A node alone has 0.6 of the 50 extra retries and 0.14 for each request.
+    assert!((1..=38).contains(&offered), "{offered} streams offered");
+    site.wait_logged("retry budget exhausted").await;
+}
--- a/tests/testsuite/silence_site.rs
+++ b/tests/testsuite/silence_site.rs
@@ -58,10 +58,7 @@
         for (service, scripts) in services.iter().enumerate() {
             let mut workers = Vec::new();
             for (number, script) in scripts.as_ref().iter().enumerate() {
-                let id = format!("w{service}-{number}");
-                let entry = site.entry(service, number);
-                let fleet = &site.site.fleet;
-                workers.push(ScriptedWorker::start(fleet, &id, entry, PREFIX, *script).await);
+                workers.push(site.start_worker(service, number, *script).await);
             }
             site.services.push(workers);
         }
@@ -75,6 +72,18 @@
         site
     }
 
+    /// Starts one more worker of a service.
+    pub async fn start_worker(
+        &self,
+        service: usize,
+        number: usize,
+        script: Script,
+    ) -> ScriptedWorker {
+        let id = format!("w{service}-{number}");
+        let entry = self.entry(service, number);
+        ScriptedWorker::start(&self.site.fleet, &id, entry, PREFIX, script).await
+    }
+
     fn entry(&self, service: usize, number: usize) -> Value {
         let zone = if number == 0 { "za" } else { "zb" };
         let mut entry = json!({
@@ -112,11 +121,20 @@
 
     /// Sends a request of a caller to a service.
     pub async fn send(&self, service: usize, route: &str) -> Result<HttpResponse, SiteError> {
+        self.send_as(&format!("silent-{service}"), service, route)
+            .await
+    }
+
+    async fn send_as(
+        &self,
+        id: &str,
+        service: usize,
+        route: &str,
+    ) -> Result<HttpResponse, SiteError> {
         let key = format!("Token {API_KEY}");
-        let id = format!("silent-{service}");
         let mut headers = vec![
             ("host", HOST),
-            ("x-attempt-id", id.as_str()),
+            ("x-attempt-id", id),
             ("x-deadline-ms", TIMEOUT_MS),
             ("authorization", key.as_str()),
         ];
@@ -130,8 +148,17 @@
     /// Sends a request to each service at the same time, and checks that each caller gets the whole
     /// stream of six events, each event once.
     pub async fn check_whole_streams(&self, route: &str) {
-        let numbers = 0..self.services.len();
-        let failures = join_all(numbers.map(|service| self.failure_of(service, route))).await;
+        self.check_whole_streams_of(0..self.services.len(), route)
+            .await;
+    }
+
+    /// Checks the same for a request to each of some services, which may be named several times.
+    pub async fn check_whole_streams_of(&self, services: impl Iterator<Item = usize>, route: &str) {
+        let requests = services.enumerate().map(|(number, service)| async move {
+            let id = format!("silent-{number}");
+            self.failure_of(&id, service, route).await
+        });
+        let failures = join_all(requests).await;
         let failures: Vec<String> = failures.into_iter().flatten().collect();
         let count = failures.len();
         let log = self.site.nodes[0].process.log();
@@ -139,8 +166,8 @@
         assert_eq!(count, 0, "{count} streams lost\n{text}\n{log}");
     }
 
-    async fn failure_of(&self, service: usize, route: &str) -> Option<String> {
-        let seen = match self.send(service, route).await {
+    async fn failure_of(&self, id: &str, service: usize, route: &str) -> Option<String> {
+        let seen = match self.send_as(id, service, route).await {
             Ok(response) if response.status != StatusCode::OK => response.text(),
             Ok(response) => match event_ids(&response).as_slice() {
                 [1, 2, 3, 4, 5, 6] => return None,
