--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -8,6 +8,24 @@
 
 use crate::native_site::NativeSite;
 
+/// The number of lines of each node's log that a failed test prints.
+const PRINTED_LOG_LINES: usize = 150;
+
+impl Drop for NativeSite {
+    /// Prints the end of the logs if the test has failed, since they are deleted with the site.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for node in &self.nodes {
+            let log = node.process.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let first = lines.len().saturating_sub(PRINTED_LOG_LINES);
+            eprintln!("log of {}:\n{}", node.address, lines[first..].join("\n"));
+        }
+    }
+}
+
 impl NativeSite {
     /// Returns the sum of a metric of a node over its labels; zero if the node does not list it.
     pub async fn metric(&self, node: usize, name: &str) -> u64 {
