--- a/crates/cuminlb-replica/tests/records/main.rs
+++ b/crates/cuminlb-replica/tests/records/main.rs
@@ -11,4 +11,5 @@
 mod properties;
 mod restored_instances;
 mod restored_orders;
+mod restored_ties;
 mod support;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod native_raw_responses;
 mod native_refusals;
 mod native_restore;
+mod native_restored_drain;
 mod native_restored_lease;
 mod native_restored_orders;
 mod native_silence;
