--- a/crates/cuminlb-replica/tests/records/restored_ties.rs
+++ b/crates/cuminlb-replica/tests/records/restored_ties.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use cuminlb_catalog::InstanceEntry;
+use cuminlb_catalog::{InstanceEntry, Seat, SeatState};
 use cuminlb_replica::InstanceRecords;
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
@@ -73,3 +73,25 @@
     records.remove_expired(start + STEP * 40);
     assert!(is_used(&records, "a"));
 }
+
+/// A join ends after the order, and the entry counts no further one. The node has missed its end.
+#[test]
+fn an_instance_whose_join_has_ended_counts_as_joined() {
+    let start = Instant::now();
+    let in_state = |state| InstanceEntry {
+        seat: Some(Seat {
+            group: "g".parse().unwrap(),
+            epoch: Epoch(7),
+            rank: 1,
+            state,
+        }),
+        ..entry("a", 1, 5)
+    };
+    let mut records = InstanceRecords::default();
+    records.put(in_state(SeatState::Joining), start);
+    records.record_restoration(start + STEP);
+    records.restore(in_state(SeatState::Ready), start + STEP);
+    let mut entries = records.entries();
+    let state = entries.find_map(|entry| Some(entry.seat.as_ref()?.state));
+    assert_eq!(state, Some(SeatState::Ready));
+}
--- a/crates/cuminlb-replica/tests/replica/main.rs
+++ b/crates/cuminlb-replica/tests/replica/main.rs
@@ -12,6 +12,7 @@
 mod era_history;
 mod following;
 mod large_catalog;
+mod lost_history;
 mod mirror_eras;
 mod mirror_restorations;
 mod mirrors;
