Take what a restored table says of an instance at a tie

Callers would be sent to an instance that had begun to drain, or at full rate to one that had become cold, for as long as its row did not change again; a group whose join had ended meanwhile did not serve.

Now the listed entry holds at a tie, but nobody stops draining or becomes warm by it.

--- a/crates/cuminlb-replica/src/records/departed_instances.rs
+++ b/crates/cuminlb-replica/src/records/departed_instances.rs
@@ -57,9 +57,9 @@
             && departure.is_some_and(|it| it.has_drained && it.incarnation == incarnation)
     }
 
-    /// Returns until when an incarnation of an instance is known to have left, if it is.
+    /// Returns until when an incarnation of an instance is known to have drained, if it is.
     pub(super) fn known_until(&self, id: &InstanceId, incarnation: Incarnation) -> Option<Instant> {
-        let departure = self.departures.get(id)?;
+        let departure = self.departures.get(id).filter(|it| it.has_drained)?;
         (incarnation <= departure.incarnation).then_some(departure.known_until)
     }
 
--- a/crates/cuminlb-replica/src/records/instance_records.rs
+++ b/crates/cuminlb-replica/src/records/instance_records.rs
@@ -96,23 +96,35 @@
         self.record_store_failure(now);
     }
 
-    /// Handles an entry of the copy that the store was restored from. Returns whether more than a
-    /// heartbeat has changed.
+    /// Handles an entry of a restored table, which stems from the copy or was written since. Returns
+    /// whether more than a heartbeat has changed.
     ///
-    /// A known entry that was written later is kept, and so is an instance that is known to have
-    /// left, until it writes again or the copy has listed it for long.
+    /// A known entry of a later start, or with more orders, is kept. At a tie the listed entry
+    /// holds, as draining, cold starts and the ends of joins are no orders; but an instance never
+    /// stops draining or becomes warm by it. An instance that is known to have left is withheld
+    /// until it writes again or has been listed for long.
     pub fn restore(&mut self, entry: InstanceEntry, now: Instant) -> bool {
+        let id = entry.id.clone();
         if let Some(until) = self.withheld_until(&entry, now) {
-            let id = entry.id.clone();
+            let withheld = self.withheld.remove(&id);
+            let until = withheld.map_or(until, |withheld| withheld.until.min(until));
             self.withheld.insert(id, WithheldEntry { entry, until });
             return false;
         }
         let order = |entry: &InstanceEntry| (entry.incarnation, entry.orders);
-        let known = self.entries.get(&entry.id);
-        if known.is_some_and(|known| order(known) >= order(&entry)) {
+        let known = self.entries.get(&id);
+        if known.is_some_and(|known| order(known) > order(&entry)) {
+            self.lapsed.remove(&id);
             return false;
         }
-        self.put(entry, now)
+        let is_same_start = known.is_some_and(|known| known.incarnation == entry.incarnation);
+        let known_cold_until = self.cold_until.get(&id).copied().filter(|_| is_same_start);
+        let is_changed = self.put(entry, now);
+        if let Some(known) = known_cold_until {
+            let cold_until = self.cold_until.entry(id).or_insert(known);
+            *cold_until = known.max(*cold_until);
+        }
+        is_changed
     }
 
     /// Handles an instance that the copy lacks. If it is alive, it writes its entry again.
@@ -179,7 +191,7 @@
     /// vanished or left since.
     fn withheld_until(&self, entry: &InstanceEntry, now: Instant) -> Option<Instant> {
         let id = &entry.id;
-        let has_vanished = self.lapsed.contains_key(id) || self.unlisted.contains_key(id);
+        let has_vanished = self.unlisted.contains_key(id);
         let known = self.entries.get(id).filter(|_| has_vanished);
         if known.is_some_and(|known| entry.incarnation <= known.incarnation) {
             return Some(now + UNLISTED_RETENTION);
