Rest when the history of a table stays lost after a full read

A node that got 410, read the whole table and got 410 again asked without a rest: 6,000 calls of one node in 10 s in virtual time (a_history_that_stays_lost_is_not_asked_for_without_a_rest, failed before). With the era this needs a store that is restored without stating so. The second loss without a change in between now rests as after a failure.

--- a/crates/cuminlb-replica/src/follow_store.rs
+++ b/crates/cuminlb-replica/src/follow_store.rs
@@ -26,6 +26,9 @@
     let mut origin = follower.origin.subscribe();
     let mut has_read = false;
     let mut is_history_gone = false;
+    // Whether the history was gone in the call before the last full read, so that a further loss
+    // shows that the read has not helped.
+    let mut was_history_gone = false;
     let mut is_store_lost = false;
     let mut retry_delay = FIRST_RETRY_DELAY;
     loop {
@@ -47,7 +50,10 @@
                 }
                 has_read = true;
                 is_store_lost = false;
-                retry_delay = FIRST_RETRY_DELAY;
+                if !changes.is_whole {
+                    was_history_gone = false;
+                    retry_delay = FIRST_RETRY_DELAY;
+                }
                 is_history_gone = false;
                 let is_unchanged = changes.rows.is_empty();
                 debug!(
@@ -66,6 +72,11 @@
                     "the store no longer has the history; reading the full table"
                 );
                 is_history_gone = true;
+                if was_history_gone {
+                    sleep(retry_delay).await;
+                    retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                }
+                was_history_gone = true;
             }
             Err(error) => {
                 follower.replica.record_store_failure(table, Instant::now());
