Follow a longer timeout only of the request's own route

What callers saw: a request whose route was removed, or whose path got a longer prefix, waited as long as the other route that its path led to from then on allows; and a timeout that was longer for a while counted even after a newer catalog had shortened it again.

Cause: RequestDeadline looked up host and path in the newest catalog, whatever route that gave, and passed_but_for slept until a deadline without a look at newer catalogs.

The deadline now follows the route of the same host, prefix and name, and keeps that of the admission if there is none. After the deadline of the admission, passed_but_for also wakes up at each new catalog.

Evidence: a_request_does_not_take_over_the_timeout_of_another_route and a_timeout_that_is_shortened_again_ends_a_request_in_time failed before; with the change, the 6 tests of native_deadlines pass.

--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -59,6 +59,11 @@
         self.leader.borrow().clone()
     }
 
+    /// Returns a receiver that is notified of each new catalog.
+    pub(crate) fn catalog_changes(&self) -> watch::Receiver<Option<Arc<Catalog>>> {
+        self.catalog.subscribe()
+    }
+
     /// Returns a receiver that is notified of each new directory.
     pub(crate) fn directory_changes(&self) -> watch::Receiver<Arc<Directory>> {
         self.directory.subscribe()
--- a/crates/cuminlb-gateway/src/serving/examined_request.rs
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -77,10 +77,9 @@
         let timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
         let deadline = RequestDeadline::new(
             Arc::clone(&gateway.knowledge),
-            (head.host.clone(), path.to_smolstr()),
+            Arc::clone(&route),
             received_at,
             timeout_ms.duration(),
-            &route,
         );
         Ok(Self {
             head,
--- a/crates/cuminlb-gateway/src/serving/request_deadline.rs
+++ b/crates/cuminlb-gateway/src/serving/request_deadline.rs
@@ -4,18 +4,17 @@
 use std::time::Duration;
 
 use cuminlb_catalog::Route;
-use smol_str::SmolStr;
 use tokio::time::{Instant, sleep_until};
 
 use crate::knowledge::Knowledge;
 
 /// The time by which a caller must have its response: that of its admission, or a later one if the
-/// newest catalog gives its route a longer timeout.
+/// newest catalog gives the same route a longer timeout.
 #[derive(Clone, Debug)]
 pub(super) struct RequestDeadline {
     knowledge: Arc<Knowledge>,
-    host: SmolStr,
-    path: SmolStr,
+    /// The route as of the admission.
+    route: Arc<Route>,
     received_at: Instant,
     /// How long the caller waits.
     caller_timeout: Duration,
@@ -23,37 +22,43 @@
 }
 
 impl RequestDeadline {
-    /// Returns the deadline of a request that is admitted to a route, which `host` and `path` lead to.
+    /// Returns the deadline of a request that is admitted to a route.
     pub(super) fn new(
         knowledge: Arc<Knowledge>,
-        (host, path): (SmolStr, SmolStr),
+        route: Arc<Route>,
         received_at: Instant,
         caller_timeout: Duration,
-        route: &Route,
     ) -> Self {
         let timeout = caller_timeout.min(route.timeout_ms.duration());
         Self {
             knowledge,
-            host,
-            path,
+            route,
             received_at,
             caller_timeout,
             at_admission: received_at + timeout,
         }
     }
 
-    /// Returns the deadline by the newest catalog; never earlier than that of the admission.
+    /// Returns the deadline by the newest catalog; never earlier than that of the admission. A
+    /// route that the newest catalog does not contain keeps the timeout of the admission.
     pub(super) fn latest(&self) -> Instant {
         let catalog = self.knowledge.catalog();
         let route = catalog
             .as_ref()
-            .and_then(|catalog| catalog.route(&self.host, &self.path));
+            .and_then(|catalog| catalog.route(&self.route.host, &self.route.prefix))
+            .filter(|route| self.is_same_route(route));
         route.map_or(self.at_admission, |route| {
             let timeout = self.caller_timeout.min(route.timeout_ms.duration());
             self.at_admission.max(self.received_at + timeout)
         })
     }
 
+    fn is_same_route(&self, route: &Route) -> bool {
+        route.host == self.route.host
+            && route.prefix == self.route.prefix
+            && route.name == self.route.name
+    }
+
     /// Returns whether the deadline has passed.
     pub(super) fn has_passed(&self) -> bool {
         let now = Instant::now();
@@ -65,16 +70,18 @@
         self.passed_but_for(Duration::ZERO).await;
     }
 
-    /// Waits until no more than `margin` remains until the deadline.
+    /// Waits until no more than `margin` remains until the deadline by the newest catalog.
     pub(super) async fn passed_but_for(&self, margin: Duration) {
-        let mut deadline = self.at_admission;
+        sleep_until(self.at_admission - margin).await;
+        if self.latest() <= self.at_admission {
+            return;
+        }
+        let mut changes = self.knowledge.catalog_changes();
         loop {
-            sleep_until(deadline - margin).await;
-            let latest = self.latest();
-            if latest <= deadline {
-                return;
+            tokio::select! {
+                () = sleep_until(self.latest() - margin) => return,
+                Ok(()) = changes.changed() => {}
             }
-            deadline = latest;
         }
     }
 }
--- a/tests/testsuite/native_deadlines.rs
+++ b/tests/testsuite/native_deadlines.rs
@@ -123,3 +123,62 @@
     assert_eq!(event_ids(&stream.unwrap()).len(), EVENTS as usize);
     assert_eq!(reserve.unwrap().status, StatusCode::OK);
 }
+
+/// A removed route leaves its path to another route, whose timeout is longer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_does_not_take_over_the_timeout_of_another_route() {
+    let site = NativeSite::start(1, 2, Duration::from_millis(4_000)).await;
+    site.wait_serving().await;
+    let wide = reserve_route("/wide/", LONG_TIMEOUT_MS);
+    let removed = reserve_route("/wide/short/", SHORT_TIMEOUT_MS);
+    site.put_catalog(2, &[wide.clone(), removed]);
+    site.wait_catalog(2).await;
+    let start = Instant::now();
+    let request = async {
+        let sent = site.send(0, Method::POST, "/wide/short/x", "r1", &[], "");
+        (sent.await.unwrap().status, start.elapsed())
+    };
+    let change = async {
+        sleep(CHANGE_DELAY).await;
+        site.put_catalog(3, &[wide]);
+        site.wait_catalog(3).await;
+    };
+    let ((status, elapsed), ()) = tokio::join!(request, change);
+    assert!(
+        elapsed < Duration::from_millis(1_700),
+        "{status} {elapsed:?}"
+    );
+}
+
+fn reserve_route(prefix: &str, timeout_ms: u64) -> Value {
+    json!({
+        "name": prefix, "host": HOST, "prefix": prefix, "kind": "non_idempotent",
+        "timeoutMs": timeout_ms, "targetLatencyMs": 500, "priority": 1, "service": PLAIN_SERVICE,
+        "maxAttempts": 1,
+    })
+}
+
+/// A timeout that was longer for a while counts only while it is in the newest catalog.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_timeout_that_is_shortened_again_ends_a_request_in_time() {
+    let site = NativeSite::start(1, 2, Duration::from_millis(4_000)).await;
+    site.wait_serving().await;
+    put_routes(&site, 2, SHORT_TIMEOUT_MS);
+    site.wait_catalog(2).await;
+    let start = Instant::now();
+    let request = async {
+        let sent = site.send(0, Method::POST, RESERVE_PREFIX, "r1", &[], "");
+        (sent.await.unwrap().status, start.elapsed())
+    };
+    let change = async {
+        change_routes(&site, LONG_TIMEOUT_MS).await;
+        sleep(Duration::from_millis(1_200)).await;
+        put_routes(&site, 4, SHORT_TIMEOUT_MS);
+        site.wait_catalog(4).await;
+    };
+    let ((status, elapsed), ()) = tokio::join!(request, change);
+    assert!(
+        elapsed < Duration::from_millis(3_000),
+        "{status} {elapsed:?}"
+    );
+}
