Refuse a request before its caller has left

What callers saw: a request that is refused by its head, whose body came slowly, was answered after 2 s even if its caller waits for less, so that the refusal reached nobody.

Cause: discard_body waited 2 s for the body, whatever X-Deadline-Ms says.

It now waits for the shorter of 2 s and half of the time that the caller waits, as the body of an admitted request does. A head that can't be read still gets 2 s.

Evidence: a_refusal_is_sent_before_the_caller_has_left (X-Deadline-Ms 800) failed before and passes now; the other tests of native_refusals pass.

--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -1,8 +1,10 @@
 //! Admission of caller requests: validates a request, finds its route and reads its body.
 
+use std::time::Duration;
+
 use cuminlb_routing::{Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
-use http::Request;
+use http::{Request, request};
 use hyper::body::Incoming;
 use smol_str::ToSmolStr;
 use tokio::time::Instant;
@@ -33,7 +35,8 @@
         Ok(examined) => examined,
         Err(refused) => {
             let max_body_bytes = gateway.caller_bounds().max_body_bytes;
-            if !discard_body(&parts, body, max_body_bytes).await {
+            let caller_timeout = caller_timeout(gateway, &parts);
+            if !discard_body(&parts, body, max_body_bytes, caller_timeout).await {
                 connection.leave_body_unread();
             }
             return Err(refused);
@@ -72,3 +75,9 @@
         deadline,
     })
 }
+
+/// Returns how long a caller waits, if the head of its request is valid and contains it.
+fn caller_timeout(gateway: &Gateway, parts: &request::Parts) -> Option<Duration> {
+    let head = gateway.edges.wire.read_request(parts).ok()?;
+    head.caller_timeout_ms.map(Millis::duration)
+}
--- a/crates/cuminlb-gateway/src/serving/read_body.rs
+++ b/crates/cuminlb-gateway/src/serving/read_body.rs
@@ -12,9 +12,12 @@
 use smol_str::ToSmolStr;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// How long the refusal of a request waits for the end of its body.
+/// How long the refusal of a request waits at most for the end of its body.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Fraction of the time that the caller waits within which the body must be complete.
+const BODY_TIME_FRACTION: f64 = 0.5;
+
 /// Reads a body. It must be complete within half of the time that remains until the deadline.
 ///
 /// # Errors
@@ -26,7 +29,9 @@
     deadline: Instant,
 ) -> Result<Bytes, RefusalKind> {
     let start = Instant::now();
-    let read_timeout: Duration = deadline.saturating_duration_since(start).mul_f64(0.5);
+    let read_timeout: Duration = deadline
+        .saturating_duration_since(start)
+        .mul_f64(BODY_TIME_FRACTION);
     let limited = Limited::new(body, max_len(max_bytes));
     match timeout_at(start + read_timeout, limited.collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -46,10 +51,12 @@
 /// Reads and discards the body of a request that is refused; returns whether it was read to its end.
 ///
 /// A caller that waits for the interim response before it sends its body is not asked for it.
+/// `caller_timeout` is how long the caller waits for the refusal, if it is known.
 pub(super) async fn discard_body(
     parts: &request::Parts,
     body: Incoming,
     max_bytes: ByteCount,
+    caller_timeout: Option<Duration>,
 ) -> bool {
     if parts.headers.contains_key(EXPECT) {
         return false;
@@ -64,9 +71,10 @@
             }
         }
     };
-    timeout(REFUSED_BODY_TIMEOUT, read_all)
-        .await
-        .unwrap_or(false)
+    let read_timeout = caller_timeout.map_or(REFUSED_BODY_TIMEOUT, |timeout| {
+        REFUSED_BODY_TIMEOUT.min(timeout.mul_f64(BODY_TIME_FRACTION))
+    });
+    timeout(read_timeout, read_all).await.unwrap_or(false)
 }
 
 fn max_len(max_bytes: ByteCount) -> usize {
--- a/tests/testsuite/native_refusals.rs
+++ b/tests/testsuite/native_refusals.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::native_site::{API_KEY, LOOKUP_PATH, NativeSite, RESERVE_PATH};
 use crate::raw_caller::{RawCaller, head_with_key, request_head};
@@ -111,3 +111,22 @@
     assert_eq!(response.map(|response| response.status), Some(404));
     caller.wait_closed().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_is_sent_before_the_caller_has_left() {
+    let site = serving_site().await;
+    let mut caller = RawCaller::connect(&site.nodes[0]).await;
+    let head = request_head(
+        "POST",
+        UNKNOWN_PATH,
+        "slow",
+        "content-length: 8\r\n\r\nhalf",
+    );
+    let head = head.replace("x-deadline-ms: 8000", "x-deadline-ms: 800");
+    caller.write(head).await.unwrap();
+    let start = Instant::now();
+    let response = caller.read_response().await;
+    let elapsed = start.elapsed();
+    assert_eq!(response.map(|response| response.status), Some(404));
+    assert!(elapsed < Duration::from_millis(800), "{elapsed:?}");
+}
