Close the connections of callers that never read

What callers saw: nothing; but a caller that never read kept its connection, its response of up to 8 MiB, the load of its stream and a file descriptor for ever, so that a node could run out of descriptors.

Cause: ConnectionActivity had no limit while a part of a response was unsent.

A connection whose unsent bytes make no progress is now closed an idle time after the deadline of its request, or after the last progress if that is later or no deadline is known. Each byte that the socket takes is progress. Closing the connection drops the response and releases the load of its stream; the instance's side of a stream still ends at the deadline itself. At a stop, the limit stays that of the catalog, and the time to drain bounds it as before. ConnectionLimits and ConnectionPhase get files of their own.

a_response_that_the_caller_reads_slowly_keeps_its_connection expected that a response without any progress keeps its connection for ever, which is the fault. It now records progress just before each limit, and checks the limit to the millisecond; two more tests check the deadline.

--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -50,7 +50,9 @@
         max_body_bytes,
     } = examined;
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
-    let body = read_body(body, max_body_bytes, deadline.latest()).await;
+    let latest_deadline = deadline.latest();
+    connection.activity().record_deadline(latest_deadline);
+    let body = read_body(body, max_body_bytes, latest_deadline).await;
     let body = body.map_err(|kind| {
         connection.leave_body_unread();
         refuse(kind)
--- a/crates/cuminlb-gateway/src/serving/caller_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/caller_stream.rs
@@ -26,6 +26,15 @@
     pub(super) fn into_inner(self) -> TcpStream {
         self.stream
     }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let mut activity = self.connection.activity();
+        if let Poll::Ready(Ok(1..)) = written {
+            activity.record_progress(Instant::now());
+        } else {
+            activity.record_sending(Instant::now());
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -49,8 +58,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.connection.activity().record_sending();
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -58,8 +68,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.connection.activity().record_sending();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/cuminlb-gateway/src/serving/serve_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -92,5 +92,6 @@
             idle_timeout
         },
         head_timeout: bounds.head_timeout_ms.duration(),
+        send_timeout: idle_timeout,
     }
 }
--- a/crates/cuminlb-routing/src/connection_activity.rs
+++ b/crates/cuminlb-routing/src/connection_activity.rs
@@ -1,91 +1,88 @@
 //! What happens on a caller's connection, and until when it stays open.
 
-use std::time::Duration;
-
 use tokio::time::Instant;
 
-/// How long a caller's connection may wait.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionLimits {
-    /// The time after which an idle connection is closed.
-    pub idle_timeout: Duration,
-    /// The time within which the head of a request must be received completely.
-    pub head_timeout: Duration,
-}
-
-/// What a connection waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// The next request.
-    Idle { since: Instant },
-    /// The rest of the head of a request.
-    Head { since: Instant },
-    /// The response to a request.
-    Request,
-}
+use crate::connection_limits::ConnectionLimits;
+use crate::connection_phase::ConnectionPhase;
 
 /// What happens on a caller's connection.
 ///
 /// The limits are arguments, since a connection follows those of the newest catalog.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionActivity {
-    phase: Phase,
-    /// Whether a part of a response has not been sent yet.
-    has_unsent_bytes: bool,
+    phase: ConnectionPhase,
+    /// The deadline of the last request, once it is known.
+    deadline: Option<Instant>,
+    /// When a response last made progress of which a part has not been sent yet.
+    sending_since: Option<Instant>,
 }
 
 impl ConnectionActivity {
     /// Returns the activity of a connection that was just accepted.
     pub const fn new(now: Instant) -> Self {
         Self {
-            phase: Phase::Idle { since: now },
-            has_unsent_bytes: false,
+            phase: ConnectionPhase::Idle { since: now },
+            deadline: None,
+            sending_since: None,
         }
     }
 
     /// Records that bytes of the caller were received.
     pub const fn record_received(&mut self, now: Instant) {
-        if let Phase::Idle { .. } = self.phase {
-            self.phase = Phase::Head { since: now };
+        if let ConnectionPhase::Idle { .. } = self.phase {
+            self.phase = ConnectionPhase::Head { since: now };
         }
     }
 
     /// Records that the head of a request is complete.
     pub const fn start_request(&mut self) {
-        self.phase = Phase::Request;
+        self.phase = ConnectionPhase::Request;
+        self.deadline = None;
+    }
+
+    /// Records the deadline of the request.
+    pub const fn record_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
     }
 
     /// Records that the response to the request is complete, or that the request has ended without.
     pub const fn end_request(&mut self, now: Instant) {
-        self.phase = Phase::Idle { since: now };
+        self.phase = ConnectionPhase::Idle { since: now };
     }
 
     /// Records that bytes of a response are to be sent.
-    pub const fn record_sending(&mut self) {
-        self.has_unsent_bytes = true;
+    pub const fn record_sending(&mut self, now: Instant) {
+        if self.sending_since.is_none() {
+            self.sending_since = Some(now);
+        }
+    }
+
+    /// Records that a part of a response has been sent.
+    pub const fn record_progress(&mut self, now: Instant) {
+        self.sending_since = Some(now);
     }
 
     /// Records that all bytes of responses have been sent.
     pub const fn record_sent(&mut self, now: Instant) {
-        if !self.has_unsent_bytes {
+        if self.sending_since.take().is_none() {
             return;
         }
-        self.has_unsent_bytes = false;
-        if let Phase::Idle { since } = &mut self.phase {
+        if let ConnectionPhase::Idle { since } = &mut self.phase {
             *since = now;
         }
     }
 
     /// Returns when the connection is closed unless something happens before; `None` while a request
-    /// is in progress or a response is being sent.
+    /// is in progress of whose response everything so far has been sent.
     pub fn expires_at(&self, limits: ConnectionLimits) -> Option<Instant> {
-        if self.has_unsent_bytes {
-            return None;
+        if let Some(since) = self.sending_since {
+            let since = self.deadline.map_or(since, |deadline| deadline.max(since));
+            return Some(since + limits.send_timeout);
         }
         match self.phase {
-            Phase::Idle { since } => Some(since + limits.idle_timeout),
-            Phase::Head { since } => Some(since + limits.head_timeout),
-            Phase::Request => None,
+            ConnectionPhase::Idle { since } => Some(since + limits.idle_timeout),
+            ConnectionPhase::Head { since } => Some(since + limits.head_timeout),
+            ConnectionPhase::Request => None,
         }
     }
 }
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -11,6 +11,8 @@
 mod claim;
 mod cold_allowance;
 mod connection_activity;
+mod connection_limits;
+mod connection_phase;
 mod crashes;
 mod quarantine;
 mod refusal;
@@ -30,7 +32,8 @@
     resolve_duplicate,
 };
 pub use crate::cold_allowance::cold_allowance;
-pub use crate::connection_activity::{ConnectionActivity, ConnectionLimits};
+pub use crate::connection_activity::ConnectionActivity;
+pub use crate::connection_limits::ConnectionLimits;
 pub use crate::crashes::{
     CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod native_silence;
 mod native_site;
 mod native_stops;
+mod native_unread_responses;
 mod outage;
 mod pages;
 mod plan_faults;
