Let an instance be checked again after its check has panicked

What callers saw: nothing so far. If the task of a check panicked, its key stayed among the running checks, so that the instance was never checked again by this node: requests went on being sent to it after a crash.

Cause: the key was removed only after is_alive had returned.

A guard now holds the key; the check ends when it is finished or dropped, also by a panic or when the task is cancelled.

Not shown by a test: no input is known that makes a check panic.

--- a/crates/cuminlb-gateway/src/serving/check_instance.rs
+++ b/crates/cuminlb-gateway/src/serving/check_instance.rs
@@ -11,6 +11,7 @@
 use super::probe_group::{holds_seat, probe_member};
 use super::request_stage::RequestStage;
 use super::running_check::RunningCheck;
+use super::running_check_guard::RunningCheckGuard;
 use super::target::Target;
 use crate::gateway::Gateway;
 
@@ -42,10 +43,10 @@
         );
         let gateway = Arc::clone(self);
         let target = target.clone();
+        let guard = RunningCheckGuard::new(Arc::clone(self), key);
         self.background_tasks.spawn(async move {
             let is_alive = gateway.is_alive(&target).await;
-            let check = gateway.instance_checks.running().remove(&key);
-            if let Some(check) = check.filter(|_| !is_alive) {
+            if let Some(check) = guard.finish().filter(|_| !is_alive) {
                 gateway.handle_crash(&target, check).await;
             }
         });
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -44,6 +44,7 @@
 mod run_plain;
 mod run_stream;
 mod running_check;
+mod running_check_guard;
 mod serve_callers;
 mod serve_connection;
 mod serve_ready;
