Accept callers that wait at a stop after a failure too

What callers saw: when a node stopped that had no free files, or when one of the callers in the queue had already left, the connections behind that in the queue were reset, with their requests unanswered.

It is bounded by 500 ms.

An aborted connection in the queue is not shown by a test.

--- a/crates/cuminlb-gateway/src/accept_connections.rs
+++ b/crates/cuminlb-gateway/src/accept_connections.rs
@@ -1,18 +1,21 @@
 //! The accept loop that the servers of a node share.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use log::{error, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinSet, unconstrained, yield_now};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// The pause after a failure, such as a lack of file descriptors, which lasts for a while.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long the connections that are established at a stop are accepted.
+const SWEEP_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Accepts connections until `stop` is cancelled and serves each in its own task; returns the tasks
 /// that are still running.
 ///
@@ -41,17 +44,28 @@
             Ok((stream, _)) => {
                 connections.spawn(serve(stream));
             }
-            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
-            Err(error) => {
-                warn!("failed to accept a connection: {error}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Err(error) => retry_after(&error).await,
         }
     }
     // The sockets of connections that wait are reported as ready only after a turn of the runtime.
     yield_now().await;
-    while let Some(Ok((stream, _))) = unconstrained(listener.accept()).now_or_never() {
-        connections.spawn(serve(stream));
+    let sweep_end = Instant::now() + SWEEP_TIMEOUT;
+    while Instant::now() < sweep_end {
+        match unconstrained(listener.accept()).now_or_never() {
+            Some(Ok((stream, _))) => {
+                connections.spawn(serve(stream));
+            }
+            Some(Err(error)) => retry_after(&error).await,
+            None => break,
+        }
     }
     connections
 }
+
+/// Waits until another connection may be accepted after a failure.
+async fn retry_after(error: &io::Error) {
+    if error.kind() != ErrorKind::ConnectionAborted {
+        warn!("failed to accept a connection: {error}");
+        sleep(ACCEPT_RETRY_DELAY).await;
+    }
+}
--- a/tests/testsuite/native_file_limit.rs
+++ b/tests/testsuite/native_file_limit.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::native_site::{LOOKUP_PATH, NativeSite};
-use crate::raw_caller::RawCaller;
+use crate::raw_caller::{RawCaller, request_head};
 
 /// The processing time of a plain request, on which no test here depends.
 const SHORT_WORK: Duration = Duration::from_millis(5);
@@ -63,3 +64,27 @@
         assert_eq!(response.map(|response| response.status), Some(200));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_wait_at_the_stop_of_a_node_without_free_files_are_answered() {
+    let mut site = NativeSite::start(1, 2, SHORT_WORK).await;
+    site.nodes[0].process.kill().await;
+    site.restart_node_with_file_limit(0, FILE_LIMIT);
+    site.wait_serving().await;
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        callers.push(RawCaller::connect(&site.nodes[0]).await);
+    }
+    sleep(OBSERVATION).await;
+    let mut waiting = callers.split_off(CALLERS / 2 + CALLERS / 4);
+    for (number, caller) in waiting.iter_mut().enumerate() {
+        let head = request_head("GET", LOOKUP_PATH, &format!("s{number}"), "\r\n");
+        caller.write(head).await.unwrap();
+    }
+    site.nodes[0].process.signal(Signal::SIGTERM);
+    let mut answered = 0;
+    for caller in &mut waiting {
+        answered += usize::from(caller.read_response().await.is_some());
+    }
+    assert_eq!(answered, waiting.len(), "{}", site.nodes[0].process.log());
+}
