Send nothing new to instances that say that they leave

Cause: nothing read the header by which an instance states in all its answers that it leaves. A node kept choosing it by its entry.

Change: platform/ decodes the header into a field of ResponseHead, InstanceReport and OrderResponse (new: what an order returns, besides its outcome). 421 comes from another instance and states nothing. LeavingInstances (cuminlb-replica) keeps the statements by id and incarnation, until another incarnation starts or the entry has been gone for 120 s. The node's directory treats the entry as leaving from then on, so that choice of targets, groups and the leader's plans follow the path of a draining entry. A node that has it from a head tells the leader by a suspicion notice; the leader probes the group, and its probe carries the statement.

Ported onto the entries of instances in cuminlb-replica: a statement counts like an entry that says draining, and LeavingInstances remembers both, in place of the flag that DepartedInstances kept of drained entries. An entry that a restored store goes on listing for long is used again, as before. The probes are those that tell silence from failure. The worker of these tests is AnsweringWorker, beside the ScriptedWorker of the tests of silence.

Why it works: the directory is replaced under the lock before the response is used, and each choice reads the directory anew.

--- a/crates/cuminlb-assembly/tests/assembly/probe_series.rs
+++ b/crates/cuminlb-assembly/tests/assembly/probe_series.rs
@@ -36,6 +36,7 @@
     ProbeResponse::Report(InstanceReport {
         incarnation: Incarnation(1),
         orders: OrderSequence(0),
+        is_leaving: false,
         is_busy: false,
         waiting: 0,
         running: 0,
--- a/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
+++ b/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
@@ -142,6 +142,7 @@
         let report = InstanceReport {
             incarnation: Incarnation(engine.incarnation),
             orders: OrderSequence(0),
+            is_leaving: false,
             is_busy: false,
             waiting: 0,
             running: 0,
--- a/crates/cuminlb-catalog/src/instance_report.rs
+++ b/crates/cuminlb-catalog/src/instance_report.rs
@@ -11,6 +11,8 @@
     pub incarnation: Incarnation,
     /// The number of orders that it has begun in this incarnation.
     pub orders: OrderSequence,
+    /// Whether it states that it leaves.
+    pub is_leaving: bool,
     /// Whether it is executing an order.
     pub is_busy: bool,
     /// The number of requests waiting.
--- a/crates/cuminlb-catalog/src/response_head.rs
+++ b/crates/cuminlb-catalog/src/response_head.rs
@@ -15,6 +15,8 @@
     pub is_not_executed: bool,
     /// Whether the address belongs to another instance than the request was meant for.
     pub is_other_instance: bool,
+    /// Whether the instance states that it leaves, so that nothing more should be sent to it.
+    pub is_leaving: bool,
     /// Whether the body was modified in transit, by a content encoding.
     pub is_encoded: bool,
     /// Whether the body is a stream of events.
--- a/crates/cuminlb-gateway/src/knowledge/knowledge.rs
+++ b/crates/cuminlb-gateway/src/knowledge/knowledge.rs
@@ -77,6 +77,19 @@
         }
     }
 
+    /// Records that an incarnation of an instance has stated that it leaves, whatever its entry says.
+    /// Returns whether that is news.
+    pub(crate) fn record_leaving(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
+        let now = Instant::now();
+        let mut records = self.records();
+        let is_news = records.instances.record_leaving(id, incarnation, now);
+        if is_news {
+            info!(instance:% = id, incarnation:% = incarnation; "instance states that it leaves");
+            self.publish(&records, now);
+        }
+        is_news
+    }
+
     fn apply(
         &self,
         table: StoreTable,
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -172,17 +172,21 @@
         };
         self.gateway.metrics.orders.inc();
         let service = entry.service.clone();
-        let address = entry.address;
-        let control = Arc::clone(&self.gateway.edges.instances);
+        let (address, incarnation) = (entry.address, entry.incarnation);
+        let gateway = Arc::clone(&self.gateway);
         self.orders.spawn(async move {
-            let outcome = control
+            let control = &gateway.edges.instances;
+            let response = control
                 .order(address, &instance, &order, ORDER_TIMEOUT_MS)
                 .await;
+            if response.is_leaving {
+                gateway.knowledge.record_leaving(&instance, incarnation);
+            }
             OrderReport {
                 service,
                 instance,
                 order,
-                outcome,
+                response,
             }
         });
     }
@@ -190,14 +194,15 @@
     fn handle_order_report(&mut self, report: &OrderReport) {
         info!(
             instance:% = report.instance, order = report.order.name(), details:? = report.order,
-            outcome:? = report.outcome;
+            outcome:? = report.response.outcome;
             "order given"
         );
         let now = Instant::now();
         let Some(assembler) = self.assemblers.get_mut(&report.service) else {
             return;
         };
-        if assembler.record_outcome(&report.instance, &report.order, report.outcome, now) {
+        let outcome = report.response.outcome;
+        if assembler.record_outcome(&report.instance, &report.order, outcome, now) {
             let directory = self.gateway.knowledge.directory();
             if let Some(entry) = directory.find_instance(&report.instance) {
                 self.probe(entry, PROBE_PERIOD, MAX_PROBE_FAILURES, now);
@@ -252,15 +257,14 @@
             return;
         }
         self.probed_at.insert(entry.id.clone(), now);
-        let control = Arc::clone(&self.gateway.edges.instances);
-        let service = entry.service.clone();
-        let instance = entry.id.clone();
-        let address = entry.address;
+        let gateway = Arc::clone(&self.gateway);
+        let entry = entry.clone();
         self.probes.spawn(async move {
+            let report = probe_instance(&gateway, &entry, max_failures).await;
             ProbeReport {
-                service,
-                instance,
-                report: probe_instance(control.as_ref(), address, max_failures).await,
+                service: entry.service,
+                instance: entry.id,
+                report,
             }
         });
     }
--- a/crates/cuminlb-gateway/src/leading/order_report.rs
+++ b/crates/cuminlb-gateway/src/leading/order_report.rs
@@ -1,6 +1,6 @@
 //! The result of an order that the leader sent.
 
-use cuminlb_catalog::{GroupOrder, OrderOutcome};
+use cuminlb_catalog::{GroupOrder, OrderResponse};
 use cuminlb_types::prelude::*;
 
 /// The result of an order of the leader.
@@ -12,6 +12,6 @@
     pub(super) instance: InstanceId,
     /// The order.
     pub(super) order: GroupOrder,
-    /// The outcome.
-    pub(super) outcome: OrderOutcome,
+    /// The response of the instance.
+    pub(super) response: OrderResponse,
 }
--- a/crates/cuminlb-gateway/src/leading/probe_instance.rs
+++ b/crates/cuminlb-gateway/src/leading/probe_instance.rs
@@ -1,28 +1,31 @@
 //! Probes an instance until it is known whether it is lost.
 
-use std::net::SocketAddr;
-
 use cuminlb_assembly::{ProbeSeries, ProbeVerdict};
-use cuminlb_catalog::{InstanceControl, InstanceReport};
+use cuminlb_catalog::{InstanceEntry, InstanceReport};
 use cuminlb_types::prelude::*;
 use tokio::time::{Instant, sleep};
 
+use crate::gateway::Gateway;
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT_MS: Millis = Millis(110);
 
-/// Probes an instance until it responds or is lost, which `max_failures` failed probes show; `None`
-/// if it is lost.
+/// Probes an instance until it responds or is lost, which `max_failures` failed probes show, and
+/// records whether it states that it leaves; `None` if it is lost.
 pub(super) async fn probe_instance(
-    control: &dyn InstanceControl,
-    address: SocketAddr,
+    gateway: &Gateway,
+    entry: &InstanceEntry,
     max_failures: u32,
 ) -> Option<InstanceReport> {
+    let control = &gateway.edges.instances;
     let mut series = ProbeSeries::new(max_failures, Instant::now());
-    loop {
-        let response = control.probe(address, PROBE_TIMEOUT_MS).await;
+    let report = loop {
+        let response = control.probe(entry.address, PROBE_TIMEOUT_MS).await;
         match series.record(&response, Instant::now()) {
-            ProbeVerdict::Responding | ProbeVerdict::Lost => return response.into_report(),
+            ProbeVerdict::Responding | ProbeVerdict::Lost => break response.into_report()?,
             ProbeVerdict::ProbeAgain { delay } => sleep(delay).await,
         }
-    }
+    };
+    gateway.record_report(entry, &report);
+    Some(report)
 }
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -80,6 +80,7 @@
             }
             targets.push(Target {
                 instance: head.id.clone(),
+                incarnation: head.incarnation,
                 address: head.address,
                 group: Some((group.group.clone(), group.epoch)),
             });
@@ -140,6 +141,7 @@
         })?;
         Some(Target {
             instance: chosen.id.clone(),
+            incarnation: chosen.incarnation,
             address: chosen.address,
             group: None,
         })
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -34,6 +34,7 @@
 mod probe_group;
 mod quarantine;
 mod read_body;
+mod record_leaving;
 mod refusal_response;
 mod request_deadline;
 mod request_guard;
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -1,5 +1,7 @@
 //! One attempt to run a request whose response is not a stream.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use cuminlb_catalog::{Forwarding, ResponseHead};
 use cuminlb_routing::request_urgency;
@@ -20,7 +22,7 @@
 
 /// Sends a request to an instance and returns its complete response.
 pub(super) async fn plain_exchange(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &AdmittedRequest,
     target: &Target,
 ) -> Result<(ResponseHead, Response<ResponseBody>), AttemptFailure> {
@@ -41,6 +43,7 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = wire.read_response(&parts);
+    gateway.record_leaving(target, &head);
     if head
         .request
         .as_ref()
--- a/crates/cuminlb-gateway/src/serving/probe_group.rs
+++ b/crates/cuminlb-gateway/src/serving/probe_group.rs
@@ -57,6 +57,7 @@
         let control = &gateway.edges.instances;
         let response = control.probe(entry.address, PROBE_TIMEOUT_MS).await;
         if let ProbeResponse::Report(report) = response {
+            gateway.record_report(entry, &report);
             return Some(report);
         }
     }
--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -152,7 +152,14 @@
             AttemptStage::Waiting(response) => {
                 let (connection, response) = response.await;
                 let response = response.map_err(from_send_failure)?;
-                let head = read_head(gateway, request, &self.in_flight, connection, response)?;
+                let head = read_head(
+                    gateway,
+                    request,
+                    &self.target,
+                    &self.in_flight,
+                    connection,
+                    response,
+                )?;
                 Ok(self.continue_after(head))
             }
             AttemptStage::ReadingResponse(response) => {
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -1,5 +1,7 @@
 //! The head of the response to a request for an event stream.
 
+use std::sync::Arc;
+
 use cuminlb_upstream::EventDecoder;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Response, StatusCode, response};
@@ -13,6 +15,7 @@
 use super::in_flight_guard::InFlightGuard;
 use super::response_body::{ResponseBody, full_body};
 use super::stream_source::StreamSource;
+use super::target::Target;
 use crate::gateway::Gateway;
 use crate::upstream::{Connection, ConnectionDeadline};
 
@@ -34,8 +37,9 @@
 /// Returns [`AttemptFailure`] if the instance refused the request, or if the response is not the
 /// instance's response to this request.
 pub(super) fn read_head(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &AdmittedRequest,
+    target: &Target,
     in_flight: &InFlightGuard,
     connection: Connection,
     response: Response<Incoming>,
@@ -43,6 +47,7 @@
     let (parts, body) = response.into_parts();
     let wire = gateway.edges.wire.as_ref();
     let head = wire.read_response(&parts);
+    gateway.record_leaving(target, &head);
     if head
         .request
         .as_ref()
--- a/crates/cuminlb-gateway/src/serving/target.rs
+++ b/crates/cuminlb-gateway/src/serving/target.rs
@@ -9,6 +9,8 @@
 pub(super) struct Target {
     /// The instance.
     pub(super) instance: InstanceId,
+    /// The incarnation of its process.
+    pub(super) incarnation: Incarnation,
     /// The address that it listens on.
     pub(super) address: SocketAddr,
     /// The group of which it is the head, and the epoch of the group.
--- a/crates/cuminlb-gateway/tests/panics.rs
+++ b/crates/cuminlb-gateway/tests/panics.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use cuminlb_catalog::{
     DesiredRow, Forwarding, GroupOrder, InstanceControl, InstanceEntry, MalformedRequest,
-    MalformedRow, OrderOutcome, ProbeResponse, RequestHead, ResponseHead, RowChangeSet, RowStore,
+    MalformedRow, OrderResponse, ProbeResponse, RequestHead, ResponseHead, RowChangeSet, RowStore,
     SharedRow, StoreError, StoreTable, WireFormat, WriteOutcome,
 };
 use cuminlb_config::GatewaySettings;
@@ -79,7 +79,7 @@
         _: &InstanceId,
         _: &GroupOrder,
         _: Millis,
-    ) -> OrderOutcome {
+    ) -> OrderResponse {
         panic!("there are no instances")
     }
 
--- a/crates/cuminlb-replica/src/lib.rs
+++ b/crates/cuminlb-replica/src/lib.rs
@@ -45,7 +45,9 @@
 pub use crate::node_capacity::NodeCapacity;
 pub use crate::node_row::NodeRow;
 pub use crate::pending_value::PendingValue;
-pub use crate::records::{CatalogOrigin, InstanceRecords, NodeRecords, ZoneRecords};
+pub use crate::records::{
+    CatalogOrigin, InstanceRecords, LeavingInstances, NodeRecords, ZoneRecords,
+};
 pub use crate::relay_lane::RelayLane;
 pub use crate::relay_peers::RelayPeers;
 pub use crate::relay_ranking::RelayRanking;
--- a/crates/cuminlb-replica/src/records/departed_instances.rs
+++ b/crates/cuminlb-replica/src/records/departed_instances.rs
@@ -16,7 +16,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     incarnation: Incarnation,
-    has_drained: bool,
     known_until: Instant,
 }
 
@@ -27,17 +26,10 @@
 }
 
 impl DepartedInstances {
-    /// Records that an instance has left, after draining or without.
-    pub(super) fn record(
-        &mut self,
-        id: InstanceId,
-        incarnation: Incarnation,
-        has_drained: bool,
-        now: Instant,
-    ) {
+    /// Records that an instance has left.
+    pub(super) fn record(&mut self, id: InstanceId, incarnation: Incarnation, now: Instant) {
         let departure = Departure {
             incarnation,
-            has_drained,
             known_until: now + RETENTION,
         };
         self.departures.insert(id, departure);
@@ -49,14 +41,6 @@
         }
     }
 
-    /// Returns whether an incarnation of an instance has drained. Instances that state no start
-    /// can't be told apart from their next incarnation.
-    pub(super) fn has_drained(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
-        let departure = self.departures.get(id);
-        incarnation != Incarnation(0)
-            && departure.is_some_and(|it| it.has_drained && it.incarnation == incarnation)
-    }
-
     /// Returns until when an incarnation of an instance is known to have left, if it is.
     pub(super) fn known_until(&self, id: &InstanceId, incarnation: Incarnation) -> Option<Instant> {
         let departure = self.departures.get(id)?;
--- a/crates/cuminlb-replica/src/records/instance_records.rs
+++ b/crates/cuminlb-replica/src/records/instance_records.rs
@@ -8,7 +8,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-use super::DepartedInstances;
+use super::{DepartedInstances, LeavingInstances};
 
 /// How long an entry that vanished shortly after a failure of the store is still used. The store
 /// removes the entries of instances whose heartbeats it could not receive, and the instances that
@@ -40,6 +40,8 @@
     /// Entries that vanished, with the time until which they are kept as members of their groups.
     unlisted: BTreeMap<InstanceId, Instant>,
     departed: DepartedInstances,
+    /// The incarnations that leave, as their entries or they themselves have said.
+    leaving: LeavingInstances,
     /// Entries of the copy that the store was restored from whose instances are known to have left.
     withheld: BTreeMap<InstanceId, WithheldEntry>,
     store_failed_at: Option<Instant>,
@@ -56,7 +58,11 @@
     ///
     /// An instance that drains is never ready again in the same incarnation.
     pub fn put(&mut self, mut entry: InstanceEntry, now: Instant) -> bool {
-        entry.is_leaving |= self.has_drained(&entry);
+        // An instance without a start can't be told apart from its next incarnation.
+        if entry.is_leaving && entry.incarnation != Incarnation(0) {
+            self.leaving.record(&entry.id, entry.incarnation, now);
+        }
+        entry.is_leaving |= self.leaving.contains(&entry.id, entry.incarnation);
         self.lapsed.remove(&entry.id);
         self.withheld.remove(&entry.id);
         let was_unlisted = self.unlisted.remove(&entry.id).is_some();
@@ -74,6 +80,24 @@
         !is_same || was_unlisted
     }
 
+    /// Records that an incarnation of an instance has stated that it leaves, whatever its entry says.
+    /// Returns whether that is news about an entry.
+    pub fn record_leaving(
+        &mut self,
+        id: &InstanceId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> bool {
+        self.leaving.record(id, incarnation, now);
+        let entry = self.entries.get_mut(id);
+        let entry = entry.filter(|it| it.incarnation == incarnation && !it.is_leaving);
+        let is_news = entry.is_some();
+        if let Some(entry) = entry {
+            Arc::make_mut(entry).is_leaving = true;
+        }
+        is_news
+    }
+
     /// Handles the removal of an entry from the store.
     pub fn remove(&mut self, id: &InstanceId, now: Instant) {
         let is_recent = |at: Instant| now.duration_since(at) < LAPSE_WINDOW;
@@ -140,10 +164,16 @@
             self.depart(id, now);
         }
         self.departed.remove_expired(now);
+        let is_listed = |id: &InstanceId, incarnation| {
+            let entry = self.entries.get(id);
+            entry.is_some_and(|entry| entry.incarnation == incarnation)
+        };
+        self.leaving.remove_expired(is_listed, now);
         let listed_long = take_expired(&mut self.withheld, now, |withheld| withheld.until);
         let is_changed =
             !(expired_lapsed.is_empty() && expired_unlisted.is_empty() && listed_long.is_empty());
-        for (_, withheld) in listed_long {
+        for (id, withheld) in listed_long {
+            self.leaving.remove(&id);
             self.put(withheld.entry, now);
         }
         is_changed
@@ -165,16 +195,6 @@
         cold.map(|(id, until)| (id.clone(), *until)).collect()
     }
 
-    /// Returns whether the incarnation that wrote an entry is known to drain or to have drained.
-    fn has_drained(&self, entry: &InstanceEntry) -> bool {
-        let drains = self.entries.get(&entry.id).is_some_and(|known| {
-            known.is_leaving
-                && known.incarnation == entry.incarnation
-                && entry.incarnation != Incarnation(0)
-        });
-        drains || self.departed.has_drained(&entry.id, entry.incarnation)
-    }
-
     /// Returns until when an entry of a copy is not used, because the instance is known to have
     /// vanished or left since.
     fn withheld_until(&self, entry: &InstanceEntry, now: Instant) -> Option<Instant> {
@@ -193,8 +213,10 @@
         self.lapsed.remove(id);
         self.unlisted.remove(id);
         if let Some(entry) = self.entries.remove(id) {
-            self.departed
-                .record(id.clone(), entry.incarnation, entry.is_leaving, now);
+            self.departed.record(id.clone(), entry.incarnation, now);
+            if entry.incarnation == Incarnation(0) {
+                self.leaving.remove(id);
+            }
         }
     }
 }
--- a/crates/cuminlb-replica/tests/records/main.rs
+++ b/crates/cuminlb-replica/tests/records/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod draining;
+mod leaving_instances;
 mod restored_instances;
 mod restored_orders;
 mod support;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,8 @@
 )]
 
 mod admission;
+mod answering_site;
+mod answering_worker;
 mod at_most_once;
 mod claim_properties;
 mod claim_world;
@@ -30,6 +32,7 @@
 mod native_feeds;
 mod native_file_limit;
 mod native_groups;
+mod native_leaving;
 mod native_observation;
 mod native_operation;
 mod native_path;
--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -61,6 +61,15 @@
             .map(|engine| engine.id().to_owned())
     }
 
+    /// Returns the ids of the heads that serve.
+    pub fn open_heads(&self) -> Vec<String> {
+        let is_open = |engine: &Arc<Engine>| {
+            engine.is_alive() && engine.seat().is_some_and(|seat| seat.2 == "open")
+        };
+        let open = self.engines().filter(is_open);
+        open.map(|engine| engine.id().to_owned()).collect()
+    }
+
     /// Returns the id of a member of `head`'s group other than `head`.
     pub fn other_member(&self, head: &str) -> String {
         let seat = self.fleet.engine(head).unwrap().seat().unwrap();
