Leave instances alone for as long as their refusals state

Callers would have seen requests spent on instances that had said when they want some again: each was asked again 0.3 s after its refusal (at once if it was the only one), refused again, and the caller came back after 0.15 s to hear the same.

Cause: Retry-After of an instance's refusal was decoded but read by nobody.

Change: RetryTimes (cuminlb-routing) keeps until when each instance wants nothing; Unavailability and WaitDecision decide whether a request that only such instances could serve waits (up to 0.8 of its target latency) or is refused at once, and what its caller is told. choose_target asks them for first attempts and retries alike. Refusals without a time keep the 0.3 s preference. 429 counts like 503.

Ported onto attempts that are open side by side: StreamHead and plain_exchange record the time; a request waits or is refused at once only when no attempt is open and none may start (run_stream, and run_plain by the Unavailability that PlainAttempts keeps).

Why it works: an instance is not eligible before its time, whoever chooses; the time starts when the refusal is read, so it ends after the instance's own. The caller's delay is the earliest end and 0 to 1 s (2 s for long times) more, so that the callers of one moment come back spread.

--- a/crates/cuminlb-catalog/src/response_head.rs
+++ b/crates/cuminlb-catalog/src/response_head.rs
@@ -28,3 +28,11 @@
     /// The delay after which the instance allows the request to be sent again.
     pub retry_after_ms: Option<Millis>,
 }
+
+impl ResponseHead {
+    /// Returns for how long the instance wants no requests, if the response refuses one and says so.
+    pub fn refusal_delay(&self) -> Option<Millis> {
+        self.retry_after_ms
+            .filter(|_| matches!(self.status, 429 | 503))
+    }
+}
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use cuminlb_catalog::{CallerBounds, StoreTable};
 use cuminlb_config::GatewaySettings;
 use cuminlb_replica::{FollowTiming, Follower, Replica, RowSink};
-use cuminlb_routing::{CrashBoard, LoadBoard};
+use cuminlb_routing::{CrashBoard, LoadBoard, RetryTimes};
 use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -34,6 +34,8 @@
     pub(crate) group_checks: GroupChecks,
     pub(crate) instance_checks: InstanceChecks,
     pub(crate) loads: LoadTracker,
+    /// Until when instances want no requests.
+    pub(crate) retry_times: RetryTimes,
     /// The load of the other nodes.
     pub(crate) load_board: LoadBoard,
     /// The crashes of instances that all nodes have seen.
@@ -77,6 +79,7 @@
             group_checks: GroupChecks::default(),
             instance_checks: InstanceChecks::default(),
             loads: LoadTracker::default(),
+            retry_times: RetryTimes::default(),
             load_board: LoadBoard::default(),
             crash_board: CrashBoard::default(),
             budgets: RetryBudgets::default(),
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -149,6 +149,7 @@
         gateway.knowledge.remove_expired(now);
         gateway.pool.close_expired(now);
         gateway.crash_board.remove_expired(now);
+        gateway.retry_times.remove_expired(now);
         let directory = gateway.knowledge.directory();
         gateway
             .loads
--- a/crates/cuminlb-gateway/src/serving/admitted_request.rs
+++ b/crates/cuminlb-gateway/src/serving/admitted_request.rs
@@ -11,6 +11,9 @@
 
 use super::request_deadline::RequestDeadline;
 
+/// Fraction of the target latency for which a request may wait for an instance.
+const USEFUL_WAIT_FRACTION: f64 = 0.8;
+
 /// A caller's request that was admitted.
 #[derive(Clone, Debug)]
 pub(super) struct AdmittedRequest {
@@ -37,6 +40,14 @@
 }
 
 impl AdmittedRequest {
+    /// Returns until when the request may wait for an instance and still be answered, or begin to
+    /// be, within the target latency.
+    pub(super) fn useful_wait_until(&self) -> Instant {
+        let target_latency = self.route.target_latency_ms.duration();
+        let until = self.received_at + target_latency.mul_f64(USEFUL_WAIT_FRACTION);
+        until.min(self.deadline.latest())
+    }
+
     /// Returns the time that remains until the deadline.
     pub(super) fn remaining_ms(&self, now: Instant) -> Millis {
         let deadline = self.deadline.latest();
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -4,7 +4,7 @@
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::{EngineSpec, InstanceEntry, UpstreamService};
-use cuminlb_routing::{GroupCandidate, GroupChooser, cold_allowance};
+use cuminlb_routing::{GroupCandidate, GroupChooser, Unavailability, cold_allowance};
 use cuminlb_types::prelude::*;
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
@@ -21,15 +21,35 @@
 /// more than its stated rate for a second.
 const COLD_RATE_FACTOR: f64 = 1.2;
 
-/// Chooses the instance for the next attempt of a request; `tried` are the instances that it has
-/// already been sent to.
+/// Chooses the instance for the next attempt of a request like [`select_target`]; `None` if no
+/// instance can take the request now.
 pub(super) fn choose_target(
     gateway: &Gateway,
     request: &AdmittedRequest,
     tried: &[InstanceId],
 ) -> Option<Target> {
-    let catalog = gateway.knowledge.catalog()?;
-    let service = catalog.services.get(&request.service)?;
+    select_target(gateway, request, tried).ok()
+}
+
+/// Chooses the instance for the next attempt of a request; `tried` are the instances that it has
+/// already been sent to.
+///
+/// # Errors
+///
+/// Returns [`Unavailability`] if no instance can take the request now.
+pub(super) fn select_target(
+    gateway: &Gateway,
+    request: &AdmittedRequest,
+    tried: &[InstanceId],
+) -> Result<Target, Unavailability> {
+    let catalog = gateway.knowledge.catalog();
+    let service = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.services.get(&request.service));
+    let Some(service) = service else {
+        return Err(Unavailability::default());
+    };
+    let mut unavailability = Unavailability::default();
     let selector = TargetSelector {
         gateway,
         directory: gateway.knowledge.directory(),
@@ -38,10 +58,11 @@
         tried,
         now: Instant::now(),
     };
-    match (&service.engine, &request.head.model) {
-        (Some(engine), Some(model)) => selector.choose_group(engine, model),
-        _ => selector.choose_instance(),
-    }
+    let target = match (&service.engine, &request.head.model) {
+        (Some(engine), Some(model)) => selector.choose_group(engine, model, &mut unavailability),
+        _ => selector.choose_instance(&mut unavailability),
+    };
+    target.ok_or(unavailability)
 }
 
 /// The inputs of one choice.
@@ -56,13 +77,18 @@
 
 impl TargetSelector<'_> {
     /// Chooses the head of a group that serves a model.
-    fn choose_group(&self, engine: &EngineSpec, model: &ModelId) -> Option<Target> {
+    fn choose_group(
+        &self,
+        engine: &EngineSpec,
+        model: &ModelId,
+        unavailability: &mut Unavailability,
+    ) -> Option<Target> {
         let groups = self.directory.groups.get(&self.service.id)?;
         let mut targets = Vec::new();
         let mut choices = Vec::new();
         let mut fallback_choices = Vec::new();
         for group in groups.iter().filter(|group| group.shape.id == *model) {
-            let Some(head) = self.eligible_head(group) else {
+            let Some(head) = self.available_head(group, unavailability) else {
                 continue;
             };
             let load = self.gateway.loads.load(&head.id);
@@ -106,8 +132,12 @@
         }
     }
 
-    /// Returns the head of a group if the request may be sent to it.
-    fn eligible_head(&self, group: &GroupView) -> Option<&InstanceEntry> {
+    /// Returns the head of a group if the request may be sent to it now.
+    fn available_head(
+        &self,
+        group: &GroupView,
+        unavailability: &mut Unavailability,
+    ) -> Option<&InstanceEntry> {
         let (head, _) = group.head()?;
         let entry = self.directory.instance(&self.service.id, head)?;
         let is_staying = |id: &InstanceId| {
@@ -119,15 +149,16 @@
             load.is_suspected(group.epoch, self.now)
         };
         let may_serve = group.is_serving() && group.present().all(is_staying);
-        (may_serve && self.is_eligible(entry) && !is_suspected()).then_some(entry)
+        let is_available = may_serve && !is_suspected() && self.is_available(entry, unavailability);
+        is_available.then_some(entry)
     }
 
     /// Chooses an instance of a service whose instances serve without groups.
-    fn choose_instance(&self) -> Option<Target> {
+    fn choose_instance(&self, unavailability: &mut Unavailability) -> Option<Target> {
         let mut entries: Vec<&InstanceEntry> = self
             .directory
             .instances(&self.service.id)
-            .filter(|entry| self.is_eligible(entry))
+            .filter(|entry| self.is_available(entry, unavailability))
             .collect();
         entries.shuffle(&mut rand::rng());
         let chosen = entries.into_iter().min_by_key(|entry| {
@@ -147,6 +178,24 @@
         })
     }
 
+    /// Returns whether an instance may receive this request now. If it could serve the request but is
+    /// not available, this is added to `unavailability`.
+    fn is_available(&self, entry: &InstanceEntry, unavailability: &mut Unavailability) -> bool {
+        if !self.is_eligible(entry) {
+            return false;
+        }
+        let is_tried = self.tried.contains(&entry.id);
+        if let Some(until) = self.gateway.retry_times.until(&entry.id, self.now) {
+            unavailability.add_waiting(until, is_tried);
+            return false;
+        }
+        let has_capacity = self.has_cold_capacity(&entry.id);
+        if !has_capacity && !is_tried {
+            unavailability.add_limited();
+        }
+        has_capacity && !is_tried
+    }
+
     /// Returns whether an instance may receive this request at all.
     fn is_eligible(&self, entry: &InstanceEntry) -> bool {
         let regions = &self.request.route.regions;
@@ -159,8 +208,6 @@
             && is_in_allowed_region
             && !entry.is_leaving
             && !self.directory.zones_out.contains(&entry.zone)
-            && !self.tried.contains(&entry.id)
-            && self.has_cold_capacity(&entry.id)
     }
 
     /// Returns whether an instance that is cold has capacity for another request of this node. The
--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminlb_catalog::ResponseHead;
-use cuminlb_routing::OpenAttempts;
+use cuminlb_routing::{OpenAttempts, Unavailability};
 use cuminlb_types::prelude::*;
 use futures_util::future::{BoxFuture, select_all};
 use http::Response;
@@ -14,7 +14,7 @@
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
-use super::choose_target::choose_target;
+use super::choose_target::select_target;
 use super::plain_exchange::plain_exchange;
 use super::response_body::ResponseBody;
 use super::target::Target;
@@ -39,6 +39,8 @@
     /// The instances that have been tried.
     tried: Vec<InstanceId>,
     has_reached_instance: bool,
+    /// Why no instance could take the request when an attempt was to start.
+    unavailability: Unavailability,
 }
 
 struct PlainAttempt<'a> {
@@ -51,7 +53,7 @@
 }
 
 impl<'a> PlainAttempts<'a> {
-    pub(super) const fn new(
+    pub(super) fn new(
         gateway: &'a Arc<Gateway>,
         request: &'a AdmittedRequest,
         decisions: OpenAttempts,
@@ -63,9 +65,15 @@
             open: Vec::new(),
             tried: Vec::new(),
             has_reached_instance: false,
+            unavailability: Unavailability::default(),
         }
     }
 
+    /// Returns why no instance could take the request when an attempt was last to start.
+    pub(super) const fn unavailability(&self) -> Unavailability {
+        self.unavailability
+    }
+
     /// Returns whether no attempt is open.
     pub(super) const fn is_empty(&self) -> bool {
         self.open.is_empty()
@@ -88,11 +96,16 @@
 
     /// Starts another attempt, if the request may run again and another instance can take it.
     pub(super) fn start(&mut self) {
+        self.unavailability = Unavailability::default();
         if !self.decisions.may_run_again() {
             return;
         }
-        let Some(target) = choose_target(self.gateway, self.request, &self.tried) else {
-            return;
+        let target = match select_target(self.gateway, self.request, &self.tried) {
+            Ok(target) => target,
+            Err(unavailability) => {
+                self.unavailability = unavailability;
+                return;
+            }
         };
         if self.may_have_run() && self.gateway.is_quarantined(self.request) {
             return;
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -64,6 +64,11 @@
     if !head.closes {
         gateway.pool.release(connection, head.keep_alive_ms);
     }
+    if let Some(delay_ms) = head.refusal_delay() {
+        gateway
+            .retry_times
+            .record(&target.instance, delay_ms, Instant::now());
+    }
     if head.is_not_executed {
         in_flight.load().record_refusal(Instant::now());
         return Err(AttemptFailure::NotRun {
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use cuminlb_catalog::RouteKind;
-use cuminlb_routing::{OpenAttempts, Refusal, RefusalKind};
+use cuminlb_routing::{OpenAttempts, Refusal, RefusalKind, WaitDecision};
 use cuminlb_types::prelude::*;
 use http::Response;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use super::admitted_request::AdmittedRequest;
 use super::plain_attempts::PlainAttempts;
@@ -32,8 +32,17 @@
         if !attempts.has_responsive() {
             attempts.start();
         }
+        if attempts.is_empty() {
+            let wait_until = request.useful_wait_until();
+            let WaitDecision::WaitUntil(until) = attempts.unavailability().decide(wait_until)
+            else {
+                break;
+            };
+            sleep_until(until).await;
+            continue;
+        }
         // A failed response is better than waiting for an instance that is silent.
-        if attempts.is_empty() || failed_response.is_some() && !attempts.has_responsive() {
+        if failed_response.is_some() && !attempts.has_responsive() {
             break;
         }
         match attempts.next().await {
@@ -56,7 +65,9 @@
     if !attempts.may_have_run() {
         let service = request.service.clone();
         let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
-        return Err(refusal.with_retry_after(RETRY_AFTER_MS));
+        let unavailability = attempts.unavailability();
+        let retry_after_ms = unavailability.retry_after(Instant::now(), &mut rand::rng());
+        return Err(refusal.with_retry_after(retry_after_ms.unwrap_or(RETRY_AFTER_MS)));
     }
     if attempts.is_late() {
         let timeout_ms = request.age_ms(Instant::now());
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -1,16 +1,15 @@
 //! Runs a request whose response is a stream of events.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use cuminlb_routing::{Refusal, RefusalKind};
+use cuminlb_routing::{Refusal, RefusalKind, Unavailability, WaitDecision};
 use cuminlb_types::prelude::*;
 use http::Response;
 use smol_str::{SmolStr, ToSmolStr};
 use tokio::time::{Instant, sleep_until};
 
 use super::admitted_request::AdmittedRequest;
-use super::choose_target::choose_target;
+use super::choose_target::select_target;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_relay::StreamRelay;
@@ -18,9 +17,6 @@
 use super::target::Target;
 use crate::gateway::Gateway;
 
-/// Fraction of the target latency of the first event for which a request waits for a serving group.
-const GROUP_WAIT_FRACTION: f64 = 0.8;
-
 /// Range of the `Retry-After` of a request for which no group was serving.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 400..1_200;
 
@@ -34,6 +30,7 @@
     let mut attempts = StreamAttempts::new(gateway, request);
     let mut failed_response = None;
     let mut reason: SmolStr = "no group is serving".into();
+    let mut unavailability = Unavailability::default();
     loop {
         if let Some(number) = attempts.only_stream() {
             return Ok(StreamRelay::response(attempts, number, None));
@@ -42,8 +39,12 @@
             if failed_response.is_some() || !attempts.may_run_again() {
                 break;
             }
-            let Some(target) = wait_for_target(&mut attempts).await else {
-                break;
+            let target = match wait_for_target(&mut attempts).await {
+                Ok(target) => target,
+                Err(known) => {
+                    unavailability = known;
+                    break;
+                }
             };
             attempts.allow_or_refuse()?;
             if let Err(obstacle) = attempts.start(target, resume_after) {
@@ -75,11 +76,11 @@
             StreamUpdate::TimedOut => break,
         }
     }
-    failed_response.map_or_else(|| Err(refusal(&attempts, reason)), Ok)
+    failed_response.map_or_else(|| Err(refusal(&attempts, reason, unavailability)), Ok)
 }
 
 /// Returns the refusal of a request without a response.
-fn refusal(attempts: &StreamAttempts, reason: SmolStr) -> Refusal {
+fn refusal(attempts: &StreamAttempts, reason: SmolStr, unavailability: Unavailability) -> Refusal {
     let request = &attempts.request;
     if attempts.may_have_run() {
         if request.deadline.has_passed() {
@@ -89,34 +90,38 @@
         return Refusal::unknown(RefusalKind::UpstreamFailed { reason });
     }
     let service = request.service.clone();
-    let retry_after_ms = rand::random_range(RETRY_AFTER_MS);
+    let retry_after_ms = unavailability
+        .retry_after(Instant::now(), &mut rand::rng())
+        .unwrap_or_else(|| Millis(rand::random_range(RETRY_AFTER_MS)));
     let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
-    refusal.with_retry_after(Millis(retry_after_ms))
+    refusal.with_retry_after(retry_after_ms)
 }
 
 /// Chooses a group, or waits for one while the first event can still meet the target latency.
-async fn wait_for_target(attempts: &mut StreamAttempts) -> Option<Target> {
+async fn wait_for_target(attempts: &mut StreamAttempts) -> Result<Target, Unavailability> {
     let StreamAttempts {
         gateway,
         request,
         instances,
         ..
     } = attempts;
-    let wait: Duration = request
-        .route
-        .target_latency_ms
-        .duration()
-        .mul_f64(GROUP_WAIT_FRACTION);
-    let until = (request.received_at + wait).min(request.deadline.latest());
-    let choose = || choose_target(gateway, request, instances);
+    let wait_until = request.useful_wait_until();
     let mut changes = gateway.knowledge.directory_changes();
     loop {
-        if let Some(target) = choose() {
-            return Some(target);
-        }
+        let unavailability = match select_target(gateway, request, instances) {
+            Ok(target) => return Ok(target),
+            Err(unavailability) => unavailability,
+        };
+        let wake_at = match unavailability.decide(wait_until) {
+            WaitDecision::WaitUntil(until) => until,
+            WaitDecision::WaitForChange if Instant::now() < wait_until => wait_until,
+            WaitDecision::WaitForChange | WaitDecision::Refuse => return Err(unavailability),
+        };
         tokio::select! {
-            () = sleep_until(until) => return choose(),
-            changed = changes.changed() => changed.ok()?,
+            () = sleep_until(wake_at) => {}
+            changed = changes.changed() => if changed.is_err() {
+                return Err(unavailability);
+            },
         }
     }
 }
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -58,6 +58,9 @@
         ));
     }
     let now = Instant::now();
+    if let Some(delay_ms) = head.refusal_delay() {
+        gateway.retry_times.record(&target.instance, delay_ms, now);
+    }
     if head.is_not_executed {
         in_flight.load().record_refusal(now);
         let reason = format_smolstr!("refused with status {}", head.status);
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -23,7 +23,8 @@
     QueuePosition, RetryJitter, ServiceQueue, TeamRates, TokenBucket, Turn,
 };
 pub use crate::choice::{
-    GroupCandidate, GroupChooser, InFlightCount, LoadBoard, LoadEstimates, PrefixKey,
+    GroupCandidate, GroupChooser, InFlightCount, LoadBoard, LoadEstimates, PrefixKey, RetryTimes,
+    Unavailability, WaitDecision,
 };
 pub use crate::claim::{
     CLAIM_RETENTION_MS, DuplicateResolution, SettleStep, content_digest, next_settle_step,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod native_restore;
 mod native_restored_lease;
 mod native_restored_orders;
+mod native_retry_times;
 mod native_silence;
 mod native_site;
 mod native_stops;
