Do not take a late refusal without an id for an answer to a request

Callers would have been told 'not run, try again' (503 with not_run) for a request that an instance had run, and such a request was sent to a second instance and ran twice, although it may run once at most.

Cause: an instance may write a refusal once more on a kept connection, at the point where the response to the next request is expected. A response that named another request was recognized; one that named none was taken for the response to the request that waited.

Ruled out: bytes that wait on an idle connection.

Change: ResponseOwner (cuminlb-routing) decides to which request a response belongs. One that names no request counts only as the first on its connection; on a reused one it proves nothing, whatever its status, so that the request counts as one that may have run and the connection is closed. 400 without an id follows the same rule. A connection counts the requests that it has carried.

Ported onto StreamHead, whose read_head checks the owner of a response.

--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cuminlb_catalog::{Forwarding, ResponseHead};
-use cuminlb_routing::request_urgency;
+use cuminlb_routing::{ResponseOwner, request_urgency};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use smol_str::{ToSmolStr, format_smolstr};
@@ -15,7 +15,7 @@
 use super::response_body::{ResponseBody, full_body};
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::upstream::SendFailure;
+use crate::upstream::{Connection, SendFailure};
 
 /// Size limit of a plain response, which is buffered completely.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -44,15 +44,7 @@
     let (parts, body) = response.into_parts();
     let head = wire.read_response(&parts);
     gateway.record_leaving(target, &head);
-    if head
-        .request
-        .as_ref()
-        .is_some_and(|id| *id != request.head.id)
-    {
-        return Err(AttemptFailure::unknown(
-            "the response belongs to another request",
-        ));
-    }
+    check_owner(request, &head, &connection)?;
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| {
         in_flight.load().record_outcome(true);
@@ -89,6 +81,26 @@
     Ok((head, response))
 }
 
+/// Checks that a response belongs to a request. One that does not proves nothing, so the request may
+/// have run; the caller drops the connection.
+pub(super) fn check_owner(
+    request: &AdmittedRequest,
+    head: &ResponseHead,
+    connection: &Connection,
+) -> Result<(), AttemptFailure> {
+    let is_first_exchange = connection.is_first_exchange();
+    let named = head.request.as_ref();
+    match ResponseOwner::new(named, &request.head.id, is_first_exchange) {
+        ResponseOwner::Request => Ok(()),
+        ResponseOwner::Other => Err(AttemptFailure::unknown(
+            "the response belongs to another request",
+        )),
+        ResponseOwner::Unknown => Err(AttemptFailure::unknown(
+            "the response on a reused connection names no request",
+        )),
+    }
+}
+
 /// Returns the request as it is forwarded to an instance.
 pub(super) fn forwarded_request(
     gateway: &Gateway,
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -13,6 +13,7 @@
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
 use super::in_flight_guard::InFlightGuard;
+use super::plain_exchange::check_owner;
 use super::response_body::{ResponseBody, full_body};
 use super::stream_source::StreamSource;
 use super::target::Target;
@@ -48,15 +49,7 @@
     let wire = gateway.edges.wire.as_ref();
     let head = wire.read_response(&parts);
     gateway.record_leaving(target, &head);
-    if head
-        .request
-        .as_ref()
-        .is_some_and(|id| *id != request.head.id)
-    {
-        return Err(AttemptFailure::unknown(
-            "the response belongs to another request",
-        ));
-    }
+    check_owner(request, &head, &connection)?;
     let now = Instant::now();
     if let Some(delay_ms) = head.refusal_delay() {
         gateway.retry_times.record(&target.instance, delay_ms, now);
--- a/crates/cuminlb-gateway/src/upstream/connection.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection.rs
@@ -21,6 +21,8 @@
     /// The task that reads and writes, and the tracker that it belongs to.
     pub(super) driver: AbortHandle,
     pub(super) tasks: TaskTracker,
+    /// The number of requests that were sent on it.
+    pub(super) requests: u32,
 }
 
 impl Connection {
@@ -38,6 +40,11 @@
         ConnectionDeadline::new(timer.abort_handle())
     }
 
+    /// Returns whether at most one request was sent on the connection.
+    pub(crate) const fn is_first_exchange(&self) -> bool {
+        self.requests <= 1
+    }
+
     /// Sends a request and returns the head of the response.
     ///
     /// Dropping the response before its end closes the connection, which tells the instance that
@@ -46,6 +53,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
+        self.requests = self.requests.saturating_add(1);
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let reason = error.error().to_smolstr();
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -134,6 +134,7 @@
             sender,
             driver: driver.abort_handle(),
             tasks: self.tasks.clone(),
+            requests: 0,
         })
     }
 }
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod quarantine;
 mod refusal;
+mod response_owner;
 mod retry;
 mod slots;
 mod urgency;
@@ -40,6 +41,7 @@
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
+pub use crate::response_owner::ResponseOwner;
 pub use crate::retry::{
     FailedAttempt, MAX_ATTEMPTS, OpenAttempts, RetryBudget, Selection, WindowedBudget,
 };
