Abort a stream whose next run does not connect to what the caller has

Callers would have seen a stream without some of its events, or one that broke off after two events, end as if it were complete.

Cause: after a failover the relay dropped events that the caller had and passed on all others: events after a gap, events without ids, which may repeat what the caller has, and the end of a run that had started again and ended before the last event.

Ruled out: text or head of an error in a stream.

Change: StreamPosition (cuminlb-routing) decides for each event whether it is the next one, repeated, or not connected, and whether the stream may end. What does not connect is left like a run that broke off: another group may continue, else the response is aborted. A next run that is complete without any event still completes the stream: the first one may have broken off after its last event.

An attempt that does not connect ends (StreamAttempts::leave) while the others stay open; a comment of an attempt that has not connected ends no other.

--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -224,6 +224,14 @@
         }
     }
 
+    /// Ends an attempt whose stream does not continue what the caller has. It may have run.
+    pub(super) fn leave(&mut self, number: AttemptNumber, reason: &str) {
+        if let Some(index) = self.open.iter().position(|it| it.number == number) {
+            self.open[index].log_outcome(&self.request, reason);
+            self.end(index, true, None);
+        }
+    }
+
     fn handle(&mut self, index: usize, update: AttemptUpdate) -> StreamUpdate {
         let attempt = &self.open[index];
         let number = attempt.number;
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -1,6 +1,7 @@
 //! Relays an event stream to a caller, across failovers between groups.
 
 use bytes::Bytes;
+use cuminlb_routing::{EventContent, EventPlace, StreamPosition};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::StreamEvent;
 use futures_util::stream::unfold;
@@ -12,6 +13,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use super::event_content::event_content;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_update::StreamUpdate;
@@ -32,8 +34,8 @@
     attempts: StreamAttempts,
     /// An update that was received before the relay began.
     pending: Option<StreamUpdate>,
-    /// The last event that was relayed to the caller.
-    last_event: Option<EventId>,
+    /// How far the caller has received the stream.
+    position: StreamPosition,
     event_count: u64,
     first_event_ms: Option<Millis>,
     last_relayed_at: Instant,
@@ -58,7 +60,7 @@
         // the relayed stream.
         response.headers_mut().remove(CONTENT_LENGTH);
         let relay = Self {
-            last_event: attempts.request.head.resume_after,
+            position: StreamPosition::new(attempts.request.head.resume_after),
             attempts,
             pending,
             event_count: 0,
@@ -86,8 +88,20 @@
             };
             match update {
                 StreamUpdate::Event(number, event) => {
-                    if let Some(chunk) = self.relay_event(number, &event) {
-                        return Some(Ok(chunk));
+                    let content = event_content(&event);
+                    match self.position.place(number, event.id(), content) {
+                        EventPlace::Next => return Some(Ok(self.relay_event(number, &event))),
+                        EventPlace::Repeated => {}
+                        EventPlace::Unconnected => {
+                            if let Err(error) = self.leave(number, "events are missing") {
+                                return Some(Err(error));
+                            }
+                        }
+                    }
+                }
+                StreamUpdate::End(number) if !self.position.may_end(number) => {
+                    if let Err(error) = self.leave(number, "the stream ended too early") {
+                        return Some(Err(error));
                     }
                 }
                 StreamUpdate::End(number) => {
@@ -100,7 +114,7 @@
                 StreamUpdate::Opened => {}
                 StreamUpdate::Silent => {
                     // Without another group the stream stays where it is, which is logged.
-                    let _ = self.attempts.offer(self.last_event, "silent");
+                    let _ = self.attempts.offer(self.position.last(), "silent");
                 }
                 StreamUpdate::Other(_) => {
                     if let Err(error) = self.offer_or_abort("the response is no stream") {
@@ -123,21 +137,30 @@
     ///
     /// Returns [`StreamError`] if no attempt is left.
     fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
-        let offered = self.attempts.offer(self.last_event, reason);
+        let offered = self.attempts.offer(self.position.last(), reason);
         if offered.is_err() && self.attempts.is_empty() {
             return Err(self.abort(reason));
         }
         Ok(())
     }
 
-    /// Returns an event for the caller, unless the caller already has it.
-    fn relay_event(&mut self, number: AttemptNumber, event: &StreamEvent) -> Option<Bytes> {
-        let id = event.id();
-        if id.is_some() && id <= self.last_event {
-            return None;
+    /// Ends an attempt that does not continue what the caller has, and offers the stream to another
+    /// group.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StreamError`] if no attempt is left.
+    fn leave(&mut self, number: AttemptNumber, reason: &str) -> Result<(), StreamError> {
+        self.attempts.leave(number, reason);
+        self.offer_or_abort(reason)
+    }
+
+    /// Returns an event for the caller. A comment of an attempt that has not continued the stream yet
+    /// leaves the others open.
+    fn relay_event(&mut self, number: AttemptNumber, event: &StreamEvent) -> Bytes {
+        if self.position.is_connected(number) || event_content(event) == EventContent::End {
+            self.attempts.select(number);
         }
-        self.attempts.select(number);
-        self.last_event = id.or(self.last_event);
         let now = Instant::now();
         let pause_ms = Millis::from(now.duration_since(self.last_relayed_at));
         if self.first_event_ms.is_none() {
@@ -147,7 +170,7 @@
         }
         self.last_relayed_at = now;
         self.event_count += 1;
-        Some(event.raw().clone())
+        event.raw().clone()
     }
 
     fn abort(&mut self, reason: impl Into<SmolStr>) -> StreamError {
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod response_owner;
 mod retry;
 mod slots;
+mod streams;
 mod urgency;
 
 pub use crate::admission::{
@@ -49,4 +50,5 @@
     HeldRange, LoadReport, ReleaseReason, SlotDenial, SlotHolder, SlotId, SlotLedger, SlotLoad,
     SlotRequestState, SlotTiming,
 };
+pub use crate::streams::{EventContent, EventPlace, StreamPosition};
 pub use crate::urgency::request_urgency;
