Do not panic while choosing a service if the weights add up to infinity

Callers of the route would see each request end without an answer.

Cause: a catalog whose weights are finite but whose sum is not (two of 1e308) made the choice draw a random number from an infinite range, which panics in the task of the caller's connection.

Evidence: weights_whose_sum_is_no_number_do_not_end_the_choice_of_a_service in platform/tests/odd_rows.rs panicked in crates/cuminlb-catalog/src/ route.rs before the change (1 of 1 run; it is deterministic). Another writer of the catalog can cause it; the store of the users' platform is said to accept valid catalogs only.

Ruled out by the same file, before and after: entries of instances with one field of any JSON, 5,000 levels deep, numbers too large for any type, and ports out of range are decoded or rejected, and valid entries hold (256 cases); so are catalogs with such numbers (256 cases).

Change: such a route has no service, like one whose weights are zero.

Measured: platform/tests/odd_rows.rs 3 of 3.

--- a/crates/cuminlb-catalog/src/route.rs
+++ b/crates/cuminlb-catalog/src/route.rs
@@ -35,10 +35,10 @@
 
 impl Route {
     /// Selects a service for one request at random, in proportion to the weights. Returns `None` if
-    /// the total weight is not positive.
+    /// the total weight is not positive or not a finite number.
     pub fn pick_service(&self, rng: &mut impl rand::Rng) -> Option<&ServiceId> {
         let total: f64 = self.services.iter().map(|weighted| weighted.weight).sum();
-        if total <= 0.0 {
+        if total <= 0.0 || !total.is_finite() {
             return None;
         }
         let mut remaining = rng.random_range(0.0..total);
