Number the addresses of test nodes by node, not by site

The native tests of one process may start 128 sites with 7 nodes each; most sites have one or two nodes. Addresses are now counted by node: 1,000 in one process.

--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -29,8 +29,14 @@
 pub const API_KEY: &str = "key-of-rowers";
 pub const TEAM: &str = "rowers";
 
-/// Numbers the sites of one test process, so that their addresses differ.
-static SITE_COUNT: AtomicUsize = AtomicUsize::new(0);
+/// Numbers the nodes of one test process, so that their addresses differ.
+static NODE_COUNT: AtomicUsize = AtomicUsize::new(0);
+
+/// The number of nodes that can share the first three parts of an address.
+const NODES_PER_BLOCK: usize = 250;
+
+/// The number of blocks of addresses that one test process can use.
+const BLOCKS: u8 = 4;
 
 const CALLER_PORT: u16 = 8_100;
 const READY_PORT: u16 = 8_101;
@@ -77,7 +83,6 @@
     _engines: Vec<StandinServer>,
     programs: Programs,
     folder: TempDir,
-    number: usize,
 }
 
 impl NativeSite {
@@ -107,7 +112,6 @@
             _engines: engine_servers,
             programs: Programs::find().unwrap(),
             folder: TempDir::new().unwrap(),
-            number: SITE_COUNT.fetch_add(1, Ordering::Relaxed),
         };
         site.put_catalog(1, &[]);
         for _ in 0..nodes {
@@ -125,14 +129,7 @@
     /// Starts one more node with its own store server.
     pub async fn add_node(&mut self) {
         let number = u8::try_from(self.nodes.len() + 1).unwrap();
-        let process = std::process::id().to_le_bytes();
-        let site = u8::try_from(self.number).unwrap();
-        assert!(
-            site < 128 && number < 8,
-            "no loopback address is left for the node"
-        );
-        let second = 128 | (process[1] >> 3) << 2 | site >> 5;
-        let address = Ipv4Addr::new(127, second, process[0], (site & 31) * 8 + number);
+        let address = next_address();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
         let settings = self.folder.path().join(format!("n{number}.toml"));
@@ -288,6 +285,16 @@
     }
 }
 
+/// Returns a loopback address that no other node of this test process has.
+fn next_address() -> Ipv4Addr {
+    let process = std::process::id().to_le_bytes();
+    let index = NODE_COUNT.fetch_add(1, Ordering::Relaxed);
+    let block = u8::try_from(index / NODES_PER_BLOCK).unwrap();
+    assert!(block < BLOCKS, "no loopback address is left for the node");
+    let last = u8::try_from(index % NODES_PER_BLOCK + 1).unwrap();
+    Ipv4Addr::new(127, 128 | (process[1] >> 3) << 2 | block, process[0], last)
+}
+
 /// Returns the ids of the events of a streamed response.
 pub fn event_ids(response: &HttpResponse) -> Vec<u64> {
     let text = response.text();
