--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -8,9 +8,10 @@
 use cuminlb_peer::GroupHealth;
 use cuminlb_replica::NodeRow;
 use cuminlb_types::prelude::*;
-use cuminlb_types::rendezvous_rank;
 use tokio::time::Instant;
 
+use super::node_position::NodePosition;
+
 /// How long an instance that has fallen silent receives no new requests, unless it sends something.
 const SUSPICION_PERIOD: Duration = Duration::from_millis(1_500);
 
@@ -54,13 +55,6 @@
     position: Option<NodePosition>,
 }
 
-/// The position of a node among the nodes that it was computed for.
-#[derive(Debug)]
-struct NodePosition {
-    nodes: Arc<BTreeMap<NodeId, NodeRow>>,
-    position: usize,
-}
-
 impl InstanceLoad {
     pub(super) fn new(now: Instant) -> Self {
         Self {
@@ -108,17 +102,11 @@
     ) -> usize {
         let mut observations = self.observations();
         let known = observations.position.as_ref();
-        if let Some(known) = known.filter(|known| Arc::ptr_eq(&known.nodes, nodes)) {
+        if let Some(known) = known.filter(|known| known.is_of(nodes)) {
             return known.position;
         }
-        let own_rank = rendezvous_rank(id, own_id);
-        let is_before = |node: &&NodeId| rendezvous_rank(id, node) > own_rank;
-        let position = nodes.keys().filter(is_before).count();
-        observations.position = Some(NodePosition {
-            nodes: Arc::clone(nodes),
-            position,
-        });
-        position
+        let known = NodePosition::new(id, own_id, nodes);
+        observations.position.insert(known).position
     }
 
     /// Records that something was received from the instance.
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -30,6 +30,7 @@
 mod instance_checks;
 mod instance_load;
 mod load_tracker;
+mod node_position;
 mod plain_attempts;
 mod plain_exchange;
 mod probe_group;
