Test that retries and groups keep to the retry times of instances

The stand-in engine can refuse requests with Retry-After. New: a retry after a failed attempt does not go to an instance that wants no requests, and the heads of groups that want none get one request each at most, while streams are refused within 250 ms.

--- a/tests/testsuite/native_retry_times.rs
+++ b/tests/testsuite/native_retry_times.rs
@@ -9,6 +9,7 @@
     ANSWERING, LOOKUP, RESERVE, STREAM, answering_site, send, wait_rows_read,
 };
 use crate::answering_worker::{Answer, AnsweringWorker};
+use crate::native_site::NativeSite;
 
 /// The longest time in which a node refuses a request that nobody can serve.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
@@ -120,3 +121,48 @@
     assert_eq!(response.status, StatusCode::OK);
     assert_eq!(worker.requests().len(), 2);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retry_does_not_go_to_an_instance_that_wants_no_requests() {
+    let site = answering_site(1).await;
+    let refuser = AnsweringWorker::start(&site.fleet, "k0", ANSWERING, |_| {
+        Answer::refusal(503, "retry-after: 5\r\n")
+    })
+    .await;
+    let failing = AnsweringWorker::start(&site.fleet, "k1", ANSWERING, |_| {
+        Answer::complete(500, "", "failed")
+    })
+    .await;
+    wait_rows_read(&site).await;
+    for number in 0..20 {
+        let _ = send(&site, LOOKUP, &format!("l{number}")).await;
+    }
+    assert_eq!(refuser.requests().len(), 1);
+    assert!(failing.requests().len() >= 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn groups_that_want_no_requests_get_none_and_streams_are_refused_at_once() {
+    let site = NativeSite::start(1, 4, Duration::from_millis(5)).await;
+    site.wait_serving().await;
+    site.wait_open_groups(2).await;
+    let engines: Vec<_> = (0..4)
+        .filter_map(|number| site.fleet.engine(&format!("e{number}")))
+        .collect();
+    for engine in &engines {
+        engine.refuse_for(4.0);
+    }
+    let first = site.stream(0, "first", "1").await.unwrap();
+    assert_eq!(first.status, StatusCode::SERVICE_UNAVAILABLE);
+    for number in 0..20 {
+        let start = Instant::now();
+        let response = site.stream(0, &format!("s{number}"), "1").await.unwrap();
+        let elapsed = start.elapsed();
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(elapsed < REFUSAL_TIME, "{elapsed:?}");
+        let retry_after = retry_after_s(&response);
+        assert!(retry_after > 2.0 && retry_after < 6.1, "{retry_after}");
+    }
+    let refusals: Vec<usize> = engines.iter().map(|engine| engine.refusals()).collect();
+    assert!(refusals.iter().all(|count| *count <= 1), "{refusals:?}");
+}
