Replace a lease row that can't be decoded

Callers would have lost their groups one by one: without a leader no group is formed or replaced.

Cause: a node that found the row of the lease unreadable took it for one that does not exist and wrote it under that condition, which the store refused each time, on every node.

Evidence: a_lease_row_that_cannot_be_read_does_not_leave_the_nodes_without_ a_leader in tests/testsuite/native_odd_rows.rs: no node led within 60 s before the change (1 of 1 run).

Ruled out by the same file, before and after the change: 36 odd entries among those of the instances while requests run (100,000 levels of JSON, numbers too large, ports out of range, no JSON), odd keys, seven readable entries with extreme values, and odd rows among the nodes and in the desired state neither ended nor blinded a node: both nodes put a new catalog in force afterwards, served, and logged no panic; one that was restarted over these rows as well (1 run before, 3 after).

Change, ported onto the decisions of cuminlb-fleet: LeaseCandidate treats a version of the row that can't be decoded as a lease of unknown holder. Once any lease has ended, its extension during an outage of the store included, a node writes its own row over that version, with a fencing number above all earlier ones: each lease costs a version of the store. New: crates/cuminlb-fleet/tests/lease/unreadable_rows.rs.

--- a/crates/cuminlb-fleet/src/lease/lease_candidate.rs
+++ b/crates/cuminlb-fleet/src/lease/lease_candidate.rs
@@ -85,6 +85,21 @@
         may_acquire
     }
 
+    /// Records a read of a lease row that can't be decoded, and returns whether this node may replace
+    /// it: the lease that it held before must have ended, whoever held it.
+    pub fn may_replace_unreadable(&mut self, version: StoreVersion, now: Instant) -> bool {
+        let row = LeaseRow {
+            holder: self.node.clone(),
+            incarnation: self.incarnation,
+            // Each earlier lease has cost a version of the row.
+            fencing: FencingNumber(version.row.get()),
+            length_ms: self.restored_wait_ms,
+            idle: false,
+            era: version.era,
+        };
+        self.may_acquire(row, version, now)
+    }
+
     /// Records a read of a table that has no lease row, and returns whether this node may acquire
     /// the lease. A restored table may have lost the row.
     pub fn may_acquire_absent(&mut self, era: StoreEra, now: Instant) -> bool {
--- a/crates/cuminlb-fleet/tests/lease/main.rs
+++ b/crates/cuminlb-fleet/tests/lease/main.rs
@@ -15,3 +15,4 @@
 mod simulated_node;
 mod simulation;
 mod support;
+mod unreadable_rows;
--- a/crates/cuminlb-gateway/src/leading/lease_rows.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_rows.rs
@@ -45,3 +45,11 @@
     let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
     Some((decode_lease(&row)?, row.version))
 }
+
+/// Returns the version of the lease's row if it exists but can't be decoded.
+pub(super) fn unreadable_lease(replica: &Replica) -> Option<StoreVersion> {
+    let row = replica.row(StoreTable::Nodes, &lease_key()?)?;
+    let value = row.value.as_deref()?;
+    let is_unreadable = serde_json::from_slice::<LeaseRow>(value).is_err();
+    is_unreadable.then_some(row.version)
+}
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -6,7 +6,9 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use super::lease_rows::{LEASE_TIMING, MAX_EXTENSION_MS, decode_lease, lease_key, read_lease};
+use super::lease_rows::{
+    LEASE_TIMING, MAX_EXTENSION_MS, decode_lease, lease_key, read_lease, unreadable_lease,
+};
 use crate::gateway::Gateway;
 
 /// The lease as this node has observed it or holds it.
@@ -36,8 +38,11 @@
     /// Returns whether the lease of another node has ended, so that this node may acquire it.
     pub(super) fn may_acquire(&mut self, gateway: &Gateway, now: Instant) -> bool {
         let table_version = gateway.replica.version(StoreTable::Nodes);
-        match read_lease(&gateway.replica) {
-            Some((row, version)) => self.candidate.may_acquire(row, version, now),
+        if let Some((row, version)) = read_lease(&gateway.replica) {
+            return self.candidate.may_acquire(row, version, now);
+        }
+        match unreadable_lease(&gateway.replica) {
+            Some(version) => self.candidate.may_replace_unreadable(version, now),
             None if table_version == StoreVersion::default() => false,
             None => self.candidate.may_acquire_absent(table_version.era, now),
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod native_late_responses;
 mod native_leaving;
 mod native_observation;
+mod native_odd_rows;
 mod native_operation;
 mod native_path;
 mod native_plain_silence;
