--- a/crates/cuminlb-fleet/tests/lease/main.rs
+++ b/crates/cuminlb-fleet/tests/lease/main.rs
@@ -16,3 +16,4 @@
 mod simulation;
 mod support;
 mod suspensions;
+mod unreadable_rows;
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -1,5 +1,7 @@
 //! The head of the response to a request for an event stream.
 
+use std::sync::Arc;
+
 use cuminlb_upstream::EventDecoder;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Response, StatusCode, response};
@@ -11,8 +13,10 @@
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
 use super::in_flight_guard::InFlightGuard;
+use super::plain_exchange::check_owner;
 use super::response_body::{ResponseBody, full_body};
 use super::stream_source::StreamSource;
+use super::target::Target;
 use crate::gateway::Gateway;
 use crate::upstream::{Connection, ConnectionDeadline};
 
@@ -34,8 +38,9 @@
 /// Returns [`AttemptFailure`] if the instance refused the request, or if the response is not the
 /// instance's response to this request.
 pub(super) fn read_head(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: &AdmittedRequest,
+    target: &Target,
     in_flight: &InFlightGuard,
     connection: Connection,
     response: Response<Incoming>,
@@ -43,16 +48,12 @@
     let (parts, body) = response.into_parts();
     let wire = gateway.edges.wire.as_ref();
     let head = wire.read_response(&parts);
-    if head
-        .request
-        .as_ref()
-        .is_some_and(|id| *id != request.head.id)
-    {
-        return Err(AttemptFailure::unknown(
-            "the response belongs to another request",
-        ));
-    }
+    gateway.record_leaving(target, &head);
+    check_owner(request, &head, &connection)?;
     let now = Instant::now();
+    if let Some(delay_ms) = head.refusal_delay() {
+        gateway.retry_times.record(&target.instance, delay_ms, now);
+    }
     if head.is_not_executed {
         in_flight.load().record_refusal(now);
         let reason = format_smolstr!("refused with status {}", head.status);
--- a/crates/cuminlb-replica/src/records/departed_instances.rs
+++ b/crates/cuminlb-replica/src/records/departed_instances.rs
@@ -1,4 +1,4 @@
-//! The instances that have left.
+//! The instances that have drained and left.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,38 +6,30 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
-/// How long an instance is known to have left.
+/// How long an instance is known to have drained.
 const RETENTION: Duration = Duration::from_secs(60);
 
 /// Maximum number of instances that are kept; those that left first go first.
 const MAX_INSTANCES: usize = 4_096;
 
-/// An instance that has left.
+/// An instance that has drained and left.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     incarnation: Incarnation,
-    has_drained: bool,
     known_until: Instant,
 }
 
-/// The instances that have left lately, with their incarnations.
+/// The instances that have drained and left lately, with their incarnations.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DepartedInstances {
     departures: BTreeMap<InstanceId, Departure>,
 }
 
 impl DepartedInstances {
-    /// Records that an instance has left, after draining or without.
-    pub(super) fn record(
-        &mut self,
-        id: InstanceId,
-        incarnation: Incarnation,
-        has_drained: bool,
-        now: Instant,
-    ) {
+    /// Records that an instance has drained and left.
+    pub(super) fn record(&mut self, id: InstanceId, incarnation: Incarnation, now: Instant) {
         let departure = Departure {
             incarnation,
-            has_drained,
             known_until: now + RETENTION,
         };
         self.departures.insert(id, departure);
@@ -49,17 +41,9 @@
         }
     }
 
-    /// Returns whether an incarnation of an instance has drained. Instances that state no start
-    /// can't be told apart from their next incarnation.
-    pub(super) fn has_drained(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
-        let departure = self.departures.get(id);
-        incarnation != Incarnation(0)
-            && departure.is_some_and(|it| it.has_drained && it.incarnation == incarnation)
-    }
-
     /// Returns until when an incarnation of an instance is known to have drained, if it is.
     pub(super) fn known_until(&self, id: &InstanceId, incarnation: Incarnation) -> Option<Instant> {
-        let departure = self.departures.get(id).filter(|it| it.has_drained)?;
+        let departure = self.departures.get(id)?;
         (incarnation <= departure.incarnation).then_some(departure.known_until)
     }
 
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -16,8 +16,10 @@
 mod crashes;
 mod quarantine;
 mod refusal;
+mod response_owner;
 mod retry;
 mod slots;
+mod streams;
 mod urgency;
 
 pub use crate::admission::{
@@ -25,7 +27,8 @@
     QueuePosition, RetryJitter, ServiceQueue, TeamRates, TokenBucket, Turn,
 };
 pub use crate::choice::{
-    GroupCandidate, GroupChooser, InFlightCount, LoadBoard, LoadEstimates, PrefixKey,
+    GroupCandidate, GroupChooser, InFlightCount, LoadBoard, LoadEstimates, PrefixKey, RetryTimes,
+    Unavailability, WaitDecision,
 };
 pub use crate::claim::{
     CLAIM_RETENTION_MS, DuplicateResolution, SettleStep, content_digest, next_settle_step,
@@ -42,6 +45,7 @@
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
 pub use crate::refusal::{Refusal, RefusalKind, RunState};
+pub use crate::response_owner::ResponseOwner;
 pub use crate::retry::{
     FailedAttempt, MAX_ATTEMPTS, OpenAttempts, RetryBudget, Selection, WindowedBudget,
 };
@@ -49,4 +53,5 @@
     HeldRange, LoadReport, ReleaseReason, SlotDenial, SlotHolder, SlotId, SlotLedger, SlotLoad,
     SlotRequestState, SlotTiming,
 };
+pub use crate::streams::{EventContent, EventPlace, StreamPosition};
 pub use crate::urgency::request_urgency;
