End a silent stream only by an attempt that has shown that it may

Callers of a resumable stream whose instance was silent for 1.5 s got a part of it as the whole: [1, 2, 3] of six events, or none at all, if the other instance that was asked responded 200 and ended without an event. If that one sent a comment and then nothing, the stream was broken off.

Cause: any event without an id and any end selected the attempt it came from, which closes the connections of all others.

Now an attempt is selected only by an event with an id above that of the last one relayed or, as long as the response has no event at all, by one with data. StreamProgress holds this decision. Events without an id come from the selected attempt only. The end of an attempt that delivered nothing is held back while another one is running. It counts when no other is left or at the deadline: an instance that attests a 200, resumes after the last event and ends there says that nothing follows. The marker of the end without an id is held back with it. A stream whose relayed events have no ids is offered to nobody, because another instance would repeat it.

StreamAttempts::offer logs and returns nothing; the one caller that must know asks is_empty(). OpenStreams was split off StreamAttempts.

No test shows the handling of events without ids or of the end marker.

--- a/crates/cuminlb-gateway/src/serving/attempt_obstacle.rs
+++ b/crates/cuminlb-gateway/src/serving/attempt_obstacle.rs
@@ -7,6 +7,9 @@
     /// The request may not run once more.
     #[error("the request may not run again")]
     NoRunLeft,
+    /// The events that the caller has received have no ids.
+    #[error("the events have no ids")]
+    NotResumable,
     /// No other instance serves.
     #[error("no other instance is available")]
     NoInstance,
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -30,7 +30,6 @@
     mut request: AdmittedRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     gateway.allow_or_refuse(&mut request)?;
-    let resume_after = request.head.resume_after;
     let mut attempts = StreamAttempts::new(gateway, request);
     let mut failed_response = None;
     let mut reason: SmolStr = "no group is serving".into();
@@ -46,7 +45,7 @@
                 break;
             };
             attempts.allow_or_refuse()?;
-            if let Err(obstacle) = attempts.start(target, resume_after) {
+            if let Err(obstacle) = attempts.start(target) {
                 reason = obstacle.to_smolstr();
                 break;
             }
@@ -65,13 +64,10 @@
             StreamUpdate::Failed(failure) => {
                 reason = failure;
                 if !attempts.is_empty() {
-                    // Without another group the request stays where it is, which is logged.
-                    let _ = attempts.offer(resume_after, &reason);
+                    attempts.offer(&reason);
                 }
             }
-            StreamUpdate::Silent => {
-                let _ = attempts.offer(resume_after, "silent");
-            }
+            StreamUpdate::Silent => attempts.offer("silent"),
             StreamUpdate::TimedOut => break,
         }
     }
--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -5,6 +5,7 @@
 
 use cuminlb_catalog::RouteKind;
 use cuminlb_types::prelude::*;
+use cuminlb_upstream::StreamEvent;
 use http::response;
 use log::info;
 use tokio::time::{Instant, timeout};
@@ -17,6 +18,7 @@
 use super::plain_exchange::{forwarded_request, from_send_failure};
 use super::silence_watch::{Silence, SilenceWatch};
 use super::stream_head::{StreamHead, read_head};
+use super::stream_progress::StreamProgress;
 use super::stream_source::StreamSource;
 use super::target::Target;
 use crate::gateway::Gateway;
@@ -47,6 +49,12 @@
     /// When something was last received, or when the request was sent.
     last_seen_at: Instant,
     watch: SilenceWatch,
+    /// Whether it has sent a part of the response that the caller did not have.
+    pub(super) has_delivered: bool,
+    /// Whether its stream has ended, but may not yet end the response.
+    pub(super) has_ended: bool,
+    /// The marker of the end of its stream, while it may not yet end the response.
+    pub(super) held_back: Option<StreamEvent>,
 }
 
 impl StreamAttempt {
@@ -72,6 +80,9 @@
             in_flight,
             last_seen_at: now,
             watch: SilenceWatch::default(),
+            has_delivered: false,
+            has_ended: false,
+            held_back: None,
         }
     }
 
@@ -170,6 +181,30 @@
         }
     }
 
+    /// Returns an event if the caller is to receive it: if it continues the response, or if it has no
+    /// id and the response comes from this attempt.
+    pub(super) fn pass_on(
+        &mut self,
+        event: StreamEvent,
+        progress: &StreamProgress,
+        is_selected: bool,
+    ) -> Option<StreamEvent> {
+        if progress.is_continued_by(&event) {
+            self.has_delivered = true;
+            return Some(event);
+        }
+        if event.id().is_some() {
+            return None;
+        }
+        if is_selected {
+            return Some(event);
+        }
+        if matches!(event, StreamEvent::Done { .. }) {
+            self.held_back = Some(event);
+        }
+        None
+    }
+
     fn send(&mut self, gateway: &Gateway, request: &AdmittedRequest, mut connection: Connection) {
         let outgoing = forwarded_request(gateway, request, &self.target, self.resume_after);
         self.last_seen_at = Instant::now();
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -4,18 +4,20 @@
 
 use cuminlb_routing::{OpenAttempts, Refusal, Selection};
 use cuminlb_types::prelude::*;
-use futures_util::future::select_all;
+use cuminlb_upstream::StreamEvent;
 use http::response;
 use log::info;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_obstacle::AttemptObstacle;
 use super::attempt_stage::AttemptStage;
 use super::attempt_update::AttemptUpdate;
 use super::choose_target::choose_target;
+use super::open_streams::OpenStreams;
 use super::request_stage::RequestStage;
 use super::stream_attempt::StreamAttempt;
+use super::stream_progress::StreamProgress;
 use super::stream_source::{RESPONDING_EVENTS, StreamSource};
 use super::stream_update::StreamUpdate;
 use super::target::Target;
@@ -27,8 +29,10 @@
 pub(super) struct StreamAttempts {
     pub(super) gateway: Arc<Gateway>,
     pub(super) request: AdmittedRequest,
+    /// What the caller has received.
+    pub(super) progress: StreamProgress,
     decisions: OpenAttempts,
-    open: Vec<StreamAttempt>,
+    open: OpenStreams,
     /// The instances that have been tried.
     pub(super) instances: Vec<InstanceId>,
     has_reached_instance: bool,
@@ -42,8 +46,9 @@
         Self {
             gateway: Arc::clone(gateway),
             decisions: OpenAttempts::new(route.max_attempts, route.kind.may_retry()),
+            progress: StreamProgress::new(request.head.resume_after),
             request,
-            open: Vec::new(),
+            open: OpenStreams::default(),
             instances: Vec::new(),
             has_reached_instance: false,
             logged_obstacle: None,
@@ -67,10 +72,7 @@
 
     /// Returns the only open attempt if its stream has begun.
     pub(super) fn only_stream(&self) -> Option<AttemptNumber> {
-        match self.open.as_slice() {
-            [attempt] => attempt.source().map(|_| attempt.number),
-            _ => None,
-        }
+        self.open.only_stream()
     }
 
     /// Checks again that a request which has not run does not crash instances.
@@ -87,48 +89,37 @@
     }
 
     /// Offers the request to another instance while no open attempt responds. The open attempts stay
-    /// as they are.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`AttemptObstacle`] if no other instance may take it.
-    pub(super) fn offer(
-        &mut self,
-        resume_after: Option<EventId>,
-        reason: &str,
-    ) -> Result<(), AttemptObstacle> {
+    /// as they are. If no other instance may take it, this is logged.
+    pub(super) fn offer(&mut self, reason: &str) {
         if self.decisions.has_responsive_attempt() {
-            return Ok(());
+            return;
         }
-        let offered = self.try_offer(resume_after, reason);
-        let obstacle = offered.err();
+        let obstacle = self.try_offer(reason).err();
         if obstacle.is_some() && obstacle != self.logged_obstacle {
             info!(
                 request:% = self.request.head.id, open = self.open.len(),
-                last_event = resume_after.map(EventId::get), reason = reason,
+                last_event = self.progress.last_event().map(EventId::get), reason = reason,
                 obstacle = obstacle.map(|it| it.to_smolstr()).as_deref();
                 "no other group takes a stream"
             );
         }
         self.logged_obstacle = obstacle;
-        offered
     }
 
-    fn try_offer(
-        &mut self,
-        resume_after: Option<EventId>,
-        reason: &str,
-    ) -> Result<(), AttemptObstacle> {
+    fn try_offer(&mut self, reason: &str) -> Result<(), AttemptObstacle> {
+        if !self.progress.is_resumable() {
+            return Err(AttemptObstacle::NotResumable);
+        }
         if !self.may_run_again() {
             return Err(AttemptObstacle::NoRunLeft);
         }
         let target = choose_target(&self.gateway, &self.request, &self.instances)
             .ok_or(AttemptObstacle::NoInstance)?;
         let instance = target.instance.clone();
-        self.start(target, resume_after)?;
+        self.start(target)?;
         info!(
             request:% = self.request.head.id, instance:% = instance, open = self.open.len(),
-            last_event = resume_after.map(EventId::get), reason = reason;
+            last_event = self.progress.last_event().map(EventId::get), reason = reason;
             "stream offered to another group"
         );
         Ok(())
@@ -139,11 +130,7 @@
     /// # Errors
     ///
     /// Returns [`AttemptObstacle`] if the request may not be sent there.
-    pub(super) fn start(
-        &mut self,
-        target: Target,
-        resume_after: Option<EventId>,
-    ) -> Result<(), AttemptObstacle> {
+    pub(super) fn start(&mut self, target: Target) -> Result<(), AttemptObstacle> {
         if self.may_have_run() && self.gateway.is_quarantined(&self.request) {
             return Err(AttemptObstacle::Quarantined);
         }
@@ -153,24 +140,26 @@
         }
         self.instances.push(target.instance.clone());
         let number = self.decisions.start();
-        let attempt = StreamAttempt::start(&self.gateway, number, target, resume_after);
+        let last_event = self.progress.last_event();
+        let attempt = StreamAttempt::start(&self.gateway, number, target, last_event);
         self.open.push(attempt);
         Ok(())
     }
 
     /// Waits for the next update of any open attempt.
     pub(super) async fn next(&mut self) -> StreamUpdate {
-        let (gateway, request) = (&self.gateway, &self.request);
-        let (update, index) = match self.open.as_mut_slice() {
-            [] => return StreamUpdate::Failed("no group can continue the stream".into()),
-            [attempt] => (attempt.next(gateway, request).await, 0),
-            attempts => {
-                let updates = attempts.iter_mut().map(|it| it.next(gateway, request));
-                let (update, index, _) = select_all(updates.map(Box::pin)).await;
-                (update, index)
+        loop {
+            if self.open.is_empty() {
+                return StreamUpdate::Failed("no group can continue the stream".into());
             }
-        };
-        self.handle(index, update)
+            if let Some(update) = self.open.next_of_ended() {
+                return update;
+            }
+            let (index, update) = self.open.receive(&self.gateway, &self.request).await;
+            if let Some(update) = self.handle(index, update) {
+                return update;
+            }
+        }
     }
 
     /// Continues the response with an attempt that has sent something that the caller does not have.
@@ -180,9 +169,8 @@
         if selection == Selection::Unchanged {
             return;
         }
-        let mut cancelled = 0;
-        for attempt in self.open.extract_if(.., |it| it.number != number) {
-            cancelled += 1;
+        let cancelled = self.open.remove_others(number);
+        for attempt in &cancelled {
             if attempt.source().is_none() {
                 attempt.log_outcome(&self.request, "cancelled");
             }
@@ -194,18 +182,17 @@
         } else {
             "stream went on by itself"
         };
-        let instance = self.open.first().map(|attempt| &attempt.target.instance);
         info!(
-            request:% = self.request.head.id, instance = instance.map(InstanceId::as_str),
-            cancelled = cancelled, tries = self.instances.len();
+            request:% = self.request.head.id,
+            instance = self.open.first_instance().map(InstanceId::as_str),
+            cancelled = cancelled.len(), tries = self.instances.len();
             "{message}"
         );
     }
 
     /// Returns the head of the response of an attempt.
     pub(super) fn take_head(&mut self, number: AttemptNumber) -> Option<Box<response::Parts>> {
-        let attempt = self.open.iter_mut().find(|it| it.number == number)?;
-        attempt.take_head()
+        self.open.take_head(number)
     }
 
     /// Ends the attempts after the stream of one of them has ended. Its connection can be used again.
@@ -224,50 +211,83 @@
         }
     }
 
-    fn handle(&mut self, index: usize, update: AttemptUpdate) -> StreamUpdate {
-        let attempt = &self.open[index];
-        let number = attempt.number;
+    /// Evaluates an update of an attempt. Returns nothing if the response stays as it is.
+    fn handle(&mut self, index: usize, update: AttemptUpdate) -> Option<StreamUpdate> {
+        let attempt = self.open.at(index);
         match update {
             AttemptUpdate::Opened => {
                 self.has_reached_instance = true;
                 attempt.log_outcome(&self.request, "stream");
-                StreamUpdate::Opened
+                Some(StreamUpdate::Opened)
             }
             AttemptUpdate::Other(response) => {
                 self.has_reached_instance = true;
                 attempt.log_outcome(&self.request, response.status().as_str());
                 self.end(index, true, None);
-                StreamUpdate::Other(response)
-            }
-            AttemptUpdate::Event(event) => {
-                let source = attempt.source();
-                if source.is_some_and(|it| it.event_count == RESPONDING_EVENTS) {
-                    self.gateway.record_success(&self.request);
-                }
-                StreamUpdate::Event(number, event)
+                Some(StreamUpdate::Other(response))
             }
-            AttemptUpdate::End => StreamUpdate::End(number),
+            AttemptUpdate::Event(event) => self.handle_event(index, event),
+            AttemptUpdate::End => self.handle_end(index),
             AttemptUpdate::Failed(failure) => {
                 self.has_reached_instance |= failure.has_reached_instance();
                 let reason = failure.to_smolstr();
                 attempt.log_outcome(&self.request, &reason);
                 let stage = failure.stage_of_lost_connection();
                 self.end(index, !failure.is_not_run(), stage);
-                StreamUpdate::Failed(reason)
+                self.update_after_failure(reason)
             }
             AttemptUpdate::Interrupted(reason) => {
                 let stage = attempt.source().map(StreamSource::stage);
                 self.end(index, true, stage);
-                StreamUpdate::Failed(reason)
+                self.update_after_failure(reason)
             }
             AttemptUpdate::Silent => {
-                self.decisions.record_silence(number);
-                StreamUpdate::Silent
+                self.decisions.record_silence(attempt.number);
+                Some(StreamUpdate::Silent)
             }
-            AttemptUpdate::TimedOut => StreamUpdate::TimedOut,
+            AttemptUpdate::TimedOut => self.update_at_deadline(),
         }
     }
 
+    /// Returns the event if the caller is to receive it.
+    fn handle_event(&mut self, index: usize, event: StreamEvent) -> Option<StreamUpdate> {
+        let attempt = self.open.at(index);
+        let source = attempt.source();
+        if source.is_some_and(|it| it.event_count == RESPONDING_EVENTS) {
+            self.gateway.record_success(&self.request);
+        }
+        let is_selected = self.decisions.is_selected(attempt.number);
+        let event = attempt.pass_on(event, &self.progress, is_selected)?;
+        Some(StreamUpdate::Event(attempt.number, event))
+    }
+
+    /// Returns the end of an attempt that has delivered a part of the response. Any other end is held
+    /// back while another attempt may continue the response.
+    fn handle_end(&mut self, index: usize) -> Option<StreamUpdate> {
+        let attempt = self.open.at(index);
+        attempt.has_ended = true;
+        if attempt.has_delivered {
+            return Some(StreamUpdate::End(attempt.number));
+        }
+        self.decisions.record_silence(attempt.number);
+        None
+    }
+
+    /// Returns the failure of an attempt, unless an end that was held back completes the response:
+    /// an instance that resumes it after its last event and ends it there has nothing to add.
+    fn update_after_failure(&self, reason: SmolStr) -> Option<StreamUpdate> {
+        (!self.open.have_all_ended()).then_some(StreamUpdate::Failed(reason))
+    }
+
+    /// Reports that the deadline has passed, unless an end that was held back completes the response.
+    fn update_at_deadline(&mut self) -> Option<StreamUpdate> {
+        let Some(number) = self.open.ended() else {
+            return Some(StreamUpdate::TimedOut);
+        };
+        self.select(number);
+        None
+    }
+
     /// Removes an attempt that has ended without a stream. `lost_stage` is set if its connection was
     /// lost.
     fn end(&mut self, index: usize, may_have_run: bool, lost_stage: Option<RequestStage>) {
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -32,8 +32,6 @@
     attempts: StreamAttempts,
     /// An update that was received before the relay began.
     pending: Option<StreamUpdate>,
-    /// The last event that was relayed to the caller.
-    last_event: Option<EventId>,
     event_count: u64,
     first_event_ms: Option<Millis>,
     last_relayed_at: Instant,
@@ -58,7 +56,6 @@
         // the relayed stream.
         response.headers_mut().remove(CONTENT_LENGTH);
         let relay = Self {
-            last_event: attempts.request.head.resume_after,
             attempts,
             pending,
             event_count: 0,
@@ -86,9 +83,7 @@
             };
             match update {
                 StreamUpdate::Event(number, event) => {
-                    if let Some(chunk) = self.relay_event(number, &event) {
-                        return Some(Ok(chunk));
-                    }
+                    return Some(Ok(self.relay_event(number, &event)));
                 }
                 StreamUpdate::End(number) => {
                     self.attempts.select(number);
@@ -98,10 +93,7 @@
                 }
                 // The head of a stream does not show that the instance continues it.
                 StreamUpdate::Opened => {}
-                StreamUpdate::Silent => {
-                    // Without another group the stream stays where it is, which is logged.
-                    let _ = self.attempts.offer(self.last_event, "silent");
-                }
+                StreamUpdate::Silent => self.attempts.offer("silent"),
                 StreamUpdate::Other(_) => {
                     if let Err(error) = self.offer_or_abort("the response is no stream") {
                         return Some(Err(error));
@@ -123,21 +115,19 @@
     ///
     /// Returns [`StreamError`] if no attempt is left.
     fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
-        let offered = self.attempts.offer(self.last_event, reason);
-        if offered.is_err() && self.attempts.is_empty() {
+        self.attempts.offer(reason);
+        if self.attempts.is_empty() {
             return Err(self.abort(reason));
         }
         Ok(())
     }
 
-    /// Returns an event for the caller, unless the caller already has it.
-    fn relay_event(&mut self, number: AttemptNumber, event: &StreamEvent) -> Option<Bytes> {
-        let id = event.id();
-        if id.is_some() && id <= self.last_event {
-            return None;
+    /// Returns an event for the caller.
+    fn relay_event(&mut self, number: AttemptNumber, event: &StreamEvent) -> Bytes {
+        if self.attempts.progress.is_continued_by(event) {
+            self.attempts.select(number);
         }
-        self.attempts.select(number);
-        self.last_event = id.or(self.last_event);
+        self.attempts.progress.record(event);
         let now = Instant::now();
         let pause_ms = Millis::from(now.duration_since(self.last_relayed_at));
         if self.first_event_ms.is_none() {
@@ -147,7 +137,7 @@
         }
         self.last_relayed_at = now;
         self.event_count += 1;
-        Some(event.raw().clone())
+        event.raw().clone()
     }
 
     fn abort(&mut self, reason: impl Into<SmolStr>) -> StreamError {
--- a/crates/cuminlb-gateway/src/serving/stream_update.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_update.rs
@@ -14,7 +14,7 @@
     Opened,
     /// A complete response that is no stream, whose attempt has ended.
     Other(Response<ResponseBody>),
-    /// An event of an attempt.
+    /// An event of an attempt that the caller is to receive.
     Event(AttemptNumber, StreamEvent),
     /// The stream of an attempt has ended and is complete.
     End(AttemptNumber),
--- a/crates/cuminlb-routing/src/retry/open_attempts.rs
+++ b/crates/cuminlb-routing/src/retry/open_attempts.rs
@@ -61,6 +61,11 @@
         self.open.iter().any(|attempt| !attempt.is_silent)
     }
 
+    /// Returns whether the caller's response comes from an attempt.
+    pub fn is_selected(&self, number: AttemptNumber) -> bool {
+        self.selected == Some(number)
+    }
+
     /// Starts an attempt, which counts as a run until it ends without one.
     pub fn start(&mut self) -> AttemptNumber {
         let number = AttemptNumber(self.started);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod native_silence;
 mod native_site;
 mod native_stops;
+mod native_unproven_attempts;
 mod outage;
 mod pages;
 mod plan_faults;
