Count the instances that run a request, not its attempts

Callers of a resumable stream whose instance was silent for 1.5 s and went on by itself lost the stream when that instance broke off later: "the request may not run again", or "no other instance is available". The other instance had been asked during the silence and was cancelled.

Cause: the cancelled attempt counted against maxAttempts, and its instance stayed in the list of those that had been tried.

maxAttempts limits the instances that one request of a caller runs on. OpenAttempts now counts distinct instances and says which of them may be sent the request: not those with an open attempt, nor those that failed or refused it, but one whose attempt was cancelled may, which adds no instance. A request that must not be retried runs once, as before.

An instance that refused is not asked again, as before.

--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -4,7 +4,7 @@
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::{EngineSpec, InstanceEntry, UpstreamService};
-use cuminlb_routing::{GroupCandidate, GroupChooser, cold_allowance};
+use cuminlb_routing::{GroupCandidate, GroupChooser, OpenAttempts, cold_allowance};
 use cuminlb_types::prelude::*;
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
@@ -21,12 +21,11 @@
 /// more than its stated rate for a second.
 const COLD_RATE_FACTOR: f64 = 1.2;
 
-/// Chooses the instance for the next attempt of a request; `tried` are the instances that it has
-/// already been sent to.
+/// Chooses the instance for the next attempt of a request after `attempts`.
 pub(super) fn choose_target(
     gateway: &Gateway,
     request: &AdmittedRequest,
-    tried: &[InstanceId],
+    attempts: &OpenAttempts,
 ) -> Option<Target> {
     let catalog = gateway.knowledge.catalog()?;
     let service = catalog.services.get(&request.service)?;
@@ -35,7 +34,7 @@
         directory: gateway.knowledge.directory(),
         request,
         service,
-        tried,
+        attempts,
         now: Instant::now(),
     };
     match (&service.engine, &request.head.model) {
@@ -50,7 +49,7 @@
     directory: Arc<Directory>,
     request: &'a AdmittedRequest,
     service: &'a UpstreamService,
-    tried: &'a [InstanceId],
+    attempts: &'a OpenAttempts,
     now: Instant,
 }
 
@@ -157,7 +156,7 @@
             && is_in_allowed_region
             && !entry.is_leaving
             && !self.directory.zones_out.contains(&entry.zone)
-            && !self.tried.contains(&entry.id)
+            && self.attempts.may_run_on(&entry.id)
             && self.has_cold_capacity(&entry.id)
     }
 
--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -36,8 +36,6 @@
     request: &'a AdmittedRequest,
     decisions: OpenAttempts,
     open: Vec<PlainAttempt<'a>>,
-    /// The instances that have been tried.
-    tried: Vec<InstanceId>,
     has_reached_instance: bool,
 }
 
@@ -61,7 +59,6 @@
             request,
             decisions,
             open: Vec::new(),
-            tried: Vec::new(),
             has_reached_instance: false,
         }
     }
@@ -72,7 +69,7 @@
     }
 
     /// Returns whether the request may have run.
-    pub(super) const fn may_have_run(&self) -> bool {
+    pub(super) fn may_have_run(&self) -> bool {
         self.decisions.may_have_run()
     }
 
@@ -91,7 +88,7 @@
         if !self.decisions.may_run_again() {
             return;
         }
-        let Some(target) = choose_target(self.gateway, self.request, &self.tried) else {
+        let Some(target) = choose_target(self.gateway, self.request, &self.decisions) else {
             return;
         };
         if self.may_have_run() && self.gateway.is_quarantined(self.request) {
@@ -105,8 +102,7 @@
     }
 
     fn start_at(&mut self, target: Target) {
-        self.tried.push(target.instance.clone());
-        let number = self.decisions.start();
+        let number = self.decisions.start(target.instance.clone());
         let now = Instant::now();
         let remaining = self.deadline().saturating_duration_since(now);
         let may_run_again = self.decisions.may_run_again();
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -95,7 +95,7 @@
     let StreamAttempts {
         gateway,
         request,
-        instances,
+        decisions,
         ..
     } = attempts;
     let wait: Duration = request
@@ -104,7 +104,7 @@
         .duration()
         .mul_f64(GROUP_WAIT_FRACTION);
     let until = (request.received_at + wait).min(request.deadline.latest());
-    let choose = || choose_target(gateway, request, instances);
+    let choose = || choose_target(gateway, request, decisions);
     let mut changes = gateway.knowledge.directory_changes();
     loop {
         if let Some(target) = choose() {
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -31,10 +31,8 @@
     pub(super) request: AdmittedRequest,
     /// What the caller has received.
     pub(super) progress: StreamProgress,
-    decisions: OpenAttempts,
+    pub(super) decisions: OpenAttempts,
     open: OpenStreams,
-    /// The instances that have been tried.
-    pub(super) instances: Vec<InstanceId>,
     has_reached_instance: bool,
     /// What was logged last as the reason why no other instance is tried.
     logged_obstacle: Option<AttemptObstacle>,
@@ -49,7 +47,6 @@
             progress: StreamProgress::new(request.head.resume_after),
             request,
             open: OpenStreams::default(),
-            instances: Vec::new(),
             has_reached_instance: false,
             logged_obstacle: None,
         }
@@ -61,12 +58,12 @@
     }
 
     /// Returns whether the request may have run.
-    pub(super) const fn may_have_run(&self) -> bool {
+    pub(super) fn may_have_run(&self) -> bool {
         self.decisions.may_have_run()
     }
 
     /// Returns whether the request may run once more.
-    pub(super) const fn may_run_again(&self) -> bool {
+    pub(super) fn may_run_again(&self) -> bool {
         self.decisions.may_run_again()
     }
 
@@ -113,7 +110,7 @@
         if !self.may_run_again() {
             return Err(AttemptObstacle::NoRunLeft);
         }
-        let target = choose_target(&self.gateway, &self.request, &self.instances)
+        let target = choose_target(&self.gateway, &self.request, &self.decisions)
             .ok_or(AttemptObstacle::NoInstance)?;
         let instance = target.instance.clone();
         self.start(target)?;
@@ -138,8 +135,7 @@
         if is_retry && !self.gateway.acquire_retry(&self.request.service) {
             return Err(AttemptObstacle::NoBudget);
         }
-        self.instances.push(target.instance.clone());
-        let number = self.decisions.start();
+        let number = self.decisions.start(target.instance.clone());
         let last_event = self.progress.last_event();
         let attempt = StreamAttempt::start(&self.gateway, number, target, last_event);
         self.open.push(attempt);
@@ -185,7 +181,7 @@
         info!(
             request:% = self.request.head.id,
             instance = self.open.first_instance().map(InstanceId::as_str),
-            cancelled = cancelled.len(), tries = self.instances.len();
+            cancelled = cancelled.len(), tries = self.decisions.started();
             "{message}"
         );
     }
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -155,7 +155,7 @@
         longest_pauses.observe(self.longest_pause_ms.duration().as_secs_f64());
         info!(
             request:% = request.head.id, route:% = request.route.name, outcome = outcome,
-            events = self.event_count, tries = self.attempts.instances.len(),
+            events = self.event_count, tries = self.attempts.decisions.started(),
             first_event_ms = self.first_event_ms.map(Millis::get),
             longest_pause_ms = self.longest_pause_ms.get(),
             age_ms = request.age_ms(Instant::now()).get();
--- a/crates/cuminlb-routing/src/retry/mod.rs
+++ b/crates/cuminlb-routing/src/retry/mod.rs
@@ -2,6 +2,7 @@
 
 mod bucket_counts;
 mod failed_attempt;
+mod open_attempt;
 mod open_attempts;
 mod retry_budget;
 mod selection;
--- /dev/null
+++ b/crates/cuminlb-routing/src/retry/open_attempt.rs
@@ -0,0 +1,11 @@
+//! An attempt that has not ended.
+
+use cuminlb_types::prelude::*;
+
+/// An attempt that has neither failed nor been cancelled.
+#[derive(Clone, Debug)]
+pub(super) struct OpenAttempt {
+    pub(super) number: AttemptNumber,
+    pub(super) instance: InstanceId,
+    pub(super) is_silent: bool,
+}
--- a/crates/cuminlb-routing/src/retry/open_attempts.rs
+++ b/crates/cuminlb-routing/src/retry/open_attempts.rs
@@ -1,42 +1,45 @@
 //! The attempts of one request that are open at the same time.
 
+use std::collections::BTreeSet;
+
 use cuminlb_types::prelude::*;
 
 use super::Selection;
+use super::open_attempt::OpenAttempt;
 
-/// Decides when a request may be sent once more, and which of its attempts stay open.
+/// Decides when and where a request may be sent once more, and which of its attempts stay open.
 ///
 /// An instance that has fallen silent may still respond. Its attempt therefore stays open while
 /// another one is made, and ends only when another one has delivered a part of the response.
+///
+/// A request may run on a limited number of instances. An instance whose attempt was cancelled has
+/// not failed, and may be sent the request again, which adds no instance.
 #[derive(Clone, Debug)]
 pub struct OpenAttempts {
-    max_runs: u32,
+    max_instances: u32,
     may_retry: bool,
-    /// The attempts that have ended and may have run.
-    ended_runs: u32,
     started: u32,
     /// The open attempts in the order in which they were started.
     open: Vec<OpenAttempt>,
+    /// The instances of the attempts that have ended and may have run.
+    instances: BTreeSet<InstanceId>,
+    /// The instances that have refused the request or have not responded to it.
+    failed: BTreeSet<InstanceId>,
     /// The attempt that the caller's response comes from.
     selected: Option<AttemptNumber>,
 }
 
-/// An attempt that has neither failed nor been cancelled.
-#[derive(Clone, Copy, Debug)]
-struct OpenAttempt {
-    number: AttemptNumber,
-    is_silent: bool,
-}
-
 impl OpenAttempts {
-    /// Allows `max_runs` runs of a request, or one if it must not be retried once it may have run.
-    pub const fn new(max_runs: u32, may_retry: bool) -> Self {
+    /// Allows a request to run on `max_instances` instances, or once if it must not be retried once
+    /// it may have run.
+    pub const fn new(max_instances: u32, may_retry: bool) -> Self {
         Self {
-            max_runs,
+            max_instances,
             may_retry,
-            ended_runs: 0,
             started: 0,
             open: Vec::new(),
+            instances: BTreeSet::new(),
+            failed: BTreeSet::new(),
             selected: None,
         }
     }
@@ -46,14 +49,28 @@
         self.open.is_empty()
     }
 
+    /// Returns the number of attempts so far.
+    pub const fn started(&self) -> u32 {
+        self.started
+    }
+
     /// Returns whether the request may have run.
-    pub const fn may_have_run(&self) -> bool {
-        self.runs() > 0
+    pub fn may_have_run(&self) -> bool {
+        !self.open.is_empty() || !self.instances.is_empty()
+    }
+
+    /// Returns whether the request may run once more beside the open attempts, on another instance or
+    /// on one that has not failed.
+    pub fn may_run_again(&self) -> bool {
+        let may_run_on = |instance| self.may_run_on(instance);
+        self.may_run_on_another() || self.instances.iter().any(may_run_on)
     }
 
-    /// Returns whether the request may run once more beside the open attempts.
-    pub const fn may_run_again(&self) -> bool {
-        self.runs() == 0 || self.may_retry && self.runs() < self.max_runs
+    /// Returns whether the request may run on an instance now.
+    pub fn may_run_on(&self, instance: &InstanceId) -> bool {
+        let is_known = self.may_retry && self.instances.contains(instance);
+        let is_excluded = self.failed.contains(instance) || self.is_open_on(instance);
+        !is_excluded && (is_known || self.may_run_on_another())
     }
 
     /// Returns whether an attempt is open that has not fallen silent.
@@ -66,12 +83,13 @@
         self.selected == Some(number)
     }
 
-    /// Starts an attempt, which counts as a run until it ends without one.
-    pub fn start(&mut self) -> AttemptNumber {
+    /// Starts an attempt on an instance, which counts until the attempt ends without a run.
+    pub fn start(&mut self, instance: InstanceId) -> AttemptNumber {
         let number = AttemptNumber(self.started);
         self.started += 1;
         self.open.push(OpenAttempt {
             number,
+            instance,
             is_silent: false,
         });
         number
@@ -87,10 +105,11 @@
 
     /// Records that an attempt has ended without a response.
     pub fn record_end(&mut self, number: AttemptNumber, may_have_run: bool) {
-        let open = self.open.len();
-        self.open.retain(|attempt| attempt.number != number);
-        if may_have_run && self.open.len() < open {
-            self.ended_runs += 1;
+        for attempt in self.open.extract_if(.., |it| it.number == number) {
+            if may_have_run {
+                self.instances.insert(attempt.instance.clone());
+            }
+            self.failed.insert(attempt.instance);
         }
     }
 
@@ -100,12 +119,11 @@
         let others = |attempt: &&OpenAttempt| attempt.number != number;
         let has_later = self.open.iter().filter(others).any(|it| it.number > number);
         let has_earlier = self.open.iter().filter(others).any(|it| it.number < number);
-        self.open.retain_mut(|attempt| {
+        let cancelled = self.open.extract_if(.., |it| it.number != number);
+        self.instances.extend(cancelled.map(|it| it.instance));
+        for attempt in &mut self.open {
             attempt.is_silent = false;
-            let is_kept = attempt.number == number;
-            self.ended_runs += u32::from(!is_kept);
-            is_kept
-        });
+        }
         let previous = self.selected.replace(number);
         if has_earlier || previous.is_some_and(|previous| previous != number) {
             Selection::Moved
@@ -116,7 +134,21 @@
         }
     }
 
-    const fn runs(&self) -> u32 {
-        self.ended_runs + self.open.len() as u32
+    /// Returns whether the request may run on an instance that it has not been sent to.
+    fn may_run_on_another(&self) -> bool {
+        !self.may_have_run() || self.may_retry && self.instance_count() < self.max_instances
+    }
+
+    fn is_open_on(&self, instance: &InstanceId) -> bool {
+        self.open
+            .iter()
+            .any(|attempt| attempt.instance == *instance)
+    }
+
+    /// Returns the number of instances that may have run the request.
+    fn instance_count(&self) -> u32 {
+        let open = self.open.iter().map(|attempt| &attempt.instance);
+        let added = open.filter(|instance| !self.instances.contains(*instance));
+        (self.instances.len() + added.count()) as u32
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod latency;
 mod memory_table;
 mod metrics;
+mod native_broken_streams;
 mod native_catalog;
 mod native_changes;
 mod native_connections;
--- /dev/null
+++ b/tests/testsuite/native_broken_streams.rs
@@ -0,0 +1,38 @@
+//! Tests of nodes on the users' platform: streams that break off, and where they are continued.
+
+use std::time::Duration;
+
+use crate::scripted_worker::Step::{self, Send, Wait};
+use crate::silence_site::{RESUMABLE, SilenceSite};
+
+/// The head of a stream, and parts of a stream of six events.
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\
+                           content-type: text/event-stream\r\n\r\n";
+const EVENTS_1_TO_3: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+const EVENTS_4_TO_6: &str = "id: 4\ndata: d\n\nid: 5\ndata: e\n\nid: 6\ndata: f\n\n";
+
+/// An instance that goes on after a silence, and breaks off in the middle of the next event.
+const SILENT_THEN_BREAKING: &[Step] = &[
+    Send(STREAM_HEAD),
+    Send(EVENTS_1_TO_3),
+    Wait(Duration::from_millis(1_500)),
+    Send("id: 4\ndata: d\n\n"),
+    Wait(Duration::from_millis(100)),
+    Send("id: 5\ndata"),
+];
+
+/// An instance that continues a stream, but later than a silent instance goes on.
+const CONTINUING_LATE: &[Step] = &[
+    Send(STREAM_HEAD),
+    Wait(Duration::from_millis(1_000)),
+    Send(EVENTS_4_TO_6),
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_went_on_by_itself_moves_when_its_instance_breaks_off() {
+    let site = SilenceSite::start(&[[Some(SILENT_THEN_BREAKING), Some(CONTINUING_LATE)]]).await;
+    site.check_whole_streams(RESUMABLE).await;
+    let requests = site.worker(1).requests();
+    let resumed_after: Vec<_> = requests.iter().map(|request| request.last_event).collect();
+    assert_eq!(resumed_after, [Some(3), Some(4)]);
+}
