Wait a moment for another instance when a stream breaks off

Callers of a resumable stream lost it in the instant in which its instance broke off, if no other instance was available right then, though one appeared 150 ms later.

Cause: StreamRelay offered the stream once and aborted it if nobody took it. Requests without a response already waited for changes of the directory.

wait_for_target has its own file now and serves both. The relay waits until the pause since the last event is four acceptable pauses of the route, or until the deadline, and offers the stream again. It waits only if no instance was available: not if the request may not run again, its events have no ids, or the retry budget is used up.

A silent attempt that is the only one is offered to a new instance at its next report of silence, as before, not at once.

--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -60,6 +60,7 @@
 mod stream_update;
 mod suspect;
 mod target;
+mod wait_for_target;
 
 pub(crate) use self::group_checks::GroupChecks;
 pub(crate) use self::instance_checks::InstanceChecks;
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -1,21 +1,19 @@
 //! Runs a request whose response is a stream of events.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use cuminlb_routing::{Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::Response;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
-use super::choose_target::choose_target;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_relay::StreamRelay;
 use super::stream_update::StreamUpdate;
-use super::target::Target;
+use super::wait_for_target::wait_for_target;
 use crate::gateway::Gateway;
 
 /// Fraction of the target latency of the first event for which a request waits for a serving group.
@@ -34,14 +32,15 @@
     let mut failed_response = None;
     let mut reason: SmolStr = "no group is serving".into();
     loop {
-        if let Some(number) = attempts.only_stream() {
+        if let Some(number) = attempts.open.only_stream() {
             return Ok(StreamRelay::response(attempts, number, None));
         }
         if attempts.is_empty() {
             if failed_response.is_some() || !attempts.may_run_again() {
                 break;
             }
-            let Some(target) = wait_for_target(&mut attempts).await else {
+            let until = group_wait_end(&attempts.request);
+            let Some(target) = wait_for_target(&mut attempts, until).await else {
                 break;
             };
             attempts.allow_or_refuse()?;
@@ -90,29 +89,8 @@
     refusal.with_retry_after(Millis(retry_after_ms))
 }
 
-/// Chooses a group, or waits for one while the first event can still meet the target latency.
-async fn wait_for_target(attempts: &mut StreamAttempts) -> Option<Target> {
-    let StreamAttempts {
-        gateway,
-        request,
-        decisions,
-        ..
-    } = attempts;
-    let wait: Duration = request
-        .route
-        .target_latency_ms
-        .duration()
-        .mul_f64(GROUP_WAIT_FRACTION);
-    let until = (request.received_at + wait).min(request.deadline.latest());
-    let choose = || choose_target(gateway, request, decisions);
-    let mut changes = gateway.knowledge.directory_changes();
-    loop {
-        if let Some(target) = choose() {
-            return Some(target);
-        }
-        tokio::select! {
-            () = sleep_until(until) => return choose(),
-            changed = changes.changed() => changed.ok()?,
-        }
-    }
+/// Returns until when the first event can still meet the target latency.
+fn group_wait_end(request: &AdmittedRequest) -> Instant {
+    let target_latency = request.route.target_latency_ms.duration();
+    request.received_at + target_latency.mul_f64(GROUP_WAIT_FRACTION)
 }
--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -267,11 +267,14 @@
             .duration()
             .mul_f64(FIRST_EVENT_SUSPICION_FRACTION);
     }
-    let pause = match request.route.kind {
+    target_gap(request).mul_f64(PAUSE_SUSPICION_FRACTION)
+}
+
+/// Returns the acceptable pause between two events of a stream.
+pub(super) fn target_gap(request: &AdmittedRequest) -> Duration {
+    let gap = match request.route.kind {
         RouteKind::Stream { target_gap_ms, .. } => target_gap_ms.map(Millis::duration),
         RouteKind::Idempotent | RouteKind::AtMostOnce => None,
     };
-    pause
-        .unwrap_or(DEFAULT_MAX_PAUSE)
-        .mul_f64(PAUSE_SUSPICION_FRACTION)
+    gap.unwrap_or(DEFAULT_MAX_PAUSE)
 }
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -5,7 +5,6 @@
 use cuminlb_routing::{OpenAttempts, Refusal, Selection};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::StreamEvent;
-use http::response;
 use log::info;
 use smol_str::{SmolStr, ToSmolStr};
 
@@ -32,7 +31,7 @@
     /// What the caller has received.
     pub(super) progress: StreamProgress,
     pub(super) decisions: OpenAttempts,
-    open: OpenStreams,
+    pub(super) open: OpenStreams,
     has_reached_instance: bool,
     /// What was logged last as the reason why no other instance is tried.
     logged_obstacle: Option<AttemptObstacle>,
@@ -67,11 +66,6 @@
         self.decisions.may_run_again()
     }
 
-    /// Returns the only open attempt if its stream has begun.
-    pub(super) fn only_stream(&self) -> Option<AttemptNumber> {
-        self.open.only_stream()
-    }
-
     /// Checks again that a request which has not run does not crash instances.
     ///
     /// # Errors
@@ -103,6 +97,11 @@
         self.logged_obstacle = obstacle;
     }
 
+    /// Returns whether the request was not offered because no other instance was available.
+    pub(super) fn lacks_instance(&self) -> bool {
+        self.logged_obstacle == Some(AttemptObstacle::NoInstance)
+    }
+
     fn try_offer(&mut self, reason: &str) -> Result<(), AttemptObstacle> {
         if !self.progress.is_resumable() {
             return Err(AttemptObstacle::NotResumable);
@@ -186,11 +185,6 @@
         );
     }
 
-    /// Returns the head of the response of an attempt.
-    pub(super) fn take_head(&mut self, number: AttemptNumber) -> Option<Box<response::Parts>> {
-        self.open.take_head(number)
-    }
-
     /// Ends the attempts after the stream of one of them has ended. Its connection can be used again.
     pub(super) fn finish(&mut self, number: AttemptNumber) {
         for attempt in std::mem::take(&mut self.open) {
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -13,10 +13,15 @@
 use tokio::time::Instant;
 
 use super::response_body::ResponseBody;
+use super::stream_attempt::target_gap;
 use super::stream_attempts::StreamAttempts;
 use super::stream_update::StreamUpdate;
+use super::wait_for_target::wait_for_target;
 use crate::metrics::RouteLabels;
 
+/// The longest pause between two events that callers accept, in acceptable pauses of the route.
+const MAX_PAUSE_GAPS: u32 = 4;
+
 /// Why a stream to a caller was aborted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -48,7 +53,7 @@
     ) -> Response<ResponseBody> {
         attempts.select(number);
         let mut response = Response::new(());
-        if let Some(parts) = attempts.take_head(number) {
+        if let Some(parts) = attempts.open.take_head(number) {
             *response.status_mut() = parts.status;
             *response.headers_mut() = attempts.gateway.edges.wire.response_headers(&parts);
         }
@@ -95,12 +100,12 @@
                 StreamUpdate::Opened => {}
                 StreamUpdate::Silent => self.attempts.offer("silent"),
                 StreamUpdate::Other(_) => {
-                    if let Err(error) = self.offer_or_abort("the response is no stream") {
+                    if let Err(error) = self.offer_or_abort("the response is no stream").await {
                         return Some(Err(error));
                     }
                 }
                 StreamUpdate::Failed(reason) => {
-                    if let Err(error) = self.offer_or_abort(&reason) {
+                    if let Err(error) = self.offer_or_abort(&reason).await {
                         return Some(Err(error));
                     }
                 }
@@ -109,13 +114,21 @@
         }
     }
 
-    /// Offers the stream to another group after an attempt has ended.
+    /// Offers the stream to another group after an attempt has ended. If none is left and no other
+    /// group is available, waits for one while the pause is no longer than callers accept.
     ///
     /// # Errors
     ///
     /// Returns [`StreamError`] if no attempt is left.
-    fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
+    async fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
         self.attempts.offer(reason);
+        if self.attempts.is_empty() && self.attempts.lacks_instance() {
+            let max_pause = target_gap(&self.attempts.request) * MAX_PAUSE_GAPS;
+            let until = self.last_relayed_at + max_pause;
+            if wait_for_target(&mut self.attempts, until).await.is_some() {
+                self.attempts.offer(reason);
+            }
+        }
         if self.attempts.is_empty() {
             return Err(self.abort(reason));
         }
--- a/tests/testsuite/native_broken_streams.rs
+++ b/tests/testsuite/native_broken_streams.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::scripted_worker::ScriptedWorker;
 use crate::scripted_worker::Step::{self, Send, Wait};
 use crate::silence_site::{RESUMABLE, SilenceSite};
 
@@ -28,6 +32,19 @@
     Send(EVENTS_4_TO_6),
 ];
 
+/// An instance that breaks off a stream without a silence before, and one that continues it.
+const BREAKING_EARLY: &[Step] = &[
+    Send(STREAM_HEAD),
+    Send(EVENTS_1_TO_3),
+    Wait(Duration::from_millis(200)),
+    Send("id: 4\ndata"),
+];
+const CONTINUING: &[Step] = &[Send(STREAM_HEAD), Send(EVENTS_4_TO_6)];
+
+/// When another instance appears: after the stream has broken off, and within the pause between two
+/// events that its caller accepts.
+const APPEARANCE: Duration = Duration::from_millis(350);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_went_on_by_itself_moves_when_its_instance_breaks_off() {
     let site = SilenceSite::start(&[[Some(SILENT_THEN_BREAKING), Some(CONTINUING_LATE)]]).await;
@@ -36,3 +53,18 @@
     let resumed_after: Vec<_> = requests.iter().map(|request| request.last_event).collect();
     assert_eq!(resumed_after, [Some(3), Some(4)]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_waits_a_moment_for_another_instance() {
+    let site = SilenceSite::start(&[[Some(BREAKING_EARLY)]]).await;
+    let entry = json!({
+        "service": "scripted0", "zone": "zb", "version": "v1", "slots": 6, "state": "ready",
+        "warmupRemainingMs": 0, "sequence": 1, "born": 1,
+    });
+    let fleet = &site.site.fleet;
+    let late = async {
+        sleep(APPEARANCE).await;
+        ScriptedWorker::start(fleet, "late", entry, "/scripted", Some(CONTINUING)).await
+    };
+    let (_, _worker) = tokio::join!(site.check_whole_streams(RESUMABLE), late);
+}
