Keep a failed response while a silent instance may still respond

Callers of idempotent requests got a 500 although their silent instance responded with 200 before their deadline: the second instance that was asked had failed at the request, and its response ended the first attempt.

Cause: run_plain gave up all silent attempts as soon as a failed response was there. run_stream kept such a response while another attempt was open. Both end now only if OpenAttempts has no open attempt or at the deadline, at which the failed response is sent.

--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -32,8 +32,8 @@
         if !attempts.has_responsive() {
             attempts.start();
         }
-        // A failed response is better than waiting for an instance that is silent.
-        if attempts.is_empty() || failed_response.is_some() && !attempts.has_responsive() {
+        // A failed response is kept while an instance that is silent may still respond.
+        if attempts.is_empty() {
             break;
         }
         match attempts.next().await {
--- a/tests/testsuite/native_unproven_attempts.rs
+++ b/tests/testsuite/native_unproven_attempts.rs
@@ -34,6 +34,19 @@
     Send(EVENTS_4_TO_6),
 ];
 
+const SILENT_BEFORE_HEAD: &[Step] = &[
+    SILENCE,
+    Send(STREAM_HEAD),
+    Send(EVENTS_1_TO_3),
+    Send(EVENTS_4_TO_6),
+];
+
+/// An instance that fails to respond to the request.
+const FAILING: &[Step] = &[Send(
+    "HTTP/1.1 500 Internal Server Error\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\
+     content-length: 0\r\n\r\n",
+)];
+
 /// Streams that end without an event.
 const EMPTY: &[Step] = &[Send(STREAM_HEAD)];
 const EMPTY_CHUNKED: &[Step] = &[Send(CHUNKED_HEAD), Send("0\r\n\r\n")];
@@ -82,3 +95,13 @@
     let site = SilenceSite::start(&services).await;
     site.check_whole_streams(RESUMABLE).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_stream_is_not_replaced_by_the_failure_of_another_instance() {
+    let services = [
+        [Some(SILENT_BEFORE_HEAD), Some(FAILING)],
+        [Some(SILENT_WITHIN), Some(FAILING)],
+    ];
+    let site = SilenceSite::start(&services).await;
+    site.check_whole_streams(RESUMABLE).await;
+}
