--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -4,7 +4,7 @@
 
 use cuminlb_assembly::GroupView;
 use cuminlb_catalog::{EngineSpec, InstanceEntry, UpstreamService};
-use cuminlb_routing::{GroupCandidate, GroupChooser, Unavailability, cold_allowance};
+use cuminlb_routing::{GroupCandidate, GroupChooser, OpenAttempts, Unavailability, cold_allowance};
 use cuminlb_types::prelude::*;
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
@@ -26,13 +26,12 @@
 pub(super) fn choose_target(
     gateway: &Gateway,
     request: &AdmittedRequest,
-    tried: &[InstanceId],
+    attempts: &OpenAttempts,
 ) -> Option<Target> {
-    select_target(gateway, request, tried).ok()
+    select_target(gateway, request, attempts).ok()
 }
 
-/// Chooses the instance for the next attempt of a request; `tried` are the instances that it has
-/// already been sent to.
+/// Chooses the instance for the next attempt of a request after `attempts`.
 ///
 /// # Errors
 ///
@@ -40,7 +39,7 @@
 pub(super) fn select_target(
     gateway: &Gateway,
     request: &AdmittedRequest,
-    tried: &[InstanceId],
+    attempts: &OpenAttempts,
 ) -> Result<Target, Unavailability> {
     let catalog = gateway.knowledge.catalog();
     let service = catalog
@@ -55,7 +54,7 @@
         directory: gateway.knowledge.directory(),
         request,
         service,
-        tried,
+        attempts,
         now: Instant::now(),
     };
     let target = match (&service.engine, &request.head.model) {
@@ -71,7 +70,7 @@
     directory: Arc<Directory>,
     request: &'a AdmittedRequest,
     service: &'a UpstreamService,
-    tried: &'a [InstanceId],
+    attempts: &'a OpenAttempts,
     now: Instant,
 }
 
@@ -184,7 +183,7 @@
         if !self.is_eligible(entry) {
             return false;
         }
-        let is_tried = self.tried.contains(&entry.id);
+        let is_tried = !self.attempts.may_run_on(&entry.id);
         if let Some(until) = self.gateway.retry_times.until(&entry.id, self.now) {
             unavailability.add_waiting(until, is_tried);
             return false;
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -32,19 +32,19 @@
         if !attempts.has_responsive() {
             attempts.start();
         }
+        // A failed response is kept while an instance that is silent may still respond.
         if attempts.is_empty() {
             let wait_until = request.useful_wait_until();
-            let WaitDecision::WaitUntil(until) = attempts.unavailability().decide(wait_until)
-            else {
+            let decision = attempts.unavailability().decide(wait_until);
+            let WaitDecision::WaitUntil(until) = decision else {
                 break;
             };
+            if failed_response.is_some() {
+                break;
+            }
             sleep_until(until).await;
             continue;
         }
-        // A failed response is better than waiting for an instance that is silent.
-        if failed_response.is_some() && !attempts.has_responsive() {
-            break;
-        }
         match attempts.next().await {
             Some(Ok((head, response))) => {
                 gateway.record_success(&request);
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -2,19 +2,18 @@
 
 use std::sync::Arc;
 
-use cuminlb_routing::{Refusal, RefusalKind, Unavailability, WaitDecision};
+use cuminlb_routing::{Refusal, RefusalKind, Unavailability};
 use cuminlb_types::prelude::*;
 use http::Response;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
-use super::choose_target::select_target;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_relay::StreamRelay;
 use super::stream_update::StreamUpdate;
-use super::target::Target;
+use super::wait_for_target::wait_for_target;
 use crate::gateway::Gateway;
 
 /// Range of the `Retry-After` of a request for which no group was serving.
@@ -26,20 +25,20 @@
     mut request: AdmittedRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     gateway.allow_or_refuse(&mut request)?;
-    let resume_after = request.head.resume_after;
     let mut attempts = StreamAttempts::new(gateway, request);
     let mut failed_response = None;
     let mut reason: SmolStr = "no group is serving".into();
     let mut unavailability = Unavailability::default();
     loop {
-        if let Some(number) = attempts.only_stream() {
+        if let Some(number) = attempts.open.only_stream() {
             return Ok(StreamRelay::response(attempts, number, None));
         }
         if attempts.is_empty() {
             if failed_response.is_some() || !attempts.may_run_again() {
                 break;
             }
-            let target = match wait_for_target(&mut attempts).await {
+            let until = attempts.request.useful_wait_until();
+            let target = match wait_for_target(&mut attempts, until).await {
                 Ok(target) => target,
                 Err(known) => {
                     unavailability = known;
@@ -47,7 +46,7 @@
                 }
             };
             attempts.allow_or_refuse()?;
-            if let Err(obstacle) = attempts.start(target, resume_after) {
+            if let Err(obstacle) = attempts.start(target) {
                 reason = obstacle.to_smolstr();
                 break;
             }
@@ -66,13 +65,10 @@
             StreamUpdate::Failed(failure) => {
                 reason = failure;
                 if !attempts.is_empty() {
-                    // Without another group the request stays where it is, which is logged.
-                    let _ = attempts.offer(resume_after, &reason);
+                    attempts.offer(&reason);
                 }
             }
-            StreamUpdate::Silent => {
-                let _ = attempts.offer(resume_after, "silent");
-            }
+            StreamUpdate::Silent => attempts.offer("silent"),
             StreamUpdate::TimedOut => break,
         }
     }
@@ -96,32 +92,3 @@
     let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
     refusal.with_retry_after(retry_after_ms)
 }
-
-/// Chooses a group, or waits for one while the first event can still meet the target latency.
-async fn wait_for_target(attempts: &mut StreamAttempts) -> Result<Target, Unavailability> {
-    let StreamAttempts {
-        gateway,
-        request,
-        instances,
-        ..
-    } = attempts;
-    let wait_until = request.useful_wait_until();
-    let mut changes = gateway.knowledge.directory_changes();
-    loop {
-        let unavailability = match select_target(gateway, request, instances) {
-            Ok(target) => return Ok(target),
-            Err(unavailability) => unavailability,
-        };
-        let wake_at = match unavailability.decide(wait_until) {
-            WaitDecision::WaitUntil(until) => until,
-            WaitDecision::WaitForChange if Instant::now() < wait_until => wait_until,
-            WaitDecision::WaitForChange | WaitDecision::Refuse => return Err(unavailability),
-        };
-        tokio::select! {
-            () = sleep_until(wake_at) => {}
-            changed = changes.changed() => if changed.is_err() {
-                return Err(unavailability);
-            },
-        }
-    }
-}
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -1,7 +1,6 @@
 //! Relays an event stream to a caller, across failovers between groups.
 
 use bytes::Bytes;
-use cuminlb_routing::{EventContent, EventPlace, StreamPosition};
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::StreamEvent;
 use futures_util::stream::unfold;
@@ -13,12 +12,16 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::event_content::event_content;
 use super::response_body::ResponseBody;
+use super::stream_attempt::target_gap;
 use super::stream_attempts::StreamAttempts;
 use super::stream_update::StreamUpdate;
+use super::wait_for_target::wait_for_target;
 use crate::metrics::RouteLabels;
 
+/// The longest pause between two events that callers accept, in acceptable pauses of the route.
+const MAX_PAUSE_GAPS: u32 = 4;
+
 /// Why a stream to a caller was aborted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -34,8 +37,6 @@
     attempts: StreamAttempts,
     /// An update that was received before the relay began.
     pending: Option<StreamUpdate>,
-    /// How far the caller has received the stream.
-    position: StreamPosition,
     event_count: u64,
     first_event_ms: Option<Millis>,
     last_relayed_at: Instant,
@@ -52,7 +53,7 @@
     ) -> Response<ResponseBody> {
         attempts.select(number);
         let mut response = Response::new(());
-        if let Some(parts) = attempts.take_head(number) {
+        if let Some(parts) = attempts.open.take_head(number) {
             *response.status_mut() = parts.status;
             *response.headers_mut() = attempts.gateway.edges.wire.response_headers(&parts);
         }
@@ -60,7 +61,6 @@
         // the relayed stream.
         response.headers_mut().remove(CONTENT_LENGTH);
         let relay = Self {
-            position: StreamPosition::new(attempts.request.head.resume_after),
             attempts,
             pending,
             event_count: 0,
@@ -88,21 +88,7 @@
             };
             match update {
                 StreamUpdate::Event(number, event) => {
-                    let content = event_content(&event);
-                    match self.position.place(number, event.id(), content) {
-                        EventPlace::Next => return Some(Ok(self.relay_event(number, &event))),
-                        EventPlace::Repeated => {}
-                        EventPlace::Unconnected => {
-                            if let Err(error) = self.leave(number, "events are missing") {
-                                return Some(Err(error));
-                            }
-                        }
-                    }
-                }
-                StreamUpdate::End(number) if !self.position.may_end(number) => {
-                    if let Err(error) = self.leave(number, "the stream ended too early") {
-                        return Some(Err(error));
-                    }
+                    return Some(Ok(self.relay_event(number, &event)));
                 }
                 StreamUpdate::End(number) => {
                     self.attempts.select(number);
@@ -112,17 +98,14 @@
                 }
                 // The head of a stream does not show that the instance continues it.
                 StreamUpdate::Opened => {}
-                StreamUpdate::Silent => {
-                    // Without another group the stream stays where it is, which is logged.
-                    let _ = self.attempts.offer(self.position.last(), "silent");
-                }
+                StreamUpdate::Silent => self.attempts.offer("silent"),
                 StreamUpdate::Other(_) => {
-                    if let Err(error) = self.offer_or_abort("the response is no stream") {
+                    if let Err(error) = self.offer_or_abort("the response is no stream").await {
                         return Some(Err(error));
                     }
                 }
                 StreamUpdate::Failed(reason) => {
-                    if let Err(error) = self.offer_or_abort(&reason) {
+                    if let Err(error) = self.offer_or_abort(&reason).await {
                         return Some(Err(error));
                     }
                 }
@@ -131,36 +114,33 @@
         }
     }
 
-    /// Offers the stream to another group after an attempt has ended.
+    /// Offers the stream to another group after an attempt has ended. If none is left and no other
+    /// group is available, waits for one while the pause is no longer than callers accept.
     ///
     /// # Errors
     ///
     /// Returns [`StreamError`] if no attempt is left.
-    fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
-        let offered = self.attempts.offer(self.position.last(), reason);
-        if offered.is_err() && self.attempts.is_empty() {
+    async fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
+        self.attempts.offer(reason);
+        if self.attempts.is_empty() && self.attempts.lacks_instance() {
+            let max_pause = target_gap(&self.attempts.request) * MAX_PAUSE_GAPS;
+            let until = self.last_relayed_at + max_pause;
+            if wait_for_target(&mut self.attempts, until).await.is_ok() {
+                self.attempts.offer(reason);
+            }
+        }
+        if self.attempts.is_empty() {
             return Err(self.abort(reason));
         }
         Ok(())
     }
 
-    /// Ends an attempt that does not continue what the caller has, and offers the stream to another
-    /// group.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StreamError`] if no attempt is left.
-    fn leave(&mut self, number: AttemptNumber, reason: &str) -> Result<(), StreamError> {
-        self.attempts.leave(number, reason);
-        self.offer_or_abort(reason)
-    }
-
-    /// Returns an event for the caller. A comment of an attempt that has not continued the stream yet
-    /// leaves the others open.
+    /// Returns an event for the caller.
     fn relay_event(&mut self, number: AttemptNumber, event: &StreamEvent) -> Bytes {
-        if self.position.is_connected(number) || event_content(event) == EventContent::End {
+        if self.attempts.progress.is_continued_by(event) {
             self.attempts.select(number);
         }
+        self.attempts.progress.record(event);
         let now = Instant::now();
         let pause_ms = Millis::from(now.duration_since(self.last_relayed_at));
         if self.first_event_ms.is_none() {
@@ -188,7 +168,7 @@
         longest_pauses.observe(self.longest_pause_ms.duration().as_secs_f64());
         info!(
             request:% = request.head.id, route:% = request.route.name, outcome = outcome,
-            events = self.event_count, tries = self.attempts.instances.len(),
+            events = self.event_count, tries = self.attempts.decisions.started(),
             first_event_ms = self.first_event_ms.map(Millis::get),
             longest_pause_ms = self.longest_pause_ms.get(),
             age_ms = request.age_ms(Instant::now()).get();
