Say when a shorter idle time holds for open connections

A connection whose timer runs keeps to it after a newer catalog has shortened the limit: callers may still reuse a connection by the longer limit. The doc comment of run_connection said only that limits may change at any time.

--- a/crates/cuminlb-gateway/src/serving/run_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/run_connection.rs
@@ -11,8 +11,10 @@
 
 use super::caller_connection::CallerConnection;
 
-/// Runs a connection until it ends; returns `None` if it is to be closed by its limits, which may
-/// change at any time.
+/// Runs a connection until it ends; returns `None` if it is to be closed by its limits.
+///
+/// The limits may change at any time. A longer limit holds at once, a shorter one from the next timer
+/// on, since a caller may still rely on the longer one.
 pub(super) async fn run_connection<C>(
     connection: &mut C,
     state: &CallerConnection,
--- a/crates/cuminlb-routing/src/connection_activity.rs
+++ b/crates/cuminlb-routing/src/connection_activity.rs
@@ -13,7 +13,7 @@
     phase: ConnectionPhase,
     /// The deadline of the last request, once it is known.
     deadline: Option<Instant>,
-    /// When a response last made progress of which a part has not been sent yet.
+    /// When a response of which a part is still unsent last made progress.
     sending_since: Option<Instant>,
 }
 
