Leave an attempt whose events without ids follow others

The merge passed over such events and took the end that followed for the end of the stream: a_stream_that_is_continued_without_ids_is_aborted failed.

--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -252,22 +252,16 @@
         }
         let number = attempt.number;
         let is_selected = self.decisions.is_selected(number);
-        if event.id().is_some() && self.place(number, &event) == EventPlace::Unconnected {
+        let content = event_content(&event);
+        let place = self.position.place(number, event.id(), content);
+        if place == EventPlace::Unconnected {
             return self.leave(index, "events are missing");
         }
         let attempt = self.open.at(index);
         let event = attempt.pass_on(event, &self.progress, is_selected)?;
-        if event.id().is_none() && self.place(number, &event) == EventPlace::Unconnected {
-            return self.leave(index, "an event without an id follows others");
-        }
         Some(StreamUpdate::Event(number, event))
     }
 
-    fn place(&mut self, number: AttemptNumber, event: &StreamEvent) -> EventPlace {
-        self.position
-            .place(number, event.id(), event_content(event))
-    }
-
     /// Ends an attempt whose stream does not continue what the caller has. It may have run.
     fn leave(&mut self, index: usize, reason: &str) -> Option<StreamUpdate> {
         self.open.at(index).log_outcome(&self.request, reason);
