Have a node hear in the test that a head leaves

The group test of native_leaving failed in 2 of 11 runs of the port: no group was replaced within 60 s. Probable cause, not shown by a run: while the long streams run, a node may choose the group that has fewer of them each time, so that none of the short streams reaches the head and no node hears its statement; afterwards nothing is sent any more.

The test now goes on sending streams until the groups are replaced, and its limit of one stream per node at the head holds for all of them, so that it asks for more than before.

--- a/tests/testsuite/native_leaving.rs
+++ b/tests/testsuite/native_leaving.rs
@@ -1,7 +1,7 @@
 //! Tests of nodes on the users' platform: instances that state in their answers that they leave.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cuminlb_test_support::wait_until;
@@ -94,29 +94,29 @@
         });
         futures_util::future::join_all(long).await
     };
+    // A node may learn of the statement only once the long streams have ended: until then it may
+    // choose the head that has fewer of them.
+    let counts = [AtomicUsize::new(0), AtomicUsize::new(0)];
     let short = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
         let engine = site.fleet.engine(&head).unwrap();
         engine.say_leaving();
-        let reaches_head = async |node: usize, id: &str| {
-            let response = site.stream(node, id, "1").await.unwrap();
-            assert_eq!(response.status, StatusCode::OK);
-            site.fleet.runs.workers_of(id).contains(&head)
-        };
-        for node in 0..2 {
-            let mut count = 0;
-            for number in 0..MANY {
-                let id = format!("short{node}-{number}");
-                count += usize::from(reaches_head(node, &id).await);
-            }
-            assert!(count <= 1, "node {node}: {count} of {MANY} reached {head}");
+        for number in 0..2 * MANY {
+            let node = number / MANY;
+            let reached = reaches_head(&site, &head, node, &format!("short{number}")).await;
+            counts[node].fetch_add(usize::from(reached), Ordering::Relaxed);
         }
     };
     let (long, ()) = tokio::join!(long, short);
     for response in long {
         assert_eq!(event_ids(&response.unwrap()), (1..=150).collect::<Vec<_>>());
     }
+    let mut number = 0;
     wait_until("two groups serve without the instance", async || {
+        number += 1;
+        let node = number % 2;
+        let reached = reaches_head(&site, &head, node, &format!("later{number}")).await;
+        counts[node].fetch_add(usize::from(reached), Ordering::Relaxed);
         site.open_heads()
             .iter()
             .filter(|open| **open != head)
@@ -125,5 +125,17 @@
     })
     .await
     .unwrap();
+    for (node, count) in counts.iter().enumerate() {
+        let count = count.load(Ordering::Relaxed);
+        assert!(count <= 1, "node {node}: {count} streams reached {head}");
+    }
     site.assert_no_violations();
 }
+
+/// Sends a stream to a node and returns whether it reached an instance.
+async fn reaches_head(site: &NativeSite, head: &str, node: usize, id: &str) -> bool {
+    let response = site.stream(node, id, "1").await.unwrap();
+    assert_eq!(response.status, StatusCode::OK);
+    let workers = site.fleet.runs.workers_of(id);
+    workers.iter().any(|worker| worker == head)
+}
