Offer a silent stream to an instance as soon as it appears

A stream whose only instance was silent, with no other one available, was offered to a new instance only when the silence was reported once more, 0.9 to 1.8 s after the last report; callers leave within such a time.

Cause: an attempt without a target was repeated at reports of silence only. StreamAttempts now waits for changes of the directory as well while no open attempt responds and no instance was available.

Evidence: a_silent_stream_is_offered_to_an_instance_as_soon_as_it_appears had no whole stream within 1.7 s before and passes now, with native_broken_streams, native_unproven_attempts and native_silence (20 tests, three runs).

--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -35,7 +35,7 @@
         if let Some(number) = attempts.open.only_stream() {
             return Ok(StreamRelay::response(attempts, number, None));
         }
-        if attempts.is_empty() {
+        if attempts.open.is_empty() {
             if failed_response.is_some() || !attempts.may_run_again() {
                 break;
             }
@@ -62,7 +62,7 @@
             }
             StreamUpdate::Failed(failure) => {
                 reason = failure;
-                if !attempts.is_empty() {
+                if !attempts.open.is_empty() {
                     attempts.offer(&reason);
                 }
             }
--- a/crates/cuminlb-gateway/src/serving/stream_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts.rs
@@ -7,6 +7,7 @@
 use cuminlb_upstream::StreamEvent;
 use log::info;
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::sync::watch;
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_obstacle::AttemptObstacle;
@@ -21,6 +22,7 @@
 use super::stream_update::StreamUpdate;
 use super::target::Target;
 use crate::gateway::Gateway;
+use crate::knowledge::Directory;
 
 /// The attempts of one request for a stream. An attempt whose instance is silent stays open beside
 /// the next one, until one of them has sent something that the caller does not have.
@@ -35,6 +37,8 @@
     has_reached_instance: bool,
     /// What was logged last as the reason why no other instance is tried.
     logged_obstacle: Option<AttemptObstacle>,
+    /// The changes of the directory since an instance was last chosen.
+    changes: watch::Receiver<Arc<Directory>>,
 }
 
 impl StreamAttempts {
@@ -48,14 +52,10 @@
             open: OpenStreams::default(),
             has_reached_instance: false,
             logged_obstacle: None,
+            changes: gateway.knowledge.directory_changes(),
         }
     }
 
-    /// Returns whether no attempt is open.
-    pub(super) const fn is_empty(&self) -> bool {
-        self.open.is_empty()
-    }
-
     /// Returns whether the request may have run.
     pub(super) fn may_have_run(&self) -> bool {
         self.decisions.may_have_run()
@@ -97,9 +97,10 @@
         self.logged_obstacle = obstacle;
     }
 
-    /// Returns whether the request was not offered because no other instance was available.
+    /// Returns whether no open attempt responds and no other instance was available.
     pub(super) fn lacks_instance(&self) -> bool {
-        self.logged_obstacle == Some(AttemptObstacle::NoInstance)
+        let had_none = self.logged_obstacle == Some(AttemptObstacle::NoInstance);
+        had_none && !self.decisions.has_responsive_attempt()
     }
 
     fn try_offer(&mut self, reason: &str) -> Result<(), AttemptObstacle> {
@@ -109,6 +110,7 @@
         if !self.may_run_again() {
             return Err(AttemptObstacle::NoRunLeft);
         }
+        self.changes.mark_unchanged();
         let target = choose_target(&self.gateway, &self.request, &self.decisions)
             .ok_or(AttemptObstacle::NoInstance)?;
         let instance = target.instance.clone();
@@ -150,7 +152,11 @@
             if let Some(update) = self.open.next_of_ended() {
                 return update;
             }
-            let (index, update) = self.open.receive(&self.gateway, &self.request).await;
+            let (index, update) = tokio::select! {
+                biased;
+                received = self.open.receive(&self.gateway, &self.request) => received,
+                Ok(()) = self.changes.changed(), if self.lacks_instance() => return StreamUpdate::Silent,
+            };
             if let Some(update) = self.handle(index, update) {
                 return update;
             }
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -122,14 +122,14 @@
     /// Returns [`StreamError`] if no attempt is left.
     async fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
         self.attempts.offer(reason);
-        if self.attempts.is_empty() && self.attempts.lacks_instance() {
+        if self.attempts.open.is_empty() && self.attempts.lacks_instance() {
             let max_pause = target_gap(&self.attempts.request) * MAX_PAUSE_GAPS;
             let until = self.last_relayed_at + max_pause;
             if wait_for_target(&mut self.attempts, until).await.is_some() {
                 self.attempts.offer(reason);
             }
         }
-        if self.attempts.is_empty() {
+        if self.attempts.open.is_empty() {
             return Err(self.abort(reason));
         }
         Ok(())
--- a/tests/testsuite/native_broken_streams.rs
+++ b/tests/testsuite/native_broken_streams.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::scripted_worker::ScriptedWorker;
 use crate::scripted_worker::Step::{self, Send, Wait};
@@ -54,17 +54,42 @@
     assert_eq!(resumed_after, [Some(3), Some(4)]);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_that_breaks_off_waits_a_moment_for_another_instance() {
-    let site = SilenceSite::start(&[[Some(BREAKING_EARLY)]]).await;
+/// An instance that falls silent for longer than a caller waits.
+const STALLED: &[Step] = &[
+    Send(STREAM_HEAD),
+    Send(EVENTS_1_TO_3),
+    Wait(Duration::from_secs(60)),
+];
+
+/// When another instance appears beside a silent one: just after the request could first have been
+/// offered to it.
+const APPEARANCE_BESIDE_SILENCE: Duration = Duration::from_millis(1_050);
+
+/// Before the time at which the silence is reported once more.
+const SECOND_REPORT: Duration = Duration::from_millis(1_700);
+
+async fn start_late(site: &SilenceSite, appearance: Duration) -> ScriptedWorker {
     let entry = json!({
         "service": "scripted0", "zone": "zb", "version": "v1", "slots": 6, "state": "ready",
         "warmupRemainingMs": 0, "sequence": 1, "born": 1,
     });
+    sleep(appearance).await;
     let fleet = &site.site.fleet;
-    let late = async {
-        sleep(APPEARANCE).await;
-        ScriptedWorker::start(fleet, "late", entry, "/scripted", Some(CONTINUING)).await
-    };
+    ScriptedWorker::start(fleet, "late", entry, "/scripted", Some(CONTINUING)).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_stream_is_offered_to_an_instance_as_soon_as_it_appears() {
+    let site = SilenceSite::start(&[[Some(STALLED)]]).await;
+    let late = start_late(&site, APPEARANCE_BESIDE_SILENCE);
+    let streams = timeout(SECOND_REPORT, site.check_whole_streams(RESUMABLE));
+    let (streams, _worker) = tokio::join!(streams, late);
+    assert!(streams.is_ok(), "{}", site.site.nodes[0].process.log());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_waits_a_moment_for_another_instance() {
+    let site = SilenceSite::start(&[[Some(BREAKING_EARLY)]]).await;
+    let late = start_late(&site, APPEARANCE);
     let (_, _worker) = tokio::join!(site.check_whole_streams(RESUMABLE), late);
 }
