--- a/crates/cuminlb-gateway/src/serving/guarded_body.rs
+++ b/crates/cuminlb-gateway/src/serving/guarded_body.rs
@@ -8,7 +8,7 @@
 
 use super::request_guard::RequestGuard;
 use super::response_body::ResponseBody;
-use super::stream_relay::StreamError;
+use super::stream_error::StreamError;
 
 /// The body of a response. Its connection is busy until it is dropped.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/cuminlb-gateway/src/serving/plain_attempt.rs
@@ -0,0 +1,24 @@
+//! An open attempt of a request whose response is not a stream.
+
+use cuminlb_catalog::ResponseHead;
+use cuminlb_types::prelude::*;
+use futures_util::future::BoxFuture;
+use http::Response;
+use tokio::time::Instant;
+
+use super::attempt_failure::AttemptFailure;
+use super::response_body::ResponseBody;
+use super::target::Target;
+
+/// The result of one attempt.
+pub(super) type PlainOutcome = Result<(ResponseHead, Response<ResponseBody>), AttemptFailure>;
+
+/// An open attempt of a request whose response is not a stream.
+pub(super) struct PlainAttempt<'a> {
+    pub(super) number: AttemptNumber,
+    pub(super) target: Target,
+    /// When its instance counts as silent; never if no other attempt may follow.
+    pub(super) silent_at: Option<Instant>,
+    pub(super) is_silent: bool,
+    pub(super) exchange: BoxFuture<'a, PlainOutcome>,
+}
--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_catalog::ResponseHead;
 use cuminlb_routing::OpenAttempts;
 use cuminlb_types::prelude::*;
-use futures_util::future::{BoxFuture, select_all};
-use http::Response;
+use futures_util::future::select_all;
 use log::info;
 use smol_str::ToSmolStr;
 use tokio::time::{Instant, sleep_until};
@@ -15,8 +13,8 @@
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
 use super::choose_target::choose_target;
+use super::plain_attempt::{PlainAttempt, PlainOutcome};
 use super::plain_exchange::plain_exchange;
-use super::response_body::ResponseBody;
 use super::target::Target;
 use crate::gateway::Gateway;
 
@@ -26,9 +24,6 @@
 /// Time reserved before the deadline for telling the caller that the request timed out.
 const TIMEOUT_RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
-/// The result of one attempt.
-pub(super) type PlainOutcome = Result<(ResponseHead, Response<ResponseBody>), AttemptFailure>;
-
 /// The attempts of one request whose response is not a stream. An attempt whose instance is silent
 /// stays open beside the next one.
 pub(super) struct PlainAttempts<'a> {
@@ -39,15 +34,6 @@
     has_reached_instance: bool,
 }
 
-struct PlainAttempt<'a> {
-    number: AttemptNumber,
-    target: Target,
-    /// When its instance counts as silent; never if no other attempt may follow.
-    silent_at: Option<Instant>,
-    is_silent: bool,
-    exchange: BoxFuture<'a, PlainOutcome>,
-}
-
 impl<'a> PlainAttempts<'a> {
     pub(super) const fn new(
         gateway: &'a Arc<Gateway>,
--- a/crates/cuminlb-gateway/src/serving/response_body.rs
+++ b/crates/cuminlb-gateway/src/serving/response_body.rs
@@ -4,7 +4,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
-use super::stream_relay::StreamError;
+use super::stream_error::StreamError;
 
 /// The body of a response: either buffered, or a stream that may be aborted.
 pub(super) type ResponseBody = UnsyncBoxBody<Bytes, StreamError>;
--- a/crates/cuminlb-gateway/src/serving/silence_watch.rs
+++ b/crates/cuminlb-gateway/src/serving/silence_watch.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::in_flight_guard::InFlightGuard;
+use super::silence::Silence;
 
 /// How often a request that receives nothing reports its instance as suspicious.
 const SUSPICION_REPORT_PERIOD: Duration = Duration::from_millis(250);
@@ -20,17 +21,6 @@
 /// requests. Its connection may be dead, and callers leave soon after.
 const SINGLE_REQUEST_FAILOVER_SILENCE: Duration = Duration::from_millis(1_800);
 
-/// The evaluation of the time during which nothing was received for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Silence {
-    /// The silence is within the expected range.
-    Normal,
-    /// The instance should be suspected.
-    Suspicious,
-    /// The request should be offered to another instance. This one may still respond.
-    TooLong,
-}
-
 /// Tracks how long nothing is received for one request at an instance.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SilenceWatch {
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::response_body::ResponseBody;
 use super::stream_attempt::target_gap;
 use super::stream_attempts::StreamAttempts;
+use super::stream_error::StreamError;
 use super::stream_update::StreamUpdate;
 use super::wait_for_target::wait_for_target;
 use crate::metrics::RouteLabels;
@@ -22,14 +23,6 @@
 /// The longest pause between two events that callers accept, in acceptable pauses of the route.
 const MAX_PAUSE_GAPS: u32 = 4;
 
-/// Why a stream to a caller was aborted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(thiserror::Error)]
-#[error("stream aborted: {reason}")]
-pub(super) struct StreamError {
-    reason: SmolStr,
-}
-
 /// Relays a stream of events to a caller. If its group aborts it or falls silent, another group is
 /// asked to resume it.
 #[derive(Debug)]
