--- a/tests/testsuite/native_unproven_attempts.rs
+++ b/tests/testsuite/native_unproven_attempts.rs
@@ -105,3 +105,40 @@
     let site = SilenceSite::start(&services).await;
     site.check_whole_streams(RESUMABLE).await;
 }
+
+/// A stream of events without ids, with a silence and without one.
+const SILENT_WITHOUT_IDS: &[Step] = &[
+    Send(STREAM_HEAD),
+    Send("data: a\n\n"),
+    SILENCE,
+    Send("data: b\n\n"),
+];
+const WITHOUT_IDS: &[Step] = &[Send(STREAM_HEAD), Send("data: a\n\ndata: b\n\n")];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_events_without_ids_is_not_joined_with_that_of_another_instance() {
+    let site = SilenceSite::start(&[[Some(SILENT_WITHOUT_IDS), Some(WITHOUT_IDS)]]).await;
+    let response = site.send(0, RESUMABLE).await.unwrap();
+    assert_eq!(response.text(), "data: a\n\ndata: b\n\n");
+    assert_eq!(site.offers(0), 0);
+}
+
+/// An instance that sends nothing but the marker of the end.
+const END_MARKER: &str = "data: [DONE]\n\n";
+const MARKING_END: &[Step] = &[Send(STREAM_HEAD), Send(END_MARKER)];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_end_marker_of_another_instance_ends_a_stream_that_breaks_off_after_its_last_event() {
+    let site = SilenceSite::start(&[
+        [Some(BREAKING_BEFORE_END), Some(MARKING_END)],
+        [Some(SILENT_WITHIN), Some(MARKING_END)],
+    ])
+    .await;
+    let response = site.send(0, RESUMABLE).await.unwrap();
+    assert_eq!(
+        response.text(),
+        format!("{EVENTS_1_TO_3}{EVENTS_4_TO_6}{END_MARKER}")
+    );
+    let response = site.send(1, RESUMABLE).await.unwrap();
+    assert_eq!(response.text(), format!("{EVENTS_1_TO_3}{EVENTS_4_TO_6}"));
+}
