--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::response_body::ResponseBody;
 use super::stream_attempt::target_gap;
 use super::stream_attempts::StreamAttempts;
+use super::stream_error::StreamError;
 use super::stream_update::StreamUpdate;
 use super::wait_for_target::wait_for_target;
 use crate::metrics::RouteLabels;
@@ -22,14 +23,6 @@
 /// The longest pause between two events that callers accept, in acceptable pauses of the route.
 const MAX_PAUSE_GAPS: u32 = 4;
 
-/// Why a stream to a caller was aborted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(thiserror::Error)]
-#[error("stream aborted: {reason}")]
-pub(super) struct StreamError {
-    reason: SmolStr,
-}
-
 /// Relays a stream of events to a caller. If its group aborts it or falls silent, another group is
 /// asked to resume it.
 #[derive(Debug)]
@@ -122,14 +115,14 @@
     /// Returns [`StreamError`] if no attempt is left.
     async fn offer_or_abort(&mut self, reason: &str) -> Result<(), StreamError> {
         self.attempts.offer(reason);
-        if self.attempts.is_empty() && self.attempts.lacks_instance() {
+        if self.attempts.open.is_empty() && self.attempts.lacks_instance() {
             let max_pause = target_gap(&self.attempts.request) * MAX_PAUSE_GAPS;
             let until = self.last_relayed_at + max_pause;
             if wait_for_target(&mut self.attempts, until).await.is_ok() {
                 self.attempts.offer(reason);
             }
         }
-        if self.attempts.is_empty() {
+        if self.attempts.open.is_empty() {
             return Err(self.abort(reason));
         }
         Ok(())
