Name the bound that a secret breaks, as before

The message of a token that is too short had changed with the upper bound; wrong_files::every_mistake_of_the_settings_is_reported failed for it.

--- a/crates/cuminlb-config/src/settings/secret.rs
+++ b/crates/cuminlb-config/src/settings/secret.rs
@@ -32,12 +32,13 @@
         let text: SmolStr = reader
             .required::<String>(key, "give a secret of 16 bytes or more")?
             .into();
-        if (MIN_LEN_BYTES..=MAX_LEN_BYTES).contains(&text.len()) {
-            return Some(Self(text));
-        }
+        let bound = match text.len() {
+            ..MIN_LEN_BYTES => format!("must have at least {MIN_LEN_BYTES} bytes"),
+            MIN_LEN_BYTES..=MAX_LEN_BYTES => return Some(Self(text)),
+            _ => format!("must have at most {MAX_LEN_BYTES} bytes"),
+        };
         let len_text = format!("{} bytes", text.len());
-        let bounds = format!("must have {MIN_LEN_BYTES} to {MAX_LEN_BYTES} bytes");
-        reader.reject(key, len_text, bounds);
+        reader.reject(key, len_text, bound);
         None
     }
 }
