Stop using an entry that lapsed in an outage at its time, not at the next cleanup

Cause: an entry that vanishes shortly after a failure of the store is used for 1.8 s more, but its end was noticed by a cleanup that runs each 0.25 s, so that it could take 2.05 s.

Now the directory holds the time, and each choice compares it.

--- a/crates/cuminlb-gateway/src/knowledge/directory.rs
+++ b/crates/cuminlb-gateway/src/knowledge/directory.rs
@@ -21,6 +21,8 @@
     /// The instances whose entries have vanished. Nothing may be sent to them, but they may still
     /// be members of groups.
     pub(crate) unlisted: BTreeSet<InstanceId>,
+    /// The instances whose entries vanished in an outage of the store, and until when they are used.
+    pub(crate) lapsed: BTreeMap<InstanceId, Instant>,
     /// The instances that are cold, and until when.
     pub(crate) cold_until: BTreeMap<InstanceId, Instant>,
     /// The nodes.
@@ -42,6 +44,13 @@
         self.cold_until.get(id).is_some_and(|&until| now < until)
     }
 
+    /// Returns whether an instance has an entry, or had one that vanished in an outage of the store
+    /// and may still come back.
+    pub(crate) fn is_listed(&self, id: &InstanceId, now: Instant) -> bool {
+        let has_lapsed = self.lapsed.get(id).is_some_and(|&until| now >= until);
+        !has_lapsed && !self.unlisted.contains(id)
+    }
+
     /// Returns an instance of any service.
     pub(crate) fn find_instance(&self, id: &InstanceId) -> Option<&InstanceEntry> {
         let mut services = self.services.values();
--- a/crates/cuminlb-gateway/src/knowledge/row_records.rs
+++ b/crates/cuminlb-gateway/src/knowledge/row_records.rs
@@ -84,6 +84,7 @@
         let mut directory = Directory {
             zones_out: self.zones.zones(),
             unlisted: self.instances.unlisted(),
+            lapsed: self.instances.lapsed().clone(),
             cold_until: self.instances.cold_until(now),
             nodes: self.nodes.nodes(),
             ..Directory::default()
--- a/crates/cuminlb-gateway/src/serving/choose_target.rs
+++ b/crates/cuminlb-gateway/src/serving/choose_target.rs
@@ -202,8 +202,7 @@
         let region = settings.zones.get(&entry.zone);
         let is_in_allowed_region =
             regions.is_empty() || region.is_some_and(|it| regions.contains(it));
-        let is_listed = !self.directory.unlisted.contains(&entry.id);
-        is_listed
+        self.directory.is_listed(&entry.id, self.now)
             && is_in_allowed_region
             && !entry.is_leaving
             && !self.directory.zones_out.contains(&entry.zone)
--- a/crates/cuminlb-replica/src/records/instance_records.rs
+++ b/crates/cuminlb-replica/src/records/instance_records.rs
@@ -196,6 +196,12 @@
         self.unlisted.keys().cloned().collect()
     }
 
+    /// Returns the instances whose entries vanished in an outage, with the time until which they are
+    /// used.
+    pub const fn lapsed(&self) -> &BTreeMap<InstanceId, Instant> {
+        &self.lapsed
+    }
+
     /// Returns the entries.
     pub fn entries(&self) -> impl Iterator<Item = &Arc<InstanceEntry>> {
         self.entries.values()
