--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod native_lapsed_entries;
 mod native_late_responses;
 mod native_leaving;
+mod native_node;
 mod native_observation;
 mod native_odd_rows;
 mod native_operation;
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -13,6 +13,7 @@
 use tempfile::TempDir;
 
 use crate::native_catalog::native_catalog;
+use crate::native_node::{CALLER_PORT, METRICS_PORT, NativeNode, PEER_PORT, READY_PORT};
 
 /// The host of all routes, and the path prefixes of the three kinds of routes.
 pub const HOST: &str = "desk.example";
@@ -38,41 +39,6 @@
 /// The number of blocks of addresses that one test process can use.
 const BLOCKS: u8 = 4;
 
-const CALLER_PORT: u16 = 8_100;
-const READY_PORT: u16 = 8_101;
-const PEER_PORT: u16 = 8_102;
-const METRICS_PORT: u16 = 8_103;
-
-/// A node process and the store server that it uses.
-pub struct NativeNode {
-    pub process: Process,
-    pub store: StandinServer,
-    pub address: Ipv4Addr,
-    settings: std::path::PathBuf,
-}
-
-impl NativeNode {
-    pub fn url(&self, path: &str) -> String {
-        format!("http://{}:{CALLER_PORT}{path}", self.address)
-    }
-
-    pub fn caller_address(&self) -> SocketAddr {
-        SocketAddr::from((self.address, CALLER_PORT))
-    }
-
-    pub fn peer_address(&self) -> SocketAddr {
-        SocketAddr::from((self.address, PEER_PORT))
-    }
-
-    pub fn metrics_url(&self) -> String {
-        format!("http://{}:{METRICS_PORT}/metrics", self.address)
-    }
-
-    fn ready_url(&self) -> String {
-        format!("http://{}:{READY_PORT}/ready", self.address)
-    }
-}
-
 /// The stand-ins and the node processes of one test.
 pub struct NativeSite {
     pub fleet: Fleet,
--- a/tests/testsuite/raw_caller.rs
+++ b/tests/testsuite/raw_caller.rs
@@ -6,7 +6,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use crate::native_site::{API_KEY, HOST, NativeNode};
+use crate::native_node::NativeNode;
+use crate::native_site::{API_KEY, HOST};
 
 /// How long a caller waits for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
