--- a/crates/cuminlb-gateway/src/knowledge/row_news.rs
+++ b/crates/cuminlb-gateway/src/knowledge/row_news.rs
@@ -5,7 +5,7 @@
 pub(super) enum RowNews {
     /// The row was written or removed.
     Changed,
-    /// The row is, or is missing, in the copy that the store was restored from. What is known may
-    /// be newer.
+    /// The row is, or is missing, in the table of a store that was restored: it stems from the copy
+    /// or was written since, so that what is known may be older or newer.
     Restored,
 }
