Log requests that end without a complete response

Callers saw tries that were cut with no answer, and no log told whether a node had read them: a request whose handling is dropped, because its caller has left, its connection has failed or a drain has timed out, left no line.

--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -49,6 +49,7 @@
         deadline,
         max_body_bytes,
     } = examined;
+    connection.record_request(head.id.clone());
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
     let latest_deadline = deadline.latest();
     connection.activity().record_deadline(latest_deadline);
--- a/crates/cuminlb-gateway/src/serving/caller_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/caller_connection.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cuminlb_routing::ConnectionActivity;
+use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
 /// The state of one connection of a caller.
@@ -11,6 +12,8 @@
 pub(super) struct CallerConnection {
     activity: Mutex<ConnectionActivity>,
     has_unread_body: AtomicBool,
+    /// The request in progress, once its id is known.
+    request: Mutex<Option<RequestId>>,
 }
 
 impl CallerConnection {
@@ -19,6 +22,7 @@
         Self {
             activity: Mutex::new(ConnectionActivity::new(Instant::now())),
             has_unread_body: AtomicBool::new(false),
+            request: Mutex::default(),
         }
     }
 
@@ -27,6 +31,20 @@
         self.activity.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the id of the request in progress.
+    pub(super) fn record_request(&self, id: RequestId) {
+        *self.request() = Some(id);
+    }
+
+    /// Removes and returns the id of the request that has ended, if it was recorded.
+    pub(super) fn take_request(&self) -> Option<RequestId> {
+        self.request().take()
+    }
+
+    fn request(&self) -> MutexGuard<'_, Option<RequestId>> {
+        self.request.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that the body of a request was not read to its end, so that the connection can't
     /// carry another request.
     pub(super) fn leave_body_unread(&self) {
--- a/crates/cuminlb-gateway/src/serving/guarded_body.rs
+++ b/crates/cuminlb-gateway/src/serving/guarded_body.rs
@@ -1,7 +1,7 @@
 //! The body of a response together with the guard of its request.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -14,15 +14,15 @@
 #[derive(Debug)]
 pub(super) struct GuardedBody {
     body: ResponseBody,
-    _guard: RequestGuard,
+    guard: RequestGuard,
 }
 
 impl GuardedBody {
-    pub(super) const fn new(body: ResponseBody, guard: RequestGuard) -> Self {
-        Self {
-            body,
-            _guard: guard,
+    pub(super) fn new(body: ResponseBody, mut guard: RequestGuard) -> Self {
+        if body.is_end_stream() {
+            guard.record_answered();
         }
+        Self { body, guard }
     }
 }
 
@@ -34,7 +34,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() || self.body.is_end_stream() {
+            self.guard.record_answered();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/cuminlb-gateway/src/serving/serve_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cuminlb_routing::ConnectionLimits;
+use http::Method;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -44,11 +45,15 @@
     let stream = CallerStream::new(stream, Arc::clone(&state));
     let limits = || connection_limits(&gateway, &stop);
     let service = service_fn(|request| {
-        let guard = RequestGuard::new(Arc::clone(&state));
+        let mut guard = RequestGuard::new(Arc::clone(&state));
+        let has_response_body = request.method() != Method::HEAD;
         let (gateway, state) = (&gateway, &state);
         async move {
             let handling = handle_request(gateway, state, request);
             let response = contain_panic(gateway, state, handling).await;
+            if !has_response_body {
+                guard.record_answered();
+            }
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod native_broken_streams;
 mod native_catalog;
 mod native_changes;
+mod native_closing;
 mod native_connections;
 mod native_crashes;
 mod native_deadlines;
