Close a connection after its last response without resetting it

Callers whose request said Connection: close, or whose node was stopping, lost the end of a response if they had sent more behind the request: the socket was closed with unread bytes, which resets the connection and discards what the kernel has not delivered yet.

Cause: the rest of what a caller sends was only discarded after a refusal that left a body unread and after a malformed head. It belongs to each connection that the node ends in order. A connection that is closed because it was idle is closed as before: what arrives there is not to be read.

--- a/crates/cuminlb-gateway/src/serving/serve_connection.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_connection.rs
@@ -79,7 +79,8 @@
             false
         }
     };
-    if state.has_unread_body() || is_malformed {
+    let has_ended_in_order = matches!(ended, Some(Ok(())));
+    if has_ended_in_order || state.has_unread_body() || is_malformed {
         let stream = connection.into_parts().io.into_inner().into_inner();
         if let Err(error) = discard_rest(stream).await {
             debug!("caller connection failed while it was closed: {error}");
--- a/tests/testsuite/native_closing.rs
+++ b/tests/testsuite/native_closing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cuminlb_test_support::wait_until;
+use nix::sys::signal::Signal;
 use tokio::time::sleep;
 
 use crate::answering_site::{ANSWERING, LOOKUP, answering_site, wait_rows_read};
@@ -35,6 +36,45 @@
     (site, worker)
 }
 
+/// Sends a request and two more behind it, reads late, and returns the status of the first response
+/// and whether it ends its connection; `None` if it is not whole.
+async fn first_of_three(caller: &mut RawCaller, first_end: &str) -> Option<(u16, bool)> {
+    caller
+        .write(request_head("GET", LOOKUP, "first", first_end))
+        .await
+        .ok()?;
+    for id in ["second", "third"] {
+        sleep(PAUSE).await;
+        caller
+            .write(request_head("GET", LOOKUP, id, "\r\n"))
+            .await
+            .ok()?;
+    }
+    sleep(WORK + READ_DELAY).await;
+    let response = caller.read_response().await?;
+    Some((response.status, response.head.contains("connection: close")))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_last_response_is_not_reset_by_requests_behind_it() {
+    let (site, _worker) = site_with_long_responses().await;
+    let mut caller = RawCaller::connect_with_small_buffer(&site.nodes[0]).await;
+    let first = first_of_three(&mut caller, "connection: close\r\n\r\n").await;
+    assert_eq!(first, Some((200, true)));
+    caller.wait_closed().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_last_response_is_not_reset_by_requests_behind_it_at_a_stop() {
+    let (site, _worker) = site_with_long_responses().await;
+    let mut caller = RawCaller::connect_with_small_buffer(&site.nodes[0]).await;
+    site.nodes[0].process.signal(Signal::SIGTERM);
+    sleep(PAUSE).await;
+    let first = first_of_three(&mut caller, "\r\n").await;
+    assert_eq!(first, Some((200, true)));
+    caller.wait_closed().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_without_a_response_is_logged() {
     let (site, _worker) = site_with_long_responses().await;
