Take an empty stream that ends with its connection for one that broke off

Callers got a stream that looked complete although events were missing: its instance broke it off, the next one sent the head of a stream without a length or chunks and closed, and the end of that connection counted as the end of the whole stream.

Cause: the end of a body without a length or chunks says only that the connection ended. Without an event nothing shows that the instance ran the request to its end. Bodies that state their end, and those with an event, end a stream as before.

--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -4,6 +4,7 @@
 
 use cuminlb_upstream::EventDecoder;
 use futures_util::future::BoxFuture;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -73,6 +74,7 @@
     in_flight.record_progress(now);
     if parts.status == StatusCode::OK && head.is_event_stream {
         return Ok(StreamHead::Stream(Box::new(StreamSource {
+            is_delimited: is_delimited(&parts),
             parts: Some(Box::new(parts)),
             head,
             body,
@@ -92,6 +94,12 @@
     })))
 }
 
+/// Returns whether a body ends by a length or chunks, not with its connection.
+fn is_delimited(parts: &response::Parts) -> bool {
+    let headers = &parts.headers;
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Closes a connection at the deadline of a request, unless the result is dropped before.
 fn close_at_deadline(connection: &Connection, request: &AdmittedRequest) -> ConnectionDeadline {
     let deadline = request.deadline.clone();
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -22,6 +22,8 @@
     pub(super) parts: Option<Box<response::Parts>>,
     pub(super) head: ResponseHead,
     pub(super) body: Incoming,
+    /// Whether the body ends by a length or chunks, not with its connection.
+    pub(super) is_delimited: bool,
     pub(super) connection: Connection,
     /// Ends the stream at the deadline of the request, even if the caller does not read.
     pub(super) deadline: ConnectionDeadline,
@@ -40,14 +42,24 @@
                 Some(AttemptUpdate::Event(event))
             }
             Ok(None) if !self.has_ended => None,
-            Ok(None) if self.decoder.is_empty() => Some(AttemptUpdate::End),
-            Ok(None) => Some(AttemptUpdate::Interrupted(
-                "the stream ended in the middle of an event".into(),
-            )),
+            Ok(None) => Some(self.end()),
             Err(error) => Some(AttemptUpdate::Interrupted(error.to_smolstr())),
         }
     }
 
+    /// Returns whether the end of the body is that of the stream.
+    fn end(&self) -> AttemptUpdate {
+        if !self.decoder.is_empty() {
+            let reason = "the stream ended in the middle of an event";
+            return AttemptUpdate::Interrupted(reason.into());
+        }
+        if self.event_count == 0 && !self.is_delimited {
+            let reason = "the connection ended before the first event";
+            return AttemptUpdate::Interrupted(reason.into());
+        }
+        AttemptUpdate::End
+    }
+
     /// Receives more of the stream. Returns an update only if the stream was interrupted.
     pub(super) async fn receive(&mut self) -> Option<AttemptUpdate> {
         match self.body.frame().await {
--- a/tests/testsuite/native_broken_streams.rs
+++ b/tests/testsuite/native_broken_streams.rs
@@ -108,3 +108,10 @@
     text += &format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len());
     check(Answer::new(text, AnswerEnd::Keep), &[1, 2], false).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_stream_that_ends_with_its_connection_completes_no_stream() {
+    let head = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\
+                content-type: text/event-stream\r\n\r\n";
+    check(Answer::new(head, AnswerEnd::Close), &[1, 2], false).await;
+}
