Test that a request whose body arrives around a change of the catalog is answered

Tried as a cause of requests without an answer beside a change: limits of 1 byte and 1 ms, and a catalog without its route, service and key, come between two parts of a body.

--- a/tests/testsuite/native_changes.rs
+++ b/tests/testsuite/native_changes.rs
@@ -9,6 +9,7 @@
 
 use crate::native_catalog::native_catalog;
 use crate::native_site::{MODEL, NativeSite, RESERVE_PATH, STREAM_PATH, event_ids};
+use crate::raw_caller::{RawCaller, request_head};
 
 /// The processing time of a plain request, which is longer than the change takes.
 const LONG_WORK: Duration = Duration::from_millis(1_500);
@@ -66,3 +67,36 @@
     assert_eq!(reserve.unwrap().status, StatusCode::OK);
     assert!(site.nodes[0].process.log().contains("settings read again"));
 }
+
+/// Sends a part of a request's body, changes the catalog, sends the rest, and returns the status.
+async fn status_of_body_around(site: &NativeSite, id: &str, catalog: &Value) -> Option<u16> {
+    let mut caller = RawCaller::connect(&site.nodes[0]).await;
+    let end = "content-length: 8\r\n\r\nhalf";
+    let head = request_head("POST", RESERVE_PATH, id, end);
+    caller.write(head).await.unwrap();
+    sleep(CHANGE_DELAY).await;
+    site.fleet.rows.put("op", "config", catalog);
+    site.wait_catalog(catalog["version"].as_u64().unwrap())
+        .await;
+    sleep(CHANGE_DELAY).await;
+    caller.write("half").await.unwrap();
+    let response = caller.read_response().await;
+    response.map(|response| response.status)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_arrives_around_a_change_is_answered() {
+    let site = NativeSite::start(1, 2, CHANGE_DELAY).await;
+    site.wait_serving().await;
+    let mut strict = native_catalog(2, &[]);
+    for limit in ["maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"] {
+        strict["limits"][limit] = json!(1);
+    }
+    let status = status_of_body_around(&site, "limits", &strict).await;
+    assert_eq!(status, Some(200));
+    let usual = native_catalog(3, &[]);
+    site.fleet.rows.put("op", "config", &usual);
+    site.wait_catalog(3).await;
+    let status = status_of_body_around(&site, "removed", &empty_catalog(4)).await;
+    assert_eq!(status, Some(503));
+}
