--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod group_orders;
 mod groups;
 mod latency;
+mod link_modes;
 mod memory_table;
 mod metrics;
 mod native_broken_streams;
