Show what becomes of callers and groups when a node loses its links to the instances

Callers of a node whose links to all instances hang, are reset or are refused see 503 and 504 although other nodes reach the instances; a leader without links keeps the lease, counts crashes against sound instances, and gives orders that dissolve or close sound groups once its links are back.

--- a/tests/testsuite/native_node.rs
+++ b/tests/testsuite/native_node.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
+use cuminlb_native_standins::NodeLinks;
 use cuminlb_standins::StandinServer;
 use cuminlb_test_support::Process;
 
@@ -15,6 +16,8 @@
 pub struct NativeNode {
     pub process: Process,
     pub store: StandinServer,
+    /// The links of the node to the instances, if the site was started with links.
+    pub links: Option<NodeLinks>,
     pub address: Ipv4Addr,
     pub settings: PathBuf,
 }
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use cuminlb_native_standins::{Engine, Fleet, PlainWorker, Store, StoreCopy};
+use cuminlb_native_standins::{Engine, Fleet, NodeLinks, PlainWorker, Store, StoreCopy};
 use cuminlb_standins::{Fault, StandinServer};
 use cuminlb_test_support::{HttpResponse, Process, Programs, SiteError, TestClient, wait_until};
 use http::{Method, StatusCode};
@@ -47,6 +47,7 @@
     pub worker_failures: Arc<AtomicUsize>,
     _workers: Vec<StandinServer>,
     _engines: Vec<StandinServer>,
+    has_links: bool,
     programs: Programs,
     folder: TempDir,
 }
@@ -54,6 +55,15 @@
 impl NativeSite {
     /// Starts nodes, engines of one fabric domain, and two plain workers with `work` per request.
     pub async fn start(nodes: usize, engines: usize, work: Duration) -> Self {
+        Self::start_nodes(nodes, engines, work, false).await
+    }
+
+    /// Starts the same with nodes that reach the instances over links of their own.
+    pub async fn start_with_links(nodes: usize, engines: usize, work: Duration) -> Self {
+        Self::start_nodes(nodes, engines, work, true).await
+    }
+
+    async fn start_nodes(nodes: usize, engines: usize, work: Duration, has_links: bool) -> Self {
         let fleet = Fleet::default();
         let mut engine_servers = Vec::new();
         for number in 0..engines {
@@ -76,6 +86,7 @@
             worker_failures,
             _workers: workers,
             _engines: engine_servers,
+            has_links,
             programs: Programs::find().unwrap(),
             folder: TempDir::new().unwrap(),
         };
@@ -97,14 +108,26 @@
         let number = u8::try_from(self.nodes.len() + 1).unwrap();
         let address = next_address();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
+        let rows = self.fleet.rows.clone();
+        let links = self.has_links.then(NodeLinks::default);
+        let store = match &links {
+            Some(links) => Store::start_with_links(rows, any, links.clone()).await,
+            None => Store::start(rows, any).await,
+        };
+        let store = store.unwrap();
+        // The nodes of a zone may get rows from one of them, and with these the addresses of its
+        // links.
+        let (zone, zones) = match &links {
+            Some(_) => (format!("z{number}"), format!(r#""za=ra", "z{number}=ra""#)),
+            None => ("za".to_owned(), r#""za=ra""#.to_owned()),
+        };
         let settings = self.folder.path().join(format!("n{number}.toml"));
         let text = format!(
             r#"
 id = "n{number}"
 region = "ra"
-zone = "za"
-zones = ["za=ra"]
+zone = "{zone}"
+zones = [{zones}]
 [listen]
 caller = "{address}:{CALLER_PORT}"
 ready = "{address}:{READY_PORT}"
@@ -125,6 +148,7 @@
         self.nodes.push(NativeNode {
             process,
             store,
+            links,
             address,
             settings,
         });
