--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod connection_phase;
 mod crashes;
 mod keep_alive;
+mod links;
 mod quarantine;
 mod refusal;
 mod response_owner;
@@ -43,6 +44,10 @@
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
 };
 pub use crate::keep_alive::keep_alive_time;
+pub use crate::links::{
+    ForwarderBoard, ForwarderCandidate, ForwarderOutcome, InstanceVerdict, LeadFitness, LinkBoard,
+    LinkChange, LinkFailure, LinkRoute, SecondOpinion,
+};
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
--- a/tests/testsuite/native_node.rs
+++ b/tests/testsuite/native_node.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
+use cuminlb_native_standins::NodeLinks;
 use cuminlb_standins::StandinServer;
 use cuminlb_test_support::Process;
 
@@ -10,11 +11,14 @@
 pub const READY_PORT: u16 = 8_101;
 pub const PEER_PORT: u16 = 8_102;
 pub const METRICS_PORT: u16 = 8_103;
+pub const FORWARDING_PORT: u16 = 8_104;
 
 /// A node process and the store server that it uses.
 pub struct NativeNode {
     pub process: Process,
     pub store: StandinServer,
+    /// The links of the node to the instances, if the site was started with links.
+    pub links: Option<NodeLinks>,
     pub address: Ipv4Addr,
     pub settings: PathBuf,
 }
