Keep apart how a forwarded body ended from how it is passed on

A forwarding node passes a body on in chunks. An empty stream that ended with the connection to its instance, which takes for one that broke off, looked complete after the hop. The forwarding node states now that a body had neither a length nor chunks.

--- a/crates/cuminlb-gateway/src/links/forward_request.rs
+++ b/crates/cuminlb-gateway/src/links/forward_request.rs
@@ -18,6 +18,7 @@
 
 use super::forward_deadline::ForwardDeadline;
 use super::forwarded_body::ForwardedBody;
+use super::undelimited_body::is_delimited;
 use crate::gateway::Gateway;
 use crate::upstream::{Connection, SendFailure};
 
@@ -87,8 +88,13 @@
     if owner != ResponseOwner::Request {
         return Err(ForwardOutcome::NoResponse);
     }
+    let outcome = if is_delimited(&parts) {
+        ForwardOutcome::Reached
+    } else {
+        ForwardOutcome::ReachedUndelimited
+    };
     remove_hop_headers(&mut parts.headers);
-    ForwardOutcome::Reached.write(&mut parts.headers);
+    outcome.write(&mut parts.headers);
     gateway.metrics.forwarded_for_others.inc();
     let closes_at = connection.close_after(sleep_until(deadline));
     let body = ForwardedBody::new(gateway, &entry.id, &head, connection, body)
--- a/crates/cuminlb-gateway/src/links/forwarded_link.rs
+++ b/crates/cuminlb-gateway/src/links/forwarded_link.rs
@@ -16,6 +16,7 @@
 use smol_str::format_smolstr;
 use tokio::time::{Instant, timeout};
 
+use super::undelimited_body::UndelimitedBody;
 use crate::gateway::Gateway;
 use crate::serving::Target;
 use crate::upstream::{Connection, SendFailure};
@@ -125,8 +126,11 @@
             AskNext::No(SendFailure::NoResponse { reason })
         })?;
         self.record(gateway, forwarder_outcome(outcome));
-        if outcome == ForwardOutcome::Reached {
+        if outcome.is_reached() {
             gateway.metrics.forwarded.inc();
+            if outcome == ForwardOutcome::ReachedUndelimited {
+                response.extensions_mut().insert(UndelimitedBody);
+            }
             return Ok(response);
         }
         info!(
@@ -164,9 +168,9 @@
                 failure: LinkFailure::Refused,
             }),
             ForwardOutcome::NotSent => AskNext::No(SendFailure::NotSent { reason }),
-            ForwardOutcome::Reached | ForwardOutcome::NoResponse => {
-                AskNext::No(SendFailure::NoResponse { reason })
-            }
+            ForwardOutcome::Reached
+            | ForwardOutcome::ReachedUndelimited
+            | ForwardOutcome::NoResponse => AskNext::No(SendFailure::NoResponse { reason }),
         }
     }
 
@@ -215,6 +219,7 @@
         ForwardOutcome::NoLinks => ForwarderOutcome::NoLinks,
         ForwardOutcome::Busy => ForwarderOutcome::Busy,
         ForwardOutcome::Reached
+        | ForwardOutcome::ReachedUndelimited
         | ForwardOutcome::UnknownInstance
         | ForwardOutcome::Leaving
         | ForwardOutcome::Unavailable { .. }
--- a/crates/cuminlb-gateway/src/links/mod.rs
+++ b/crates/cuminlb-gateway/src/links/mod.rs
@@ -21,10 +21,12 @@
 mod reaches_another;
 mod report_links;
 mod serve_forwarding;
+mod undelimited_body;
 mod watch_links;
 
 pub(crate) use self::forwarding_budget::ForwardingBudget;
 pub(crate) use self::instance_link::InstanceLink;
 pub(crate) use self::judgements::Judgements;
 pub(crate) use self::serve_forwarding::serve_forwarding;
+pub(crate) use self::undelimited_body::is_delimited;
 pub(crate) use self::watch_links::watch_links;
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -4,7 +4,6 @@
 
 use cuminlb_upstream::EventDecoder;
 use futures_util::future::BoxFuture;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -19,7 +18,7 @@
 use super::stream_source::StreamSource;
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::links::InstanceLink;
+use crate::links::{InstanceLink, is_delimited};
 use crate::upstream::ConnectionDeadline;
 
 /// Size limit of a response that is buffered because it is not the requested stream.
@@ -95,12 +94,6 @@
     })))
 }
 
-/// Returns whether a body ends by a length or chunks, not with its connection.
-fn is_delimited(parts: &response::Parts) -> bool {
-    let headers = &parts.headers;
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Closes a connection at the deadline of a request, unless the result is dropped before.
 fn close_at_deadline(link: &InstanceLink, request: &AdmittedRequest) -> ConnectionDeadline {
     let deadline = request.deadline.clone();
--- a/crates/cuminlb-peer/src/forwarding/forward_outcome.rs
+++ b/crates/cuminlb-peer/src/forwarding/forward_outcome.rs
@@ -9,12 +9,15 @@
 use super::ForwardHeaderError;
 use super::forward_headers::{OUTCOME, RETRY_AFTER_MS, take_header};
 
-/// What came of a request that was to be forwarded. With any outcome other than
-/// [`Reached`](Self::Reached), the response is the forwarding node's own.
+/// What came of a request that was to be forwarded. Unless the instance was reached, the response is
+/// the forwarding node's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ForwardOutcome {
     /// The response is that of the instance.
     Reached,
+    /// The response is that of the instance, and its body ends with the connection to the instance,
+    /// not by a length or chunks.
+    ReachedUndelimited,
     /// The node reaches no instance. The request was not sent.
     NoLinks,
     /// The node does not know the instance, or does not reach it although others may. The request was
@@ -38,6 +41,11 @@
 }
 
 impl ForwardOutcome {
+    /// Returns whether the response is that of the instance.
+    pub const fn is_reached(self) -> bool {
+        matches!(self, Self::Reached | Self::ReachedUndelimited)
+    }
+
     /// Adds the outcome to the headers of a response.
     pub fn write(self, headers: &mut HeaderMap) {
         headers.insert(OUTCOME, HeaderValue::from_static(self.name()));
@@ -63,6 +71,7 @@
     const fn name(self) -> &'static str {
         match self {
             Self::Reached => "reached",
+            Self::ReachedUndelimited => "reached-undelimited",
             Self::NoLinks => "no-links",
             Self::UnknownInstance => "unknown-instance",
             Self::Busy => "busy",
@@ -88,6 +97,7 @@
         let retry_after_ms = Millis(0);
         let all = [
             Self::Reached,
+            Self::ReachedUndelimited,
             Self::NoLinks,
             Self::UnknownInstance,
             Self::Busy,
--- a/crates/cuminlb-peer/tests/forwarding.rs
+++ b/crates/cuminlb-peer/tests/forwarding.rs
@@ -10,8 +10,9 @@
 use cuminlb_types::prelude::*;
 use http::{HeaderMap, HeaderValue};
 
-const OUTCOMES: [ForwardOutcome; 9] = [
+const OUTCOMES: [ForwardOutcome; 10] = [
     ForwardOutcome::Reached,
+    ForwardOutcome::ReachedUndelimited,
     ForwardOutcome::NoLinks,
     ForwardOutcome::UnknownInstance,
     ForwardOutcome::Busy,
