Decide the times of a planned stop in code of its own

Cause: when a node that was asked to stop closes, until when it may still pass requests on, by when they must be answered and when it aborts was spread over constants of run_gateway, and only the first and the last of these times existed.

Change: cuminlb_routing::DrainSchedule gives these times for a signal and a grace, without a network. It answers the load of callers that keep their connections and go on sending until the process is gone.

--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection_limits;
 mod connection_phase;
 mod crashes;
+mod drain_schedule;
 mod quarantine;
 mod refusal;
 mod response_owner;
@@ -41,6 +42,7 @@
     CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
 };
+pub use crate::drain_schedule::DrainSchedule;
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
