Let a stop follow the grace of the newest settings

What callers saw: after the settings of a running node had got a longer grace, a request of 7 s was cut 5.52 s after the signal, the abort of the grace of 6 s with which the process had started.

Cause: run_gateway computed the drain timeout once, from the settings at its start.

Change: Drain holds the time of the signal and takes the grace of the newest settings; whoever waits for a time of the stop is woken when settings change.

--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::Edges;
+use crate::drain::Drain;
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::Suspicions;
 use crate::metrics::{GatewayMetrics, RequestLabels};
@@ -45,7 +46,8 @@
     pub(crate) metrics: GatewayMetrics,
     /// Short background tasks, which are not awaited before the node stops.
     pub(crate) background_tasks: TaskTracker,
-    is_draining: AtomicBool,
+    /// The planned stop of this node.
+    pub(crate) drain: Drain,
     has_callers: AtomicBool,
 }
 
@@ -90,7 +92,7 @@
             ),
             metrics,
             background_tasks,
-            is_draining: AtomicBool::new(false),
+            drain: Drain::new(live.clone()),
             has_callers: AtomicBool::new(false),
             settings,
             live,
@@ -166,11 +168,7 @@
 
     /// Returns whether this node is about to stop.
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+        self.drain.has_started()
     }
 
     /// Returns whether this node has received a request from a caller.
--- a/crates/cuminlb-gateway/src/lib.rs
+++ b/crates/cuminlb-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! `cuminlb-catalog`.
 
 mod accept_connections;
+mod drain;
 mod edges;
 mod gateway;
 mod gateway_error;
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -6,12 +6,13 @@
 
 use cuminlb_config::GatewaySettings;
 use cuminlb_peer::serve_relay;
+use cuminlb_routing::DrainSchedule;
 use log::{info, warn};
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{Instant, interval};
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::Gateway;
@@ -21,13 +22,6 @@
 use crate::serving::{serve_callers, serve_ready, share_crashes, share_loads};
 use crate::{Edges, GatewayError};
 
-/// How long a node that was asked to stop continues to accept callers, because the load balancer
-/// notices only with its next readiness check.
-const DRAIN_DELAY: Duration = Duration::from_millis(3_000);
-
-/// Fraction of the time until the process is killed in which requests may still run.
-const DRAIN_FRACTION: f64 = 0.92;
-
 /// How often expired state is removed.
 const CLEANUP_PERIOD: Duration = Duration::from_millis(250);
 
@@ -93,21 +87,18 @@
         lease,
         leading_stop.clone(),
     ));
-    let grace = gateway.settings.bounds.grace_ms.duration();
-    let drain_timeout = grace.mul_f64(DRAIN_FRACTION).saturating_sub(DRAIN_DELAY);
     let mut caller_tasks = JoinSet::new();
     caller_tasks.spawn(serve_callers(
         Arc::clone(&gateway),
         caller_listener,
         callers_stop.clone(),
-        drain_timeout,
     ));
 
     stop.cancelled().await;
     info!("node stops");
-    gateway.start_draining();
+    gateway.drain.start();
     leading_stop.cancel();
-    sleep(DRAIN_DELAY).await;
+    gateway.drain.passed(DrainSchedule::closes_at).await;
     callers_stop.cancel();
     let mut outcome = join_all(&mut caller_tasks).await;
     outcome = outcome.and(join_all(&mut leading_tasks).await);
--- a/crates/cuminlb-gateway/src/serving/serve_callers.rs
+++ b/crates/cuminlb-gateway/src/serving/serve_callers.rs
@@ -4,7 +4,6 @@
 
 use log::{info, warn};
 use tokio::net::TcpListener;
-use tokio::time::{Duration, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::serve_connection::serve_connection;
@@ -14,12 +13,11 @@
 /// Serves callers, with one task for each connection.
 ///
 /// When `stop` is cancelled, each connection ends after its current request. Connections that
-/// remain after `drain_timeout` are aborted.
+/// remain late in the grace of the node's stop are aborted.
 pub(crate) async fn serve_callers(
     gateway: Arc<Gateway>,
     listener: TcpListener,
     stop: CancellationToken,
-    drain_timeout: Duration,
 ) {
     let mut connections = accept_connections(listener, &stop, |stream| {
         serve_connection(Arc::clone(&gateway), stream, stop.clone())
@@ -28,11 +26,13 @@
     let remaining = connections.len();
     info!(connections = remaining; "front closed");
     let ended = async { while connections.join_next().await.is_some() {} };
-    if timeout(drain_timeout, ended).await.is_err() {
-        warn!(
-            connections = connections.len();
-            "drain timed out; aborting the remaining connections"
-        );
-        connections.shutdown().await;
+    tokio::select! {
+        () = ended => return,
+        () = gateway.drain.aborts() => {}
     }
+    warn!(
+        connections = connections.len();
+        "drain timed out; aborting the remaining connections"
+    );
+    connections.shutdown().await;
 }
--- a/tests/testsuite/answering_site.rs
+++ b/tests/testsuite/answering_site.rs
@@ -27,14 +27,31 @@
 /// The processing time of a plain request, on which no test with answering workers depends.
 const SHORT_WORK: Duration = Duration::from_millis(5);
 
+/// The target latency of the routes to answering workers, unless a test states another.
+const TARGET_LATENCY_MS: u64 = 500;
+
 /// Starts a site whose catalog contains the service with answering workers.
 pub async fn answering_site(nodes: usize) -> NativeSite {
     let site = NativeSite::start(nodes, 2, SHORT_WORK).await;
+    put_answering_catalog(&site, 2, TARGET_LATENCY_MS);
+    site.wait_serving().await;
+    for node in 0..nodes {
+        wait_until("the catalog is in force", async || {
+            site.metric(node, "cuminlb_catalog_version").await == 2
+        })
+        .await
+        .unwrap();
+    }
+    site
+}
+
+/// Writes a version of the catalog whose routes to answering workers have a target latency.
+pub fn put_answering_catalog(site: &NativeSite, version: u64, target_latency_ms: u64) {
     let route = |prefix: &str, kind: &str, service: &str| {
         json!({
             "name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix, "kind": kind,
-            "timeoutMs": 8000, "targetLatencyMs": 500, "priority": 1, "service": service,
-            "maxAttempts": 2, "gapAimMs": 300, "resumable": true,
+            "timeoutMs": 8000, "targetLatencyMs": target_latency_ms, "priority": 1,
+            "service": service, "maxAttempts": 2, "gapAimMs": 300, "resumable": true,
         })
     };
     let routes = [
@@ -43,21 +60,12 @@
         route(STREAM, "streaming", ANSWERING),
         route(MARKER_LOOKUP, "idempotent", MARKER),
     ];
-    let mut catalog = native_catalog(2, &routes);
+    let mut catalog = native_catalog(version, &routes);
     for name in [ANSWERING, MARKER] {
         let service = json!({"name": name, "maxConnections": 50, "warmupS": 0, "coldPerS": 0});
         catalog["services"].as_array_mut().unwrap().push(service);
     }
     site.fleet.rows.put("op", "config", &catalog);
-    site.wait_serving().await;
-    for node in 0..nodes {
-        wait_until("the catalog is in force", async || {
-            site.metric(node, "cuminlb_catalog_version").await == 2
-        })
-        .await
-        .unwrap();
-    }
-    site
 }
 
 /// Waits until the first node knows the rows that workers have written before.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod native_file_limit;
 mod native_groups;
 mod native_lapsed_entries;
+mod native_late_requests;
 mod native_late_responses;
 mod native_leaving;
 mod native_node;
--- /dev/null
+++ b/tests/testsuite/native_late_requests.rs
@@ -0,0 +1,166 @@
+//! Tests of nodes on the users' platform: requests that are not answered yet late in a planned stop.
+//!
+//! The nodes of these tests have a grace of 6 s. Each of the callers' requests must be answered, with
+//! the truth, before its connection ends; only a stream whose response has begun may be cut.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::answering_site::{
+    ANSWERING, LOOKUP, RESERVE, STREAM, answering_site, put_answering_catalog, send, wait_rows_read,
+};
+use crate::answering_worker::{Answer, AnswerEnd, AnsweringWorker, WorkerRequest, complete_text};
+use crate::native_site::NativeSite;
+use crate::raw_caller::{RawCaller, RawResponse, request_head};
+
+/// The time from the signal until the process would be killed.
+const GRACE: Duration = Duration::from_millis(6_000);
+
+/// The part of the grace at whose start the longest requests may still be at work.
+const LAST_SIXTH: Duration = Duration::from_millis(5_000);
+
+/// How long a slow worker takes for a request: longer than the rest of the grace of a late one.
+const LONG_WORK: Duration = Duration::from_millis(2_000);
+
+/// Longer than the grace.
+const NEVER: Duration = Duration::from_secs(20);
+
+/// The head of a stream of two events, and these.
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-seal: s\r\n\
+     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+     11\r\nid: 1\ndata: one\n\n\r\n";
+const STREAM_REST: &str = "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n";
+
+/// The response of a worker that takes `work` for a request.
+fn answer_after(work: Duration) -> Answer {
+    Answer::new("", AnswerEnd::Keep).and_then(work, complete_text(200, "", "done"))
+}
+
+/// A stream whose second event follows its first one after `pause`.
+fn stream_over(pause: Duration) -> Answer {
+    Answer::new(STREAM_HEAD, AnswerEnd::Keep).and_then(pause, STREAM_REST)
+}
+
+/// A site with one node and one answering worker.
+struct StoppingSite {
+    site: NativeSite,
+    worker: AnsweringWorker,
+    signaled_at: Instant,
+}
+
+impl StoppingSite {
+    async fn start(
+        respond: impl Fn(&WorkerRequest) -> Answer + Send + Sync + 'static,
+    ) -> StoppingSite {
+        let site = answering_site(1).await;
+        let worker = AnsweringWorker::start(&site.fleet, "k0", ANSWERING, respond).await;
+        wait_rows_read(&site).await;
+        Self {
+            site,
+            worker,
+            signaled_at: Instant::now(),
+        }
+    }
+
+    async fn connect(&self) -> RawCaller {
+        RawCaller::connect(&self.site.nodes[0]).await
+    }
+
+    /// Sends the signal to stop.
+    fn stop(&mut self) {
+        self.site.nodes[0].process.signal(Signal::SIGTERM);
+        self.signaled_at = Instant::now();
+    }
+
+    /// Waits until a time after the signal.
+    async fn wait_until(&self, after_signal: Duration) {
+        sleep_until(self.signaled_at + after_signal).await;
+    }
+
+    /// Reads a response, which must come before the process would be killed.
+    async fn read_in_time(&self, caller: &mut RawCaller) -> RawResponse {
+        let response = caller.read_response().await;
+        let elapsed = self.signaled_at.elapsed();
+        let log = self.site.nodes[0].process.log();
+        let response = response.unwrap_or_else(|| panic!("cut after {elapsed:?}\n{log}"));
+        assert!(elapsed < GRACE, "{elapsed:?}: {response:?}");
+        response
+    }
+
+    /// Returns how often the worker has received a request.
+    fn received(&self, id: &str) -> usize {
+        let requests = self.worker.requests();
+        requests.iter().filter(|request| request.id == id).count()
+    }
+
+    /// Checks that a response says truthfully that a request has not run.
+    fn assert_not_run(&self, response: &RawResponse, id: &str) {
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.head.contains("retry-after: "), "{response:?}");
+        assert!(response.head.contains("connection: close"), "{response:?}");
+        assert_eq!(self.received(id), 0, "the request was passed on");
+    }
+
+    /// Waits for the end of the process, and returns how long after the signal it was.
+    async fn wait_ended(&mut self) -> Duration {
+        let ended = timeout(NEVER, self.site.nodes[0].process.wait()).await;
+        assert!(ended.unwrap().unwrap().success());
+        self.signaled_at.elapsed()
+    }
+}
+
+/// Returns a request with a body.
+fn request_with_body(path: &str, id: &str, body: &str) -> String {
+    let rest = format!("content-length: {}\r\n\r\n{body}", body.len());
+    request_head("POST", path, id, &rest)
+}
+
+/// The worker of a stream that ends 4.9 s after its begin and of plain requests that take long.
+fn long_stream_and_work(request: &WorkerRequest) -> Answer {
+    if request.id.starts_with("stream") {
+        stream_over(Duration::from_millis(4_900))
+    } else {
+        answer_after(LONG_WORK)
+    }
+}
+
+/// Changes the grace in the settings of a running node.
+async fn change_grace(site: &StoppingSite, grace: &str) {
+    let node = &site.site.nodes[0];
+    let text = std::fs::read_to_string(&node.settings).unwrap();
+    let text = text.replace("grace = \"6s\"", &format!("grace = \"{grace}\""));
+    std::fs::write(&node.settings, text).unwrap();
+    node.process.signal(Signal::SIGHUP);
+    sleep(Duration::from_millis(500)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_has_begun_goes_on_into_the_last_sixth_of_the_grace() {
+    let mut site = StoppingSite::start(|_| stream_over(NEVER)).await;
+    let mut caller = site.connect().await;
+    let stream = request_with_body(STREAM, "stream", "");
+    caller.write(stream).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    site.stop();
+    assert!(caller.read_response().await.is_none());
+    let cut_after = site.signaled_at.elapsed();
+    assert!(cut_after >= LAST_SIXTH, "{cut_after:?}");
+    let ended_after = site.wait_ended().await;
+    assert!(ended_after < GRACE, "{ended_after:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_longer_grace_in_newer_settings_holds_at_a_stop() {
+    let mut site = StoppingSite::start(|_| answer_after(Duration::from_millis(7_000))).await;
+    change_grace(&site, "12s").await;
+    let mut caller = site.connect().await;
+    let request = request_with_body(RESERVE, "long", "");
+    caller.write(request).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    site.stop();
+    let response = caller.read_response().await;
+    assert_eq!(response.map(|response| response.status), Some(200));
+}
