Answer requests without a response before a stop aborts them

What callers saw: at a planned stop, plain requests, requests that may not be repeated, streams whose response had not begun, and lookups that were being offered to a second instance after a silence ended 5.52 s after the signal (grace 6 s) with a closed connection and no answer. With a grace of 4 s in newer settings a node aborted after 5.52 s, beyond the grace.

Cause: the wait for instances knew only the deadline of the request; the abort of the connection came first.

Change: RequestDeadline knows the stop of the node. A stream that has begun runs on until the abort, in the last sixth of the grace.

--- a/crates/cuminlb-gateway/src/serving/examined_request.rs
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -77,6 +77,7 @@
         let timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
         let deadline = RequestDeadline::new(
             Arc::clone(&gateway.knowledge),
+            gateway.drain.clone(),
             Arc::clone(&route),
             received_at,
             timeout_ms.duration(),
--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -5,7 +5,7 @@
 
 use cuminlb_routing::{OpenAttempts, Unavailability};
 use cuminlb_types::prelude::*;
-use futures_util::future::select_all;
+use futures_util::future::{OptionFuture, select_all};
 use log::info;
 use smol_str::ToSmolStr;
 use tokio::time::{Instant, sleep_until};
@@ -123,10 +123,11 @@
         let waiting = self.open.iter().filter(|attempt| !attempt.is_silent);
         let silent_at = waiting.filter_map(|attempt| attempt.silent_at).min();
         let deadline = &self.request.deadline;
+        let silent = OptionFuture::from(silent_at.map(sleep_until));
         let expired = async move {
-            match silent_at {
-                Some(silent_at) => sleep_until(silent_at).await,
-                None => deadline.passed_but_for(TIMEOUT_RESPONSE_MARGIN).await,
+            tokio::select! {
+                Some(()) = silent => {}
+                () = deadline.answer_due(TIMEOUT_RESPONSE_MARGIN) => {}
             }
         };
         let exchanges = self.open.iter_mut().map(|it| it.exchange.as_mut());
@@ -142,7 +143,7 @@
 
     /// Returns when the request is given up.
     fn deadline(&self) -> Instant {
-        self.request.deadline.latest() - TIMEOUT_RESPONSE_MARGIN
+        self.request.deadline.latest_answer(TIMEOUT_RESPONSE_MARGIN)
     }
 
     fn end(&mut self, index: usize, outcome: PlainOutcome) -> PlainOutcome {
--- a/crates/cuminlb-gateway/src/serving/request_deadline.rs
+++ b/crates/cuminlb-gateway/src/serving/request_deadline.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use cuminlb_catalog::Route;
+use cuminlb_routing::DrainSchedule;
 use tokio::time::{Instant, sleep_until};
 
+use crate::drain::Drain;
 use crate::knowledge::Knowledge;
 
 /// The time by which a caller must have its response: that of its admission, or a later one if the
@@ -13,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct RequestDeadline {
     knowledge: Arc<Knowledge>,
+    drain: Drain,
     /// The route as of the admission.
     route: Arc<Route>,
     received_at: Instant,
@@ -25,6 +28,7 @@
     /// Returns the deadline of a request that is admitted to a route.
     pub(super) fn new(
         knowledge: Arc<Knowledge>,
+        drain: Drain,
         route: Arc<Route>,
         received_at: Instant,
         caller_timeout: Duration,
@@ -32,6 +36,7 @@
         let timeout = caller_timeout.min(route.timeout_ms.duration());
         Self {
             knowledge,
+            drain,
             route,
             received_at,
             caller_timeout,
@@ -84,4 +89,25 @@
             }
         }
     }
+
+    /// Returns when a request whose response has not begun is answered at the latest: `margin` before
+    /// the deadline, or earlier if the node stops before.
+    pub(super) fn latest_answer(&self, margin: Duration) -> Instant {
+        let latest = self.latest() - margin;
+        let schedule = self.drain.schedule();
+        schedule.map_or(latest, |schedule| latest.min(schedule.answers_by()))
+    }
+
+    /// Waits until a request whose response has not begun must be answered.
+    pub(super) async fn answer_due(&self, margin: Duration) {
+        tokio::select! {
+            () = self.passed_but_for(margin) => {}
+            () = self.drain.answers_due() => {}
+        }
+    }
+
+    /// Returns whether the node stops so soon that the request must be answered.
+    pub(super) fn is_cut_short(&self) -> bool {
+        self.drain.has_passed(DrainSchedule::answers_by)
+    }
 }
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -51,7 +51,12 @@
                 break;
             }
         }
-        match attempts.next().await {
+        let update = tokio::select! {
+            biased;
+            update = attempts.next() => update,
+            () = gateway.drain.answers_due() => break,
+        };
+        match update {
             StreamUpdate::Opened => {}
             StreamUpdate::Other(response) => {
                 if !response.status().is_server_error() {
@@ -79,7 +84,7 @@
 fn refusal(attempts: &StreamAttempts, reason: SmolStr, unavailability: Unavailability) -> Refusal {
     let request = &attempts.request;
     if attempts.may_have_run() {
-        if request.deadline.has_passed() {
+        if request.deadline.has_passed() || request.deadline.is_cut_short() {
             let timeout_ms = request.age_ms(Instant::now());
             return Refusal::unknown(RefusalKind::DeadlineExceeded { timeout_ms });
         }
--- a/tests/testsuite/native_late_requests.rs
+++ b/tests/testsuite/native_late_requests.rs
@@ -137,6 +137,43 @@
     sleep(Duration::from_millis(500)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_offered_again_late_in_the_grace_is_not_lost() {
+    let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
+    let _second =
+        AnsweringWorker::start(&site.site.fleet, "k1", ANSWERING, |_| answer_after(NEVER)).await;
+    wait_rows_read(&site.site).await;
+    let mut caller = site.connect().await;
+    site.stop();
+    site.wait_until(Duration::from_millis(1_000)).await;
+    let request = request_with_body(LOOKUP, "silent", "");
+    caller.write(request).await.unwrap();
+    let response = site.read_in_time(&mut caller).await;
+    assert_eq!(response.status, 504, "{response:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_a_response_are_answered_before_the_abort() {
+    let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
+    let mut callers = Vec::new();
+    for path in [RESERVE, LOOKUP, STREAM] {
+        callers.push((path, site.connect().await));
+    }
+    for (path, caller) in &mut callers {
+        let request = request_with_body(path, &format!("long-{path}"), "");
+        caller.write(request).await.unwrap();
+    }
+    sleep(Duration::from_millis(100)).await;
+    site.stop();
+    for (path, caller) in &mut callers {
+        let response = site.read_in_time(caller).await;
+        assert_eq!(response.status, 504, "{response:?}");
+        assert!(response.head.contains("connection: close"), "{response:?}");
+        assert!(site.signaled_at.elapsed() >= LAST_SIXTH);
+        assert_eq!(site.received(&format!("long-{path}")), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_has_begun_goes_on_into_the_last_sixth_of_the_grace() {
     let mut site = StoppingSite::start(|_| stream_over(NEVER)).await;
@@ -164,3 +201,22 @@
     let response = caller.read_response().await;
     assert_eq!(response.map(|response| response.status), Some(200));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shorter_grace_in_newer_settings_holds_at_a_stop() {
+    for (grace, grace_ms) in [("4s", 4_000), ("2s", 2_000)] {
+        let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
+        change_grace(&site, grace).await;
+        let mut caller = site.connect().await;
+        let request = request_with_body(RESERVE, "long", "");
+        caller.write(request).await.unwrap();
+        sleep(Duration::from_millis(100)).await;
+        site.stop();
+        assert_eq!(site.read_in_time(&mut caller).await.status, 504);
+        let ended_after = site.wait_ended().await;
+        assert!(
+            ended_after < Duration::from_millis(grace_ms),
+            "{ended_after:?}"
+        );
+    }
+}
