Refuse requests that come too late for a node that stops

What callers saw: a request that followed a stream on its connection 4.7 s after the signal (grace 6 s), or was in the buffer behind it, or whose body became complete after 5.1 s, was passed on and ended at the abort after 5.52 s with a closed connection and no answer, also one that may not be repeated.

Cause: a node that stops served whatever still arrived as usual. A stream that began before the signal has no Connection: close in its head, so that its caller sends on.

Change: once its body is complete, a request is passed on only until DrainSchedule::plain_starts_by (twice its target latency before the answers are due, but not before the listener closes) or stream_starts_by (just before the listener closes: nobody knows when a stream ends). A later one is refused as not run: 503 draining, Retry-After of 50 to 250 ms, Connection: close. The request in the buffer is read and refused too.

A request that comes early enough was served before and still is (a_request_that_follows_a_stream_early_enough_is_served).

Ruled out: one target latency in place of two. A request of a route of 500 ms that came 0.52 s before the answers were due was passed on and ended with 504, which costs a caller that may not repeat it all.

--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -12,6 +12,7 @@
 use super::admitted_request::AdmittedRequest;
 use super::caller_connection::CallerConnection;
 use super::crash_causes::crash_causes;
+use super::draining_refusal::draining_refusal;
 use super::examined_request::ExaminedRequest;
 use super::read_body::{discard_body, read_body};
 use crate::gateway::Gateway;
@@ -19,7 +20,8 @@
 /// Validates a request, resolves its route and service, and reads its body.
 ///
 /// The body of a request that is refused is read too, as far as the catalog allows, so that the
-/// connection can carry the next request.
+/// connection can carry the next request. A request whose body is complete too late for a node that
+/// stops is refused.
 ///
 /// # Errors
 ///
@@ -57,6 +59,9 @@
         connection.leave_body_unread();
         refuse(kind)
     })?;
+    if !deadline.may_start() {
+        return Err((draining_refusal(), Some(head.id)));
+    }
     let path = parts.uri.path();
     let Some(service) = route.pick_service(&mut rand::rng()).cloned() else {
         let name = path.to_smolstr();
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -21,6 +21,7 @@
 mod contain_panic;
 mod crash_causes;
 mod discard_rest;
+mod draining_refusal;
 mod event_content;
 mod examined_request;
 mod group_checks;
--- a/crates/cuminlb-gateway/src/serving/request_deadline.rs
+++ b/crates/cuminlb-gateway/src/serving/request_deadline.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_catalog::Route;
+use cuminlb_catalog::{Route, RouteKind};
 use cuminlb_routing::DrainSchedule;
 use tokio::time::{Instant, sleep_until};
 
@@ -110,4 +110,19 @@
     pub(super) fn is_cut_short(&self) -> bool {
         self.drain.has_passed(DrainSchedule::answers_by)
     }
+
+    /// Returns whether the request may be passed on, or came too late for a node that stops.
+    pub(super) fn may_start(&self) -> bool {
+        !self.drain.has_passed(|schedule| self.starts_by(schedule))
+    }
+
+    /// Returns until when the request may be passed on by a node that stops.
+    fn starts_by(&self, schedule: &DrainSchedule) -> Instant {
+        match self.route.kind {
+            RouteKind::Stream { .. } => schedule.stream_starts_by(),
+            RouteKind::Idempotent | RouteKind::AtMostOnce => {
+                schedule.plain_starts_by(self.route.target_latency_ms.duration())
+            }
+        }
+    }
 }
--- a/crates/cuminlb-routing/src/drain_schedule.rs
+++ b/crates/cuminlb-routing/src/drain_schedule.rs
@@ -24,6 +24,10 @@
 /// the load balancer could still choose this node.
 const STREAM_MARGIN: Duration = Duration::from_millis(100);
 
+/// How many target latencies a request that is not a stream is expected to take at most. A refusal costs
+/// its caller another connection, an unknown outcome the whole request.
+const EXPECTED_LATENCIES: u32 = 2;
+
 /// The times of a planned stop: when the listener closes, until when requests may begin, by when they
 /// must be answered, and when the connections that remain are aborted.
 ///
@@ -66,8 +70,10 @@
     /// Returns until when a request may be passed on whose response is not a stream: while it is
     /// expected to end in time, and in any case until the listener closes.
     pub fn plain_starts_by(&self, target_latency: Duration) -> Instant {
-        let expected = self.answers_by().checked_sub(target_latency);
-        expected.map_or(self.closes_at(), |it| it.max(self.closes_at()))
+        let closes_at = self.closes_at();
+        let max_latency = target_latency.saturating_mul(EXPECTED_LATENCIES);
+        let starts_by = self.answers_by().checked_sub(max_latency);
+        starts_by.map_or(closes_at, |starts_by| starts_by.max(closes_at))
     }
 
     /// Returns until when a request for a stream may be passed on, whose end nobody knows.
--- a/crates/cuminlb-routing/tests/drain_schedule.rs
+++ b/crates/cuminlb-routing/tests/drain_schedule.rs
@@ -20,7 +20,7 @@
     let after = |at: Instant| at.duration_since(signaled_at);
     assert_eq!(after(schedule.closes_at()), millis(3_000));
     assert_eq!(after(schedule.stream_starts_by()), millis(2_900));
-    assert_eq!(after(schedule.plain_starts_by(millis(500))), millis(8_400));
+    assert_eq!(after(schedule.plain_starts_by(millis(500))), millis(7_900));
     assert_eq!(after(schedule.answers_by()), millis(8_900));
     assert_eq!(after(schedule.aborts_at()), millis(9_200));
 }
@@ -59,7 +59,7 @@
     ) {
         let schedule = DrainSchedule::new(Instant::now(), millis(grace_ms));
         let starts_by = schedule.plain_starts_by(millis(target_ms));
-        let expected_end = starts_by + millis(target_ms);
+        let expected_end = starts_by + 2 * millis(target_ms);
         prop_assert!(starts_by == schedule.closes_at() || expected_end <= schedule.answers_by());
     }
 
--- a/tests/testsuite/native_late_requests.rs
+++ b/tests/testsuite/native_late_requests.rs
@@ -137,6 +137,95 @@
     sleep(Duration::from_millis(500)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_follows_a_stream_late_in_the_grace_is_not_lost() {
+    let mut site = StoppingSite::start(long_stream_and_work).await;
+    let mut callers = Vec::new();
+    for path in [RESERVE, LOOKUP, STREAM] {
+        let mut caller = site.connect().await;
+        let stream = request_with_body(STREAM, &format!("stream-{path}"), "");
+        caller.write(stream).await.unwrap();
+        callers.push((path, caller));
+    }
+    sleep(Duration::from_millis(200)).await;
+    site.stop();
+    for (path, caller) in &mut callers {
+        assert_eq!(site.read_in_time(caller).await.status, 200);
+        let next = request_with_body(path, &format!("next-{path}"), "");
+        caller.write(next).await.unwrap();
+    }
+    for (path, caller) in &mut callers {
+        let response = site.read_in_time(caller).await;
+        site.assert_not_run(&response, &format!("next-{path}"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_the_buffer_behind_a_stream_late_in_the_grace_is_not_lost() {
+    let mut site = StoppingSite::start(long_stream_and_work).await;
+    let mut callers = Vec::new();
+    for path in [RESERVE, LOOKUP, STREAM] {
+        let mut caller = site.connect().await;
+        let stream = request_with_body(STREAM, &format!("stream-{path}"), "");
+        let next = request_with_body(path, &format!("next-{path}"), "body");
+        caller.write(stream + &next).await.unwrap();
+        callers.push((path, caller));
+    }
+    sleep(Duration::from_millis(200)).await;
+    site.stop();
+    for (path, caller) in &mut callers {
+        assert_eq!(site.read_in_time(caller).await.status, 200);
+        let response = site.read_in_time(caller).await;
+        site.assert_not_run(&response, &format!("next-{path}"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_follows_a_stream_early_enough_is_served() {
+    let mut site = StoppingSite::start(|request| {
+        if request.id == "stream" {
+            stream_over(Duration::from_millis(3_800))
+        } else {
+            answer_after(Duration::from_millis(20))
+        }
+    })
+    .await;
+    let mut caller = site.connect().await;
+    let stream = request_with_body(STREAM, "stream", "");
+    caller.write(stream).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    site.stop();
+    assert_eq!(site.read_in_time(&mut caller).await.status, 200);
+    let next = request_with_body(RESERVE, "next", "");
+    caller.write(next).await.unwrap();
+    let response = site.read_in_time(&mut caller).await;
+    assert_eq!(response.status, 200);
+    assert!(response.head.contains("connection: close"), "{response:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_ends_late_in_the_grace_is_not_lost() {
+    let mut site = StoppingSite::start(|_| answer_after(LONG_WORK)).await;
+    let mut callers = Vec::new();
+    for path in [RESERVE, LOOKUP, STREAM] {
+        callers.push((path, site.connect().await));
+    }
+    site.stop();
+    site.wait_until(Duration::from_millis(1_500)).await;
+    for (path, caller) in &mut callers {
+        let rest = "content-length: 8\r\n\r\nhalf";
+        let head = request_head("POST", path, &format!("slow-{path}"), rest);
+        caller.write(head).await.unwrap();
+    }
+    site.wait_until(Duration::from_millis(5_100)).await;
+    for (path, caller) in &mut callers {
+        // A refusal may have come before.
+        let _ = caller.write("half").await;
+        let response = site.read_in_time(caller).await;
+        site.assert_not_run(&response, &format!("slow-{path}"));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_is_offered_again_late_in_the_grace_is_not_lost() {
     let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
@@ -189,6 +278,28 @@
     assert!(ended_after < GRACE, "{ended_after:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_comes_after_the_listener_has_closed_is_not_begun() {
+    let mut site = StoppingSite::start(|request| {
+        if request.id == "first" {
+            stream_over(Duration::from_millis(3_500))
+        } else {
+            stream_over(NEVER)
+        }
+    })
+    .await;
+    let mut caller = site.connect().await;
+    let first = request_with_body(STREAM, "first", "");
+    caller.write(first).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    site.stop();
+    assert_eq!(site.read_in_time(&mut caller).await.status, 200);
+    let next = request_with_body(STREAM, "next", "");
+    caller.write(next).await.unwrap();
+    let response = site.read_in_time(&mut caller).await;
+    site.assert_not_run(&response, "next");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_longer_grace_in_newer_settings_holds_at_a_stop() {
     let mut site = StoppingSite::start(|_| answer_after(Duration::from_millis(7_000))).await;
