Wait for no body longer than a node that stops can use it

What callers saw: a request whose body did not end, sent 2.5 s after the signal (grace 6 s), ended at the abort after 5.52 s with a closed connection; so did one to an unknown route, whose refusal waited up to 2 s for the body.

Cause: reading a body knew only the deadline of the request.

Change: a body that is not complete when the request may no longer begin is given up, and the request is refused as not run at that moment. The refusal of any other request waits for its body only until the answers are due.

--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -38,7 +38,11 @@
         Err(refused) => {
             let max_body_bytes = gateway.caller_bounds().max_body_bytes;
             let caller_timeout = caller_timeout(gateway, &parts);
-            if !discard_body(&parts, body, max_body_bytes, caller_timeout).await {
+            let was_read = tokio::select! {
+                was_read = discard_body(&parts, body, max_body_bytes, caller_timeout) => was_read,
+                () = gateway.drain.answers_due() => false,
+            };
+            if !was_read {
                 connection.leave_body_unread();
             }
             return Err(refused);
@@ -54,7 +58,14 @@
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
     let latest_deadline = deadline.latest();
     connection.activity().record_deadline(latest_deadline);
-    let body = read_body(body, max_body_bytes, latest_deadline).await;
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, max_body_bytes, latest_deadline) => body,
+        () = deadline.start_expired() => {
+            connection.leave_body_unread();
+            return Err((draining_refusal(), Some(head.id)));
+        }
+    };
     let body = body.map_err(|kind| {
         connection.leave_body_unread();
         refuse(kind)
--- a/crates/cuminlb-gateway/src/serving/request_deadline.rs
+++ b/crates/cuminlb-gateway/src/serving/request_deadline.rs
@@ -116,6 +116,11 @@
         !self.drain.has_passed(|schedule| self.starts_by(schedule))
     }
 
+    /// Waits until the request must not be passed on any more, because the node stops.
+    pub(super) async fn start_expired(&self) {
+        self.drain.passed(|schedule| self.starts_by(schedule)).await;
+    }
+
     /// Returns until when the request may be passed on by a node that stops.
     fn starts_by(&self, schedule: &DrainSchedule) -> Instant {
         match self.route.kind {
--- a/tests/testsuite/native_late_requests.rs
+++ b/tests/testsuite/native_late_requests.rs
@@ -226,6 +226,34 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_does_not_end_is_refused_before_the_abort() {
+    let mut site = StoppingSite::start(|_| answer_after(LONG_WORK)).await;
+    let mut caller = site.connect().await;
+    site.stop();
+    site.wait_until(Duration::from_millis(2_500)).await;
+    let head = request_head("POST", RESERVE, "endless", "content-length: 8\r\n\r\nhalf");
+    caller.write(head).await.unwrap();
+    let response = site.read_in_time(&mut caller).await;
+    site.assert_not_run(&response, "endless");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_refusal_of_a_request_whose_body_does_not_end_comes_before_the_abort() {
+    let mut site = StoppingSite::start(|_| answer_after(LONG_WORK)).await;
+    let mut caller = site.connect().await;
+    let mut stream_caller = site.connect().await;
+    let stream = request_with_body(STREAM, "stream", "");
+    stream_caller.write(stream).await.unwrap();
+    site.stop();
+    site.wait_until(Duration::from_millis(2_900)).await;
+    let start = request_head("POST", "/nowhere/", "unknown", "content-length: 8\r\n");
+    caller.write(start).await.unwrap();
+    site.wait_until(Duration::from_millis(4_500)).await;
+    caller.write("\r\nhalf").await.unwrap();
+    assert_eq!(site.read_in_time(&mut caller).await.status, 404);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_is_offered_again_late_in_the_grace_is_not_lost() {
     let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
