Let no request wait for an instance that a stop makes useless

What callers saw: requests that waited for an instance which had asked for none until 3.9 s after the signal (grace 6 s) were passed on then, and ended at the abort after 5.52 s without an answer, or, since requests are answered before the abort, with 504.

Cause: a waiting request knew its target latency and its deadline, but not the stop.

Change: RequestDeadline::latest_start bounds the wait, and a wait that the signal makes hopeless ends at the signal: 503, not run. A request that an instance has refused is sent to another one only while it may still begin.

Ruled out: a first form of the wait named the present as the time at which the wait is known to be hopeless, which had never passed when it was compared; the task span until the wait was over.

--- a/crates/cuminlb-gateway/src/drain.rs
+++ b/crates/cuminlb-gateway/src/drain.rs
@@ -52,6 +52,8 @@
     }
 
     /// Waits until a time of the stop has passed; for ever if the node is never asked to stop.
+    ///
+    /// The time may depend only on the schedule.
     pub(crate) async fn passed(&self, time: impl Fn(&DrainSchedule) -> Instant) {
         let mut signals = self.signaled_at.subscribe();
         let mut settings = self.live.clone();
--- a/crates/cuminlb-gateway/src/serving/admitted_request.rs
+++ b/crates/cuminlb-gateway/src/serving/admitted_request.rs
@@ -45,7 +45,7 @@
     pub(super) fn useful_wait_until(&self) -> Instant {
         let target_latency = self.route.target_latency_ms.duration();
         let until = self.received_at + target_latency.mul_f64(USEFUL_WAIT_FRACTION);
-        until.min(self.deadline.latest())
+        until.min(self.deadline.latest_start())
     }
 
     /// Returns the time that remains until the deadline.
--- a/crates/cuminlb-gateway/src/serving/request_deadline.rs
+++ b/crates/cuminlb-gateway/src/serving/request_deadline.rs
@@ -116,6 +116,29 @@
         !self.drain.has_passed(|schedule| self.starts_by(schedule))
     }
 
+    /// Returns until when the request may wait before it is passed on.
+    pub(super) fn latest_start(&self) -> Instant {
+        let latest = self.latest();
+        let schedule = self.drain.schedule();
+        schedule.map_or(latest, |schedule| latest.min(self.starts_by(&schedule)))
+    }
+
+    /// Waits until a time, or only until it is known that the node stops too soon for a request that is
+    /// passed on at that time.
+    pub(super) async fn wait_to_start(&self, until: Instant) {
+        let known_at = |schedule: &DrainSchedule| {
+            if self.starts_by(schedule) < until {
+                self.received_at
+            } else {
+                until
+            }
+        };
+        tokio::select! {
+            () = sleep_until(until) => {}
+            () = self.drain.passed(known_at) => {}
+        }
+    }
+
     /// Waits until the request must not be passed on any more, because the node stops.
     pub(super) async fn start_expired(&self) {
         self.drain.passed(|schedule| self.starts_by(schedule)).await;
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -7,9 +7,10 @@
 use cuminlb_types::prelude::*;
 use http::Response;
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::draining_refusal::draining_refusal;
 use super::plain_attempts::PlainAttempts;
 use super::response_body::ResponseBody;
 use crate::gateway::Gateway;
@@ -29,7 +30,8 @@
     let mut failed_response = None;
     let mut reason: Option<SmolStr> = None;
     while !attempts.is_late() {
-        if !attempts.has_responsive() {
+        let may_start = request.deadline.may_start();
+        if may_start && !attempts.has_responsive() {
             attempts.start();
         }
         // A failed response is kept while an instance that is silent may still respond.
@@ -39,10 +41,10 @@
             let WaitDecision::WaitUntil(until) = decision else {
                 break;
             };
-            if failed_response.is_some() {
+            if failed_response.is_some() || !may_start {
                 break;
             }
-            sleep_until(until).await;
+            request.deadline.wait_to_start(until).await;
             continue;
         }
         match attempts.next().await {
@@ -63,6 +65,9 @@
     }
     let reason = reason.unwrap_or_else(|| "no instance is available".into());
     if !attempts.may_have_run() {
+        if !request.deadline.may_start() {
+            return Err(draining_refusal());
+        }
         let service = request.service.clone();
         let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
         let unavailability = attempts.unavailability();
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::draining_refusal::draining_refusal;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_relay::StreamRelay;
@@ -34,11 +35,18 @@
             return Ok(StreamRelay::response(attempts, number, None));
         }
         if attempts.open.is_empty() {
-            if failed_response.is_some() || !attempts.may_run_again() {
+            let may_start = attempts.request.deadline.may_start();
+            if failed_response.is_some() || !attempts.may_run_again() || !may_start {
                 break;
             }
             let until = attempts.request.useful_wait_until();
-            let target = match wait_for_target(&mut attempts, until).await {
+            let deadline = attempts.request.deadline.clone();
+            let target = tokio::select! {
+                biased;
+                target = wait_for_target(&mut attempts, until) => target,
+                () = deadline.wait_to_start(until) => continue,
+            };
+            let target = match target {
                 Ok(target) => target,
                 Err(known) => {
                     unavailability = known;
@@ -90,6 +98,9 @@
         }
         return Refusal::unknown(RefusalKind::UpstreamFailed { reason });
     }
+    if !request.deadline.may_start() {
+        return draining_refusal();
+    }
     let service = request.service.clone();
     let retry_after_ms = unavailability
         .retry_after(Instant::now(), &mut rand::rng())
--- a/tests/testsuite/native_late_requests.rs
+++ b/tests/testsuite/native_late_requests.rs
@@ -25,6 +25,9 @@
 /// How long a slow worker takes for a request: longer than the rest of the grace of a late one.
 const LONG_WORK: Duration = Duration::from_millis(2_000);
 
+/// A bound on the refusal of a request of which the node knows at the signal that it can't serve it.
+const KNOWN_AT_ONCE: Duration = Duration::from_millis(1_500);
+
 /// Longer than the grace.
 const NEVER: Duration = Duration::from_secs(20);
 
@@ -254,6 +257,37 @@
     assert_eq!(site.read_in_time(&mut caller).await.status, 404);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waits_for_an_instance_late_in_the_grace_is_not_lost() {
+    let mut site = StoppingSite::start(|request| {
+        if request.id == "first" {
+            return Answer::refusal(503, "retry-after: 4\r\n");
+        }
+        answer_after(LONG_WORK)
+    })
+    .await;
+    put_answering_catalog(&site.site, 3, 7_000);
+    site.site.wait_catalog(3).await;
+    let mut callers = Vec::new();
+    for path in [RESERVE, LOOKUP, STREAM] {
+        callers.push((path, site.connect().await));
+    }
+    let first = send(&site.site, RESERVE, "first").await.unwrap();
+    assert_eq!(first.status, StatusCode::SERVICE_UNAVAILABLE);
+    for (path, caller) in &mut callers {
+        let waiting = request_with_body(path, &format!("waiting-{path}"), "");
+        caller.write(waiting).await.unwrap();
+    }
+    sleep(Duration::from_millis(100)).await;
+    site.stop();
+    for (path, caller) in &mut callers {
+        let response = site.read_in_time(caller).await;
+        site.assert_not_run(&response, &format!("waiting-{path}"));
+        let elapsed = site.signaled_at.elapsed();
+        assert!(elapsed < KNOWN_AT_ONCE, "{elapsed:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_is_offered_again_late_in_the_grace_is_not_lost() {
     let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
