--- a/tests/testsuite/native_late_requests.rs
+++ b/tests/testsuite/native_late_requests.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use cuminlb_standins::Fault;
 use http::StatusCode;
 use nix::sys::signal::Signal;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -340,6 +341,19 @@
     assert!(ended_after < GRACE, "{ended_after:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_whose_store_is_silent_is_gone_before_the_grace_ends() {
+    let mut site = StoppingSite::start(|_| stream_over(NEVER)).await;
+    let mut caller = site.connect().await;
+    let stream = request_with_body(STREAM, "stream", "");
+    caller.write(stream).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    site.site.nodes[0].store.set_fault(Fault::Paused);
+    site.stop();
+    let ended_after = site.wait_ended().await;
+    assert!(ended_after < GRACE, "{ended_after:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_comes_after_the_listener_has_closed_is_not_begun() {
     let mut site = StoppingSite::start(|request| {
