Offer a request that may have run again also late in a stop

What callers saw, since waits know the stop: a stream whose instance lost its connection 3.15 s after the signal (grace 6 s), before its first event, ended with 502 although another instance was free.

Cause: let nothing begin any more after DrainSchedule's time, which is meant for requests that can still be refused as not run. One that may have run can only be answered with its outcome unknown.

Change: the limit holds for requests that have not run; the others are offered again until the answers are due.

--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -30,7 +30,8 @@
     let mut failed_response = None;
     let mut reason: Option<SmolStr> = None;
     while !attempts.is_late() {
-        let may_start = request.deadline.may_start();
+        // A request that may have run can't be refused as not run.
+        let may_start = attempts.may_have_run() || request.deadline.may_start();
         if may_start && !attempts.has_responsive() {
             attempts.start();
         }
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -35,7 +35,8 @@
             return Ok(StreamRelay::response(attempts, number, None));
         }
         if attempts.open.is_empty() {
-            let may_start = attempts.request.deadline.may_start();
+            // A request that may have run can't be refused as not run.
+            let may_start = attempts.may_have_run() || attempts.request.deadline.may_start();
             if failed_response.is_some() || !attempts.may_run_again() || !may_start {
                 break;
             }
--- a/tests/testsuite/native_late_requests.rs
+++ b/tests/testsuite/native_late_requests.rs
@@ -3,6 +3,8 @@
 //! The nodes of these tests have a grace of 6 s. Each of the callers' requests must be answered, with
 //! the truth, before its connection ends; only a stream whose response has begun may be cut.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cuminlb_standins::Fault;
@@ -48,6 +50,11 @@
     Answer::new(STREAM_HEAD, AnswerEnd::Keep).and_then(pause, STREAM_REST)
 }
 
+/// A worker that resets the connection after a time without a response.
+fn reset_after(time: Duration) -> Answer {
+    Answer::new("", AnswerEnd::Reset).and_then(time, "")
+}
+
 /// A site with one node and one answering worker.
 struct StoppingSite {
     site: NativeSite,
@@ -304,6 +311,40 @@
     assert_eq!(response.status, 504, "{response:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_instance_fails_late_in_the_grace_is_served_by_another() {
+    let respond = |failed: &Arc<AtomicUsize>| {
+        let failed = Arc::clone(failed);
+        move |request: &WorkerRequest| {
+            let is_first = failed.fetch_add(1, Ordering::Relaxed) < 2;
+            match (is_first, request.id.as_str()) {
+                (true, "stream") => reset_after(Duration::from_millis(350)),
+                (true, _) => reset_after(Duration::from_millis(2_100)),
+                (false, "stream") => stream_over(Duration::ZERO),
+                (false, _) => answer_after(Duration::ZERO),
+            }
+        }
+    };
+    let failed = Arc::new(AtomicUsize::new(0));
+    let mut site = StoppingSite::start(respond(&failed)).await;
+    let fleet = &site.site.fleet;
+    let _second = AnsweringWorker::start(fleet, "k1", ANSWERING, respond(&failed)).await;
+    wait_rows_read(&site.site).await;
+    let mut callers = [site.connect().await, site.connect().await];
+    site.stop();
+    site.wait_until(Duration::from_millis(2_750)).await;
+    for (caller, (path, id)) in callers
+        .iter_mut()
+        .zip([(STREAM, "stream"), (LOOKUP, "lookup")])
+    {
+        caller.write(request_with_body(path, id, "")).await.unwrap();
+    }
+    for caller in &mut callers {
+        let response = site.read_in_time(caller).await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_without_a_response_are_answered_before_the_abort() {
     let mut site = StoppingSite::start(|_| answer_after(NEVER)).await;
