--- a/tests/testsuite/raw_caller.rs
+++ b/tests/testsuite/raw_caller.rs
@@ -34,6 +34,16 @@
         Self::connect_from(TcpSocket::new_v4().unwrap(), node).await
     }
 
+    /// Connects to a node that may accept no connection any more.
+    pub async fn try_connect(node: &NativeNode) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(node.caller_address()).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            received: Vec::new(),
+        })
+    }
+
     /// Connects with a receive buffer that holds only a small part of a long response.
     pub async fn connect_with_small_buffer(node: &NativeNode) -> Self {
         let socket = TcpSocket::new_v4().unwrap();
