Count the grace of a stop as it was at the signal

What callers saw: a request that ran while the settings got a longer grace 0.3 s after the signal was answered 7.87 s after it, by its own timeout, beyond the grace of 6 s from which the platform had counted: a process that is killed by then answers nobody.

Cause: let the newest settings hold also for a stop that had begun.

Change: the settings file is read at the signal, and the grace in it holds for this stop, so that a change just before the signal holds without a SIGHUP. A shorter grace that is written later is followed, a longer one is not.

--- a/crates/cuminlb-gateway/src/drain.rs
+++ b/crates/cuminlb-gateway/src/drain.rs
@@ -1,6 +1,7 @@
 //! The planned stop of this node.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cuminlb_config::GatewaySettings;
 use cuminlb_routing::DrainSchedule;
@@ -8,43 +9,51 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Whether this node was asked to stop, and the times of the stop by the newest settings.
+/// Whether this node was asked to stop, and the times of the stop.
+///
+/// The platform counts the grace from its signal, so that a longer one in later settings does not hold
+/// for this stop. A shorter one does, as a precaution.
 #[derive(Clone, Debug)]
 pub(crate) struct Drain {
     /// The current settings.
     live: watch::Receiver<Arc<GatewaySettings>>,
-    /// When the node was asked to stop.
-    signaled_at: Arc<watch::Sender<Option<Instant>>>,
+    /// When the node was asked to stop, and the grace at that time.
+    signal: Arc<watch::Sender<Option<(Instant, Duration)>>>,
 }
 
 impl Drain {
     /// Returns the state of a node that was not asked to stop.
     pub(crate) fn new(live: watch::Receiver<Arc<GatewaySettings>>) -> Self {
-        let signaled_at = Arc::new(watch::Sender::new(None));
-        Self { live, signaled_at }
+        let signal = Arc::new(watch::Sender::new(None));
+        Self { live, signal }
     }
 
     /// Starts the stop.
     pub(crate) fn start(&self) {
-        self.signaled_at.send_if_modified(|signaled_at| {
-            let is_first = signaled_at.is_none();
-            signaled_at.get_or_insert_with(Instant::now);
+        let grace = self.newest_grace();
+        self.signal.send_if_modified(|signal| {
+            let is_first = signal.is_none();
+            signal.get_or_insert_with(|| (Instant::now(), grace));
             is_first
         });
     }
 
     /// Returns whether the node was asked to stop.
     pub(crate) fn has_started(&self) -> bool {
-        self.signaled_at.borrow().is_some()
+        self.signal.borrow().is_some()
     }
 
     /// Returns the times of the stop, if the node was asked to stop.
     pub(crate) fn schedule(&self) -> Option<DrainSchedule> {
-        let signaled_at = (*self.signaled_at.borrow())?;
-        let grace = self.live.borrow().bounds.grace_ms.duration();
+        let (signaled_at, grace) = (*self.signal.borrow())?;
+        let grace = grace.min(self.newest_grace());
         Some(DrainSchedule::new(signaled_at, grace))
     }
 
+    fn newest_grace(&self) -> Duration {
+        self.live.borrow().bounds.grace_ms.duration()
+    }
+
     /// Returns whether a time of the stop has passed.
     pub(crate) fn has_passed(&self, time: impl Fn(&DrainSchedule) -> Instant) -> bool {
         let schedule = self.schedule();
@@ -55,7 +64,7 @@
     ///
     /// The time may depend only on the schedule.
     pub(crate) async fn passed(&self, time: impl Fn(&DrainSchedule) -> Instant) {
-        let mut signals = self.signaled_at.subscribe();
+        let mut signals = self.signal.subscribe();
         let mut settings = self.live.clone();
         settings.mark_unchanged();
         while !self.has_passed(&time) {
--- a/src/bin/cuminlb/gateway.rs
+++ b/src/bin/cuminlb/gateway.rs
@@ -52,6 +52,8 @@
     let outcome = runtime.block_on(async {
         let signals = async {
             wait_for_signal().await;
+            // The times of the stop follow from the settings at the signal.
+            file.reload(false);
             stop.cancel();
             std::future::pending::<()>().await;
         };
--- a/src/bin/cuminlb/settings_file.rs
+++ b/src/bin/cuminlb/settings_file.rs
@@ -54,7 +54,8 @@
         }
     }
 
-    fn reload(&self, is_signal: bool) {
+    /// Reloads the file; an invalid one changes nothing. `is_signal` tells whether a signal asked for it.
+    pub(crate) fn reload(&self, is_signal: bool) {
         match load_gateway_settings(&self.path) {
             Ok(settings) => {
                 let is_changed = **self.settings.borrow() != settings;
