--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -12,6 +12,7 @@
 use super::admitted_request::AdmittedRequest;
 use super::caller_connection::CallerConnection;
 use super::crash_causes::crash_causes;
+use super::draining_refusal::draining_refusal;
 use super::examined_request::ExaminedRequest;
 use super::read_body::{discard_body, read_body};
 use crate::gateway::Gateway;
@@ -19,7 +20,8 @@
 /// Validates a request, resolves its route and service, and reads its body.
 ///
 /// The body of a request that is refused is read too, as far as the catalog allows, so that the
-/// connection can carry the next request.
+/// connection can carry the next request. A request whose body is complete too late for a node that
+/// stops is refused.
 ///
 /// # Errors
 ///
@@ -36,7 +38,11 @@
         Err(refused) => {
             let max_body_bytes = gateway.caller_bounds().max_body_bytes;
             let caller_timeout = caller_timeout(gateway, &parts);
-            if !discard_body(&parts, body, max_body_bytes, caller_timeout).await {
+            let was_read = tokio::select! {
+                was_read = discard_body(&parts, body, max_body_bytes, caller_timeout) => was_read,
+                () = gateway.drain.answers_due() => false,
+            };
+            if !was_read {
                 connection.leave_body_unread();
             }
             return Err(refused);
@@ -53,11 +59,21 @@
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
     let latest_deadline = deadline.latest();
     connection.activity().record_deadline(latest_deadline);
-    let body = read_body(body, max_body_bytes, latest_deadline).await;
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, max_body_bytes, latest_deadline) => body,
+        () = deadline.start_expired() => {
+            connection.leave_body_unread();
+            return Err((draining_refusal(), Some(head.id)));
+        }
+    };
     let body = body.map_err(|kind| {
         connection.leave_body_unread();
         refuse(kind)
     })?;
+    if !deadline.may_start() {
+        return Err((draining_refusal(), Some(head.id)));
+    }
     let path = parts.uri.path();
     let Some(service) = route.pick_service(&mut rand::rng()).cloned() else {
         let name = path.to_smolstr();
--- a/crates/cuminlb-gateway/src/serving/handle_request.rs
+++ b/crates/cuminlb-gateway/src/serving/handle_request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cuminlb_catalog::RouteKind;
-use cuminlb_routing::{Refusal, keep_alive_time};
+use cuminlb_routing::{DrainSchedule, Refusal, keep_alive_time};
 use cuminlb_types::prelude::*;
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, HeaderValue, Request, Response};
@@ -19,7 +19,6 @@
 use super::run_stream::run_stream;
 use crate::gateway::Gateway;
 use crate::metrics::RouteLabels;
-use crate::run_gateway::DRAIN_DELAY;
 
 /// The header that states how long a connection may be idle.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -72,7 +71,9 @@
         return;
     }
     let idle_timeout = gateway.caller_bounds().idle_timeout_ms.duration();
-    let Some(time) = keep_alive_time(idle_timeout, DRAIN_DELAY) else {
+    let grace = gateway.live_settings().bounds.grace_ms.duration();
+    let stop_delay = DrainSchedule::close_delay(grace);
+    let Some(time) = keep_alive_time(idle_timeout, stop_delay) else {
         return;
     };
     if let Ok(value) = HeaderValue::try_from(format!("timeout={}", time.as_secs())) {
--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -133,10 +133,11 @@
         let silent_at = waiting.filter_map(|attempt| attempt.silent_at).min();
         let check_at = self.open.iter().filter_map(|it| it.check_at).min();
         let deadline = &self.request.deadline;
+        let silent = OptionFuture::from(silent_at.map(sleep_until));
         let expired = async move {
-            match silent_at {
-                Some(silent_at) => sleep_until(silent_at).await,
-                None => deadline.passed_but_for(TIMEOUT_RESPONSE_MARGIN).await,
+            tokio::select! {
+                Some(()) = silent => {}
+                () = deadline.answer_due(TIMEOUT_RESPONSE_MARGIN) => {}
             }
         };
         let check_due = OptionFuture::from(check_at.map(sleep_until));
@@ -157,7 +158,7 @@
 
     /// Returns when the request is given up.
     fn deadline(&self) -> Instant {
-        self.request.deadline.latest() - TIMEOUT_RESPONSE_MARGIN
+        self.request.deadline.latest_answer(TIMEOUT_RESPONSE_MARGIN)
     }
 
     fn end(&mut self, index: usize, outcome: PlainOutcome) -> PlainOutcome {
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::draining_refusal::draining_refusal;
 use super::response_body::ResponseBody;
 use super::stream_attempts::StreamAttempts;
 use super::stream_relay::StreamRelay;
@@ -34,11 +35,19 @@
             return Ok(StreamRelay::response(attempts, number, None));
         }
         if attempts.open.is_empty() {
-            if failed_response.is_some() || !attempts.may_run_again() {
+            // A request that may have run can't be refused as not run.
+            let may_start = attempts.may_have_run() || attempts.request.deadline.may_start();
+            if failed_response.is_some() || !attempts.may_run_again() || !may_start {
                 break;
             }
             let until = attempts.request.useful_wait_until();
-            let target = match wait_for_target(&mut attempts, until).await {
+            let deadline = attempts.request.deadline.clone();
+            let target = tokio::select! {
+                biased;
+                target = wait_for_target(&mut attempts, until) => target,
+                () = deadline.wait_to_start(until) => continue,
+            };
+            let target = match target {
                 Ok(target) => target,
                 Err(known) => {
                     unavailability = known;
@@ -51,7 +60,12 @@
                 break;
             }
         }
-        match attempts.next().await {
+        let update = tokio::select! {
+            biased;
+            update = attempts.next() => update,
+            () = gateway.drain.answers_due() => break,
+        };
+        match update {
             StreamUpdate::Opened => {}
             StreamUpdate::Other(response) => {
                 if !response.status().is_server_error() {
@@ -79,12 +93,15 @@
 fn refusal(attempts: &StreamAttempts, reason: SmolStr, unavailability: Unavailability) -> Refusal {
     let request = &attempts.request;
     if attempts.may_have_run() {
-        if request.deadline.has_passed() {
+        if request.deadline.has_passed() || request.deadline.is_cut_short() {
             let timeout_ms = request.age_ms(Instant::now());
             return Refusal::unknown(RefusalKind::DeadlineExceeded { timeout_ms });
         }
         return Refusal::unknown(RefusalKind::UpstreamFailed { reason });
     }
+    if !request.deadline.may_start() {
+        return draining_refusal();
+    }
     let service = request.service.clone();
     let retry_after_ms = unavailability
         .retry_after(Instant::now(), &mut rand::rng())
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection_limits;
 mod connection_phase;
 mod crashes;
+mod drain_schedule;
 mod keep_alive;
 mod links;
 mod quarantine;
@@ -43,6 +44,7 @@
     CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
 };
+pub use crate::drain_schedule::DrainSchedule;
 pub use crate::keep_alive::keep_alive_time;
 pub use crate::links::{
     ForwarderBoard, ForwarderCandidate, ForwarderOutcome, InstanceVerdict, LeadFitness, LinkBoard,
