--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -39,6 +39,7 @@
             let max_body_bytes = gateway.caller_bounds().max_body_bytes;
             let caller_timeout = caller_timeout(gateway, &parts);
             let was_read = tokio::select! {
+                biased;
                 was_read = discard_body(&parts, body, max_body_bytes, caller_timeout) => was_read,
                 () = gateway.drain.answers_due() => false,
             };
