--- a/tests/testsuite/raw_response.rs
+++ b/tests/testsuite/raw_response.rs
@@ -17,6 +17,33 @@
         self.text.ends_with("0\r\n\r\n")
     }
 
+    /// Returns the status, if the head is whole.
+    pub fn status(&self) -> Option<u16> {
+        let (head, _) = self.text.split_once("\r\n\r\n")?;
+        head.split(' ').nth(1)?.parse().ok()
+    }
+
+    /// Returns the body, if it is complete by its length or its last chunk.
+    pub fn complete_body(&self) -> Option<String> {
+        let (head, rest) = self.text.split_once("\r\n\r\n")?;
+        let head = head.to_lowercase();
+        let mut lines = head.lines();
+        if let Some(length) = lines.find_map(|line| line.strip_prefix("content-length: ")) {
+            return (length.parse() == Ok(rest.len())).then(|| rest.to_owned());
+        }
+        let mut body = String::new();
+        let mut rest = rest;
+        loop {
+            let (size, chunk) = rest.split_once("\r\n")?;
+            let size = usize::from_str_radix(size, 16).ok()?;
+            if size == 0 {
+                return (chunk == "\r\n").then_some(body);
+            }
+            body += chunk.get(..size)?;
+            rest = chunk.get(size..)?.strip_prefix("\r\n")?;
+        }
+    }
+
     /// Returns the ids of the events.
     pub fn event_ids(&self) -> Vec<u64> {
         let ids = self
