Break off a stream that ends with its connection before its first event

Callers saw a 200 whose chunked body ended at once, framed as whole, if an instance wrote the head of a stream without a length and chunks and then closed.

The new test cuts the answers to requests for streams after every byte, in all framings, closed and reset, on first exchanges, on reused connections, and where a stream that has begun is resumed at an instance whose answer is cut (30 lanes).

Nothing in such an answer shows that the stream has ended, so its end counts as a broken connection: the stream is offered to another instance where that is allowed, or aborted. A stream of no events with a length or a last chunk stays whole. A plain answer that is closed after such a head stays whole with an empty body: nothing tells it from one that is meant.

--- a/crates/cuminlb-catalog/src/response_head.rs
+++ b/crates/cuminlb-catalog/src/response_head.rs
@@ -21,6 +21,8 @@
     pub is_encoded: bool,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
+    /// Whether the body has neither a length nor chunks, and ends with the connection.
+    pub ends_with_connection: bool,
     /// The time for which the instance keeps an idle connection open.
     pub keep_alive_ms: Option<Millis>,
     /// Whether the instance closes the connection after this response.
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -80,6 +80,7 @@
             connection,
             decoder: EventDecoder::default(),
             event_count: 0,
+            has_content: false,
             has_ended: false,
         })));
     }
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -1,6 +1,7 @@
 //! The receiving side of an event stream from an instance.
 
 use cuminlb_catalog::ResponseHead;
+use cuminlb_routing::EventContent;
 use cuminlb_upstream::EventDecoder;
 use http::response;
 use http_body_util::BodyExt;
@@ -8,6 +9,7 @@
 use smol_str::ToSmolStr;
 
 use super::attempt_update::AttemptUpdate;
+use super::event_content::event_content;
 use super::request_stage::RequestStage;
 use crate::gateway::Gateway;
 use crate::upstream::{Connection, ConnectionDeadline};
@@ -28,6 +30,8 @@
     pub(super) decoder: EventDecoder,
     /// The number of events that have been received.
     pub(super) event_count: u64,
+    /// Whether an event that is more than a comment has been received.
+    pub(super) has_content: bool,
     pub(super) has_ended: bool,
 }
 
@@ -37,13 +41,21 @@
         match self.decoder.next_event() {
             Ok(Some(event)) => {
                 self.event_count += 1;
+                self.has_content |=
+                    event.id().is_some() || event_content(&event) != EventContent::Nothing;
                 Some(AttemptUpdate::Event(event))
             }
             Ok(None) if !self.has_ended => None,
-            Ok(None) if self.decoder.is_empty() => Some(AttemptUpdate::End),
-            Ok(None) => Some(AttemptUpdate::Interrupted(
+            Ok(None) if !self.decoder.is_empty() => Some(AttemptUpdate::Interrupted(
                 "the stream ended in the middle of an event".into(),
             )),
+            // An instance that ends before it begins closes the connection in the same way.
+            Ok(None) if self.head.ends_with_connection && !self.has_content => {
+                Some(AttemptUpdate::Interrupted(
+                    "the stream ended with its connection before its first event".into(),
+                ))
+            }
+            Ok(None) => Some(AttemptUpdate::End),
             Err(error) => Some(AttemptUpdate::Interrupted(error.to_smolstr())),
         }
     }
--- a/tests/testsuite/native_cut_answers.rs
+++ b/tests/testsuite/native_cut_answers.rs
@@ -85,3 +85,14 @@
     let kinds = [Kind::Idempotent, Kind::AtMostOnce];
     check(&lanes(&kinds, &[Exchange::First, Exchange::Reused])).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_cut_at_any_byte_does_not_look_complete() {
+    let kinds = [Kind::Stream, Kind::ResumableStream];
+    check(&lanes(&kinds, &[Exchange::First, Exchange::Reused])).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_whose_next_answer_is_cut_at_any_byte_does_not_look_complete() {
+    check(&lanes(&[Kind::ResumableStream], &[Exchange::Resumed])).await;
+}
