Abort a stream whose next run ends before an event that had begun

A stream broke off inside its third event, and the instance that resumed it answered with an empty stream, or with the first two events again, each with its last chunk.

The new test in native_broken_streams failed before the change, for the connection closed or reset by the first instance; the decoder and the position have tests of their own. StreamPosition now knows of an event that a run broke off in, and no run completes the stream until the caller has one after the last event before it. An end that was held back is left when it is known to be too early. Comments and the start of an end marker count as no event. What a resumed run had begun before its own first whole event is not counted: whether it repeats an event can't be told without its id.

--- a/crates/cuminlb-gateway/src/serving/open_streams.rs
+++ b/crates/cuminlb-gateway/src/serving/open_streams.rs
@@ -38,6 +38,11 @@
         &mut self.0[index]
     }
 
+    /// Returns the position of an attempt that meets a condition.
+    pub(super) fn position(&self, condition: impl Fn(&StreamAttempt) -> bool) -> Option<usize> {
+        self.0.iter().position(condition)
+    }
+
     /// Removes the attempt at a position.
     pub(super) fn remove(&mut self, index: usize) -> StreamAttempt {
         self.0.remove(index)
--- a/crates/cuminlb-gateway/src/serving/stream_attempts/updates.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts/updates.rs
@@ -38,8 +38,13 @@
                 self.update_after_failure(reason)
             }
             AttemptUpdate::Interrupted(reason) => {
-                let stage = attempt.source().map(StreamSource::stage);
+                let source = attempt.source();
+                let stage = source.map(StreamSource::stage);
+                if source.is_some_and(StreamSource::has_begun_event) {
+                    self.position.record_broken_event(attempt.number);
+                }
                 self.end(index, true, stage);
+                self.leave_early_ends();
                 self.update_after_failure(reason)
             }
             AttemptUpdate::Silent => {
@@ -91,6 +96,18 @@
         None
     }
 
+    /// Leaves the attempts whose end was held back and is known to be too early by now.
+    fn leave_early_ends(&mut self) {
+        while let Some(index) = self
+            .open
+            .position(|attempt| attempt.has_ended && !self.position.may_end(attempt.number))
+        {
+            let attempt = self.open.at(index);
+            attempt.log_outcome(&self.request, "the stream ended too early");
+            self.end(index, true, None);
+        }
+    }
+
     /// Returns the failure of an attempt, unless an end that was held back completes the response:
     /// an instance that resumes it after its last event and ends it there has nothing to add.
     fn update_after_failure(&self, reason: SmolStr) -> Option<StreamUpdate> {
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns whether a part of an event has been received whose rest has not.
+    pub(super) fn has_begun_event(&self) -> bool {
+        self.decoder.has_begun_event()
+    }
+
     /// Receives more of the stream. Returns an update only if the stream was interrupted.
     pub(super) async fn receive(&mut self) -> Option<AttemptUpdate> {
         match self.body.frame().await {
--- a/crates/cuminlb-routing/src/streams/stream_position.rs
+++ b/crates/cuminlb-routing/src/streams/stream_position.rs
@@ -12,7 +12,8 @@
 /// Each event is passed on once and in order. A run that takes over, or that is open beside the one
 /// the caller's events came from, may continue after the last event or start again from the
 /// beginning; if it leaves a gap, or ends before the last event, it does not connect, and the stream
-/// must not look complete.
+/// must not look complete. Neither must it while a run is known to have begun an event that the caller
+/// does not have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamPosition {
     last: Option<EventId>,
@@ -23,6 +24,8 @@
     /// Whether each id so far was the one after the id before it, so that a gap can be told.
     is_consecutive: bool,
     has_pieces: bool,
+    /// The latest event before one that a run broke off in, if any did.
+    broken_after: Option<Option<EventId>>,
 }
 
 impl StreamPosition {
@@ -34,6 +37,7 @@
             latest: BTreeMap::new(),
             is_consecutive: true,
             has_pieces: false,
+            broken_after: None,
         }
     }
 
@@ -73,6 +77,15 @@
         place
     }
 
+    /// Records that a run broke off inside an event, which shows that there is one more.
+    pub fn record_broken_event(&mut self, run: AttemptNumber) {
+        let latest = match self.progress(run) {
+            RunProgress::Connected => self.last,
+            RunProgress::Behind(latest) => latest,
+        };
+        self.broken_after = self.broken_after.max(Some(latest));
+    }
+
     /// Returns whether a run continues what the caller has, or the caller has nothing.
     pub fn is_connected(&self, run: AttemptNumber) -> bool {
         self.progress(run) == RunProgress::Connected
@@ -80,12 +93,24 @@
 
     /// Returns whether the stream is complete if a run ends now.
     pub fn may_end(&self, run: AttemptNumber) -> bool {
+        if self.lacks_broken_event() {
+            return false;
+        }
         match self.progress(run) {
             RunProgress::Connected | RunProgress::Behind(None) => true,
             RunProgress::Behind(latest) => latest == self.last,
         }
     }
 
+    /// Returns whether the caller does not have an event that a run broke off in.
+    fn lacks_broken_event(&self) -> bool {
+        match self.broken_after {
+            Some(Some(latest)) => self.last <= Some(latest),
+            Some(None) => !self.has_pieces,
+            None => false,
+        }
+    }
+
     fn progress(&self, run: AttemptNumber) -> RunProgress {
         if !self.has_pieces || self.connected == Some(run) {
             RunProgress::Connected
--- a/crates/cuminlb-routing/tests/stream_position.rs
+++ b/crates/cuminlb-routing/tests/stream_position.rs
@@ -70,6 +70,37 @@
     );
 }
 
+#[test]
+fn a_run_that_ends_before_an_event_that_another_one_began_completes_nothing() {
+    let mut position = position_after(1..=2);
+    position.record_broken_event(FIRST);
+    assert!(!position.may_end(SECOND));
+    events_of_run(&mut position, SECOND, 1..=2).unwrap();
+    assert!(!position.may_end(SECOND));
+    events_of_run(&mut position, SECOND, [3]).unwrap();
+    assert!(position.may_end(SECOND));
+}
+
+#[test]
+fn a_run_that_broke_off_inside_an_event_that_the_caller_has_takes_nothing_away() {
+    let mut position = position_after(1..=3);
+    events_of_run(&mut position, SECOND, 1..=2).unwrap();
+    position.record_broken_event(SECOND);
+    assert!(position.may_end(FIRST));
+}
+
+#[test]
+fn a_run_without_events_does_not_complete_a_stream_that_has_begun() {
+    let mut position = StreamPosition::new(None);
+    position.record_broken_event(FIRST);
+    assert!(!position.may_end(SECOND));
+    let mut without_ids = position.clone();
+    events_of_run(&mut position, SECOND, [1]).unwrap();
+    assert!(position.may_end(SECOND));
+    without_ids.place(SECOND, None, EventContent::Piece);
+    assert!(without_ids.may_end(SECOND));
+}
+
 #[test]
 fn a_piece_without_an_id_does_not_continue_a_stream() {
     let mut position = position_after(1..=2);
--- a/crates/cuminlb-upstream/src/stream/event_decoder.rs
+++ b/crates/cuminlb-upstream/src/stream/event_decoder.rs
@@ -50,6 +50,17 @@
         self.buffer.is_empty()
     }
 
+    /// Returns whether the buffer holds the start of an event that is neither a comment nor the end
+    /// marker.
+    pub fn has_begun_event(&self) -> bool {
+        let mut lines = self.buffer[..].split(|&byte| byte == b'\n');
+        if lines.any(|line| line.starts_with(b"id:")) {
+            return true;
+        }
+        let data = event_data(&self.buffer);
+        !data.is_empty() && !DONE_MARKER.as_bytes().starts_with(&data)
+    }
+
     /// Returns the position just after the blank line that ends the first event.
     fn find_end(&mut self) -> Option<usize> {
         // A blank line may begin in the last 3 bytes that were searched before.
@@ -71,7 +82,7 @@
 }
 
 /// Returns the data lines of an event, joined by line feeds as the event stream format requires.
-fn event_data(raw: &Bytes) -> Bytes {
+fn event_data(raw: &[u8]) -> Bytes {
     let mut data = BytesMut::new();
     let mut is_first = true;
     for line in raw.split(|&byte| byte == b'\n') {
--- a/crates/cuminlb-upstream/tests/event_decoder.rs
+++ b/crates/cuminlb-upstream/tests/event_decoder.rs
@@ -100,3 +100,34 @@
     assert_eq!(unsplit, decode(&reads));
     assert!(matches!(unsplit.1, Some(StreamError::EventTooLong { .. })));
 }
+
+#[test]
+fn only_the_start_of_an_event_with_content_counts_as_begun() {
+    let has_begun = |text: &[u8]| {
+        let mut decoder = EventDecoder::default();
+        decoder.push(text);
+        assert_eq!(decoder.next_event(), Ok(None));
+        decoder.has_begun_event()
+    };
+    for begun in [
+        "id: 3\nda",
+        "id:",
+        "data: p",
+        "event: x\ndata: p\n",
+        "data: [DONE]!",
+    ] {
+        assert!(has_begun(begun.as_bytes()), "{begun:?}");
+    }
+    for open in [
+        "",
+        "i",
+        "id",
+        ": comment\n",
+        "data: ",
+        "data: [DO",
+        "data: [DONE]\n",
+        "event: x\n",
+    ] {
+        assert!(!has_begun(open.as_bytes()), "{open:?}");
+    }
+}
--- a/tests/testsuite/native_broken_streams.rs
+++ b/tests/testsuite/native_broken_streams.rs
@@ -101,6 +101,13 @@
     check(whole_stream(1..=1), &[1, 2], false).await;
 }
 
+/// The first instance breaks off inside the third event, so there is one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_before_an_event_that_had_begun_is_aborted() {
+    check(whole_stream([]), &[1, 2], false).await;
+    check(whole_stream(1..=2), &[1, 2], false).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_is_continued_without_ids_is_aborted() {
     let mut text = stream_text([]);
