Take no change of protocol for an answer

An instance that answered with 101 and its proof had that passed on to the caller as the final answer of a plain request or a stream: a change of protocol that the caller had not asked for, after which the connection carries bytes that are no answer. hyper returns a 101 like a final response and skips the other interim ones.

A response below 200 now proves nothing: the request may have run, and the connection is closed.

--- a/crates/cuminlb-catalog/src/response_head.rs
+++ b/crates/cuminlb-catalog/src/response_head.rs
@@ -32,6 +32,12 @@
 }
 
 impl ResponseHead {
+    /// Returns whether the response answers a request. An interim one, such as a change of protocol that
+    /// nobody asked for, does not.
+    pub const fn is_final(&self) -> bool {
+        self.status >= 200
+    }
+
     /// Returns for how long the instance wants no requests, if the response refuses one and says so.
     pub fn refusal_delay(&self) -> Option<Millis> {
         self.retry_after_ms
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -81,13 +81,16 @@
     Ok((head, response))
 }
 
-/// Checks that a response belongs to a request. One that does not proves nothing, so the request may
+/// Checks that a response is final and belongs to a request. One that does not proves nothing, so the request may
 /// have run; the caller drops the connection.
 pub(super) fn check_owner(
     request: &AdmittedRequest,
     head: &ResponseHead,
     connection: &Connection,
 ) -> Result<(), AttemptFailure> {
+    if !head.is_final() {
+        return Err(AttemptFailure::unknown("the response is no final one"));
+    }
     let is_first_exchange = connection.is_first_exchange();
     let named = head.request.as_ref();
     match ResponseOwner::new(named, &request.head.id, is_first_exchange) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod native_leaving;
 mod native_node;
 mod native_observation;
+mod native_odd_heads;
 mod native_odd_rows;
 mod native_operation;
 mod native_path;
