Reject a body in a transfer coding other than chunks

An answer with Transfer-Encoding: gzip, or gzip and chunked, reached the caller as a plain success: the header is dropped as one of the connection, while the body stays encoded. Such a body counts as modified in transit, as one with a content encoding does.

--- a/crates/cuminlb-catalog/src/response_head.rs
+++ b/crates/cuminlb-catalog/src/response_head.rs
@@ -17,7 +17,8 @@
     pub is_other_instance: bool,
     /// Whether the instance states that it leaves, so that nothing more should be sent to it.
     pub is_leaving: bool,
-    /// Whether the body was modified in transit, by a content encoding.
+    /// Whether the body was modified in transit, by a content encoding or a transfer coding other than
+    /// chunks.
     pub is_encoded: bool,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
--- a/tests/testsuite/native_odd_heads.rs
+++ b/tests/testsuite/native_odd_heads.rs
@@ -204,6 +204,27 @@
     check(&site, &answers).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_in_a_coding_that_nobody_asked_for_is_no_success() {
+    let site = answering_site(1).await;
+    let chunked = "2\r\nok\r\n0\r\n\r\n";
+    let cases = [
+        ("transfer-encoding: gzip\r\n", "ok"),
+        ("transfer-encoding: gzip, chunked\r\n", chunked),
+        (
+            "transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n",
+            chunked,
+        ),
+        ("transfer-encoding: chunked, gzip\r\n", chunked),
+        ("transfer-encoding: xchunked\r\n", chunked),
+    ];
+    let answers = cases.map(|(lines, body)| {
+        let text = head("HTTP/1.1 200 OK", lines) + body;
+        (text, Expected::Failure)
+    });
+    check(&site, &answers).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_chunks_are_no_success() {
     let site = answering_site(1).await;
