Let an instance that sends without end delay neither others nor its end

Interim heads (103) without end, sent as fast as they are read, kept a node busy for 12.84 s of a request whose caller waits 1.5 s (bound of the test: 2 s). hyper parses interim heads in a loop that ends only when nothing can be read, or when the task has used up its 128 reads, each of up to 400 KiB; until then neither the timers nor the cancellation have their turn.

The head of a response may have 64 KiB now (about 400 KiB before).

--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -15,11 +15,15 @@
 use tokio::time::{Instant, timeout};
 use tokio_util::task::TaskTracker;
 
+use super::fair_stream::FairStream;
 use super::{Connection, SendFailure};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Size limit of the head of a response.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// How long an idle connection is kept if the instance states no keep-alive time.
 const DEFAULT_KEEP_ALIVE_MS: Millis = Millis(4_000);
 
@@ -119,7 +123,9 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_smolstr())?;
-        let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (mut sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| error.to_smolstr())?;
         self.opened.inc();
--- a/crates/cuminlb-gateway/src/upstream/mod.rs
+++ b/crates/cuminlb-gateway/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod connection_deadline;
 mod connection_pool;
+mod fair_stream;
 mod send_failure;
 
 pub(crate) use self::connection::Connection;
--- a/tests/testsuite/native_raw_responses.rs
+++ b/tests/testsuite/native_raw_responses.rs
@@ -196,6 +196,51 @@
     check_fails_in_time(RAW_STREAM, script).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_heads_without_end_fail_their_request_only() {
+    for pause in [Duration::ZERO, Duration::from_millis(50)] {
+        let text = "HTTP/1.1 103 Early Hints\r\nx-more: a\r\n\r\n";
+        let script = Script {
+            start: "",
+            end: ResponseEnd::Repeat { text, pause },
+        };
+        check_fails_in_time(RAW_PLAIN, script).await;
+        check_fails_in_time(RAW_STREAM, script).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_framed_body_without_end_fails_its_request_only() {
+    let starts = [
+        "content-length: 9000000000000000\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\nfffffffffffffff\r\n",
+        "transfer-encoding: chunked\r\n\r\n3;",
+        "transfer-encoding: chunked\r\n\r\n0\r\nx-trailer: ",
+        "transfer-encoding: chunked\r\n\r\n",
+    ];
+    for start in starts {
+        for media_type in ["text/plain", "text/event-stream"] {
+            let start = format!(
+                "HTTP/1.1 200 OK\r\nx-attempt-id: {{id}}\r\nx-response-seal: s\r\n\
+                 content-type: {media_type}\r\n{start}"
+            );
+            let text = if start.ends_with("chunked\r\n\r\n") {
+                "3\r\naaa\r\n"
+            } else {
+                "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+            };
+            for pause in [Duration::ZERO, Duration::from_millis(50)] {
+                let script = Script {
+                    start: start.clone().leak(),
+                    end: ResponseEnd::Repeat { text, pause },
+                };
+                check_fails_in_time(RAW_PLAIN, script).await;
+                check_fails_in_time(RAW_STREAM, script).await;
+            }
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_without_end_fails_its_request_only() {
     for pause in [Duration::ZERO, Duration::from_millis(50)] {
