Close connections between nodes that have fallen silent

A node that loses its power or its link without closing its connections left them open at its peers for good: after the handshake the accepting side waits for the next call without a bound, and nothing of its own is unacknowledged, so that TCP notices nothing either. Each such loss cost a task and a file until the next restart. The calling side lost the first call after a long silence to a connection that had gone dead meanwhile.

Both new tests failed before: no close within 2 s after 61 s of silence; a call after 31 s without calls ended with 'the request exceeded its deadline'.

The accepting side now closes a connection on which nothing was sent or received for 60 s, whatever it waits for. A link opens a new connection for a call after 30 s without one, so that no call crosses that close.

--- a/crates/cuminlb-peer/src/accept_peers.rs
+++ b/crates/cuminlb-peer/src/accept_peers.rs
@@ -1,6 +1,7 @@
 //! The accept loop that the servers of this crate share.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{debug, warn};
@@ -10,6 +11,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::PeerToken;
+use crate::link_activity::LinkActivity;
+use crate::link_silence::MAX_SILENCE;
+use crate::transport::set_nodelay;
+use crate::watched_stream::WatchedStream;
 
 /// The pause after a failure, such as a lack of file descriptors, which lasts for a while.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -17,14 +22,15 @@
 /// Accepts connections until `stop` is cancelled, and runs `serve` on each one that presents the
 /// token.
 ///
-/// Each connection has a task of its own; all tasks are joined before this function returns.
+/// Each connection has a task of its own, which ends if nothing is sent or received for
+/// [`MAX_SILENCE`]; all tasks are joined before this function returns.
 pub(crate) async fn accept_peers<F, S>(
     listener: TcpListener,
     token: PeerToken,
     stop: CancellationToken,
     serve: F,
 ) where
-    F: Fn(TcpStream) -> S + Clone + Send + 'static,
+    F: Fn(WatchedStream) -> S + Clone + Send + 'static,
     S: Future<Output = ()> + Send + 'static,
 {
     let mut connections = JoinSet::new();
@@ -57,11 +63,18 @@
 
 async fn authenticate_and_serve<F, S>(mut stream: TcpStream, token: PeerToken, serve: F)
 where
-    F: Fn(TcpStream) -> S,
+    F: Fn(WatchedStream) -> S,
     S: Future<Output = ()>,
 {
-    match token.server_handshake(&mut stream).await {
-        Ok(()) => serve(stream).await,
-        Err(error) => debug!("closed a connection to the peer port: {error}"),
+    if let Err(error) = token.server_handshake(&mut stream).await {
+        debug!("closed a connection to the peer port: {error}");
+        return;
+    }
+    set_nodelay(&stream);
+    let activity = Arc::new(LinkActivity::new());
+    let stream = WatchedStream::new(stream, Arc::clone(&activity));
+    tokio::select! {
+        () = serve(stream) => {}
+        () = activity.silent_for(MAX_SILENCE) => debug!("closed a silent connection of a peer"),
     }
 }
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -9,7 +9,10 @@
 mod accept_peers;
 mod call_counts;
 mod handshake;
+mod link_activity;
+mod link_silence;
 mod message;
+mod open_client;
 mod peer_api;
 mod peer_error;
 mod peer_handler;
@@ -21,6 +24,7 @@
 mod relay_peer;
 mod relay_server;
 mod transport;
+mod watched_stream;
 
 pub use crate::call_counts::CallCounts;
 pub use crate::handshake::PeerToken;
--- a/crates/cuminlb-peer/src/peer_link.rs
+++ b/crates/cuminlb-peer/src/peer_link.rs
@@ -16,18 +16,20 @@
     ConfigDocument, EventsQuery, PeerStatus, RenewalResponse, SlotRelease, SlotRenewal,
     SlotRequest, SlotResponse, TableNotice,
 };
-use crate::transport::tarpc_transport;
+use crate::open_client::OpenClient;
+use crate::transport::{set_nodelay, tarpc_transport};
 use crate::{CallCounts, PeerApiClient, PeerError, PeerToken};
 
 /// The client side of the connection to one peer.
 ///
-/// The first call opens the connection, and the next call after a failure opens it again.
+/// The first call opens the connection, and the next call after a failure, or after a long time without
+/// calls, opens it again.
 #[derive(Debug)]
 pub struct PeerLink {
     address: SocketAddr,
     token: PeerToken,
     timeout_ms: Millis,
-    client: Mutex<Option<PeerApiClient>>,
+    client: Mutex<Option<OpenClient<PeerApiClient>>>,
     counts: Arc<CallCounts>,
 }
 
@@ -209,11 +211,11 @@
 
     async fn client_or_connect(&self) -> Result<PeerApiClient, PeerError> {
         let mut cached = self.client.lock().await;
-        if let Some(client) = cached.as_ref() {
-            return Ok(client.clone());
+        if let Some(client) = cached.as_mut().and_then(OpenClient::for_call) {
+            return Ok(client);
         }
         let client = self.connect().await?;
-        *cached = Some(client.clone());
+        *cached = Some(OpenClient::new(client.clone()));
         Ok(client)
     }
 
@@ -222,6 +224,7 @@
             .await
             .map_err(|error| not_connected(error.to_smolstr()))?;
         self.token.client_handshake(&mut stream).await?;
+        set_nodelay(&stream);
         let transport = tarpc_transport(stream);
         Ok(PeerApiClient::new(tarpc::client::Config::default(), transport).spawn())
     }
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -15,13 +15,15 @@
 use crate::message::{
     ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
 };
+use crate::open_client::OpenClient;
 use crate::relay_api::RelayApiClient;
-use crate::transport::tarpc_transport;
+use crate::transport::{set_nodelay, tarpc_transport};
 use crate::{PeerError, PeerToken, RelayPeer};
 
 /// The client side of the connection to one peer that follows the same store.
 ///
-/// The first call opens the connection, and the next call after a failure opens it again.
+/// The first call opens the connection, and the next call after a failure, or after a long time without
+/// calls, opens it again.
 #[derive(Debug)]
 pub struct RelayLink {
     address: SocketAddr,
@@ -36,7 +38,7 @@
     /// The number of connections opened so far, so that a late failure of an earlier connection
     /// does not close the current one.
     generation: u64,
-    client: Option<RelayApiClient>,
+    client: Option<OpenClient<RelayApiClient>>,
 }
 
 impl RelayLink {
@@ -138,17 +140,18 @@
 
     async fn client_or_connect(&self) -> Result<(RelayApiClient, u64), PeerError> {
         let mut connection = self.connection.lock().await;
-        if let Some(client) = connection.client.as_ref() {
-            return Ok((client.clone(), connection.generation));
+        if let Some(client) = connection.client.as_mut().and_then(OpenClient::for_call) {
+            return Ok((client, connection.generation));
         }
         let mut stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| not_connected(error.to_smolstr()))?;
         self.token.client_handshake(&mut stream).await?;
+        set_nodelay(&stream);
         let transport = tarpc_transport(stream);
         let client = RelayApiClient::new(tarpc::client::Config::default(), transport).spawn();
         connection.generation += 1;
-        connection.client = Some(client.clone());
+        connection.client = Some(OpenClient::new(client.clone()));
         Ok((client, connection.generation))
     }
 
--- a/crates/cuminlb-peer/tests/links.rs
+++ b/crates/cuminlb-peer/tests/links.rs
@@ -16,7 +16,7 @@
 };
 use cuminlb_standins::{FaultProxy, LinkFault};
 use cuminlb_types::prelude::*;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -180,3 +180,49 @@
     );
     assert!(started.elapsed() < Duration::from_millis(1_500));
 }
+
+/// Opens a connection and presents the token.
+async fn connect(server: &Server) -> TcpStream {
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    stream.write_u16(5).await.unwrap();
+    stream.write_all(b"right").await.unwrap();
+    assert_eq!(stream.read_u16().await.unwrap(), 5);
+    stream.read_exact(&mut [0; 5]).await.unwrap();
+    stream
+}
+
+/// Lets a time pass, with turns of all tasks before and after.
+async fn pass(time: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(time).await;
+    tokio::time::resume();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+#[tokio::test]
+async fn a_peer_that_vanished_without_a_word_leaves_no_connection_behind() {
+    let server = Server::start().await;
+    let mut stream = connect(&server).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    pass(Duration::from_secs(59)).await;
+    let mut byte = [0];
+    assert!(stream.try_read(&mut byte).is_err(), "closed too early");
+    pass(Duration::from_secs(2)).await;
+    let read = tokio::time::timeout(Duration::from_secs(2), stream.read(&mut byte));
+    assert_eq!(read.await.unwrap().unwrap(), 0);
+    server.stop().await;
+}
+
+#[tokio::test]
+async fn a_link_that_was_unused_for_long_does_not_lose_a_call_to_its_old_connection() {
+    let server = Server::start().await;
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    let lossy = FaultProxy::start(any_port, server.address).await.unwrap();
+    let link = PeerLink::new(lossy.address(), token("right"), CALL_TIMEOUT_MS);
+    assert_eq!(link.exchange(status()).await, Ok(status()));
+    lossy.silence_open_connections();
+    pass(Duration::from_secs(31)).await;
+    assert_eq!(link.exchange(status()).await, Ok(status()));
+    lossy.stop().await;
+    server.stop().await;
+}
