--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod native_lapsed_entries;
 mod native_late_responses;
 mod native_leaving;
+mod native_local_ports;
 mod native_node;
 mod native_observation;
 mod native_odd_heads;
