Close connections to services and upstreams that are not used

The HTTP clients for the platform's services, for engines and for upstreams state an idle time, but hyper-util applies it to connections that nobody asks for only with a timer, which was not set. A connection whose other end vanished without closing it stayed open until the next call to the same address, which may never come: after an instance is gone, until the node ends. TCP keepalive, which only the client for upstreams sets, gives up after minutes.

--- a/crates/cuminlb-platform/src/http/http_client.rs
+++ b/crates/cuminlb-platform/src/http/http_client.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::PlatformError;
@@ -32,6 +32,7 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout_ms.duration()));
         let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
             .pool_idle_timeout(timeout_ms.duration() * 8)
             .build(connector);
         Self {
--- a/crates/cuminlb-upstream/src/http_engine_control.rs
+++ b/crates/cuminlb-upstream/src/http_engine_control.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use smol_str::ToSmolStr;
 
 use crate::{EngineControl, EngineOrder, EngineReport, OrderError};
@@ -34,6 +34,7 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout_ms.duration()));
         let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
             .pool_idle_timeout(timeout_ms.duration() * 8)
             .pool_max_idle_per_host(1)
             .build(connector);
--- a/crates/cuminlb-upstream/src/upstream_client.rs
+++ b/crates/cuminlb-upstream/src/upstream_client.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 use crate::UpstreamError;
@@ -54,7 +54,8 @@
     /// Creates a client that times out connection attempts after `connect_timeout_ms` and closes
     /// connections that have been unused for `idle_ms`. A probe may take twice the connect timeout.
     ///
-    /// TCP keepalive also starts after `idle_ms`.
+    /// TCP keepalive also starts after `idle_ms`, but gives up only after minutes: requests need bounds
+    /// of their own.
     pub fn new(connect_timeout_ms: Millis, idle_ms: Millis) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -64,6 +65,7 @@
             .pool_max_idle_per_host(0)
             .build(connector.clone());
         let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_ms.duration())
             .build(connector);
         Self {
