Let a service that sends heads without end delay other tasks less

A probe or a call to the store whose other end sends interim heads without end ended 0.76 s after its start where its time is 0.2 s (bound of the test 0.6 s, client and service on one thread of a debug build): hyper parses them for up to 128 reads of 400 KiB before the timer has its turn.

--- a/crates/cuminlb-platform/src/http/http_client.rs
+++ b/crates/cuminlb-platform/src/http/http_client.rs
@@ -17,6 +17,10 @@
 /// The largest response body that is read from the platform.
 const MAX_RESPONSE_LEN_BYTES: usize = 16 << 20;
 
+/// How much is read from a connection at once, which also limits the head of a response. A service that
+/// sends heads without end delays other tasks by 128 such reads.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
 /// Sends HTTP requests to one service, each with a time limit.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -34,6 +38,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(timeout_ms.duration() * 8)
+            .http1_read_buf_exact_size(READ_BUFFER_BYTES)
             .build(connector);
         Self {
             client,
--- a/crates/cuminlb-platform/tests/silent_connections.rs
+++ b/crates/cuminlb-platform/tests/silent_connections.rs
@@ -71,6 +71,11 @@
     }
 }
 
+#[tokio::test]
+async fn a_service_that_sends_interim_heads_without_end_is_given_up_in_time() {
+    check_ends_in_time("", "HTTP/1.1 103 Early Hints\r\nx-more: a\r\n\r\n").await;
+}
+
 #[tokio::test]
 async fn a_service_whose_head_does_not_end_is_given_up() {
     let (address, _service) = start_service("HTTP/1.1 200 OK\r\n", "x-more: a\r\n").await;
