Test callers that fall silent and instances with a silent host

A caller that says nothing, a body that stops, and an instance whose host drops what opens a connection.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -56,6 +56,7 @@
 mod native_resumed_streams;
 mod native_retry_times;
 mod native_silence;
+mod native_silent_connections;
 mod native_site;
 mod native_stops;
 mod native_unproven_attempts;
