Believe no keep-alive time of an instance beyond 30 s

An idle connection to an instance was kept for 0.6 of the time that the instance states, whatever that is: one that vanished without closing left it open for as long, and the node ran its next request on it.

--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -27,6 +27,10 @@
 /// How long an idle connection is kept if the instance states no keep-alive time.
 const DEFAULT_KEEP_ALIVE_MS: Millis = Millis(4_000);
 
+/// The longest keep-alive time of an instance that is believed: one that vanishes without closing its
+/// connections leaves them behind until then.
+const MAX_KEEP_ALIVE_MS: Millis = Millis(30_000);
+
 /// Fraction of the instance's keep-alive time that is used, because its timer started earlier.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
@@ -80,7 +84,8 @@
         if connection.sender.is_closed() {
             return;
         }
-        let keep_alive = keep_alive_ms.unwrap_or(DEFAULT_KEEP_ALIVE_MS).duration();
+        let keep_alive_ms = keep_alive_ms.unwrap_or(DEFAULT_KEEP_ALIVE_MS);
+        let keep_alive = keep_alive_ms.min(MAX_KEEP_ALIVE_MS).duration();
         let expires_at = Instant::now() + keep_alive.mul_f64(KEEP_ALIVE_FRACTION);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(connection.address).or_default();
--- a/tests/testsuite/answering_worker.rs
+++ b/tests/testsuite/answering_worker.rs
@@ -85,6 +85,7 @@
 struct WorkerLog {
     requests: Arc<Mutex<Vec<WorkerRequest>>>,
     written: Arc<watch::Sender<usize>>,
+    closed: Arc<watch::Sender<usize>>,
 }
 
 /// A worker whose answers a test decides.
@@ -115,8 +116,12 @@
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 let connection = serve(stream, connection_log.clone(), Arc::clone(&respond));
-                // An error tells that the other end has closed.
-                tokio::spawn(async move { drop(connection.await) });
+                let closed = Arc::clone(&connection_log.closed);
+                tokio::spawn(async move {
+                    // An error tells that the other end has closed.
+                    let _ = connection.await;
+                    closed.send_modify(|closed| *closed += 1);
+                });
             }
         });
         let worker = Self {
@@ -151,6 +156,12 @@
         let mut written = self.log.written.subscribe();
         written.wait_for(|written| *written >= count).await.unwrap();
     }
+
+    /// Waits until one of its connections has been closed.
+    pub async fn wait_closed(&self) {
+        let mut closed = self.log.closed.subscribe();
+        closed.wait_for(|closed| *closed > 0).await.unwrap();
+    }
 }
 
 impl Drop for AnsweringWorker {
--- a/tests/testsuite/native_silent_connections.rs
+++ b/tests/testsuite/native_silent_connections.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -73,6 +74,44 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unused_connection_to_an_instance_is_closed() {
+    // The time that the instance states, and that after which the connection must have been closed.
+    let cases = [
+        ("keep-alive: timeout=2\r\n", 4_000),
+        ("", 6_000),
+        ("keep-alive: timeout=100000\r\n", 22_000),
+    ];
+    let checks = cases.map(|(stated, max_idle_ms)| async move {
+        let site = answering_site(1).await;
+        let respond = move |_: &WorkerRequest| Answer::complete(200, stated, "ok");
+        let worker = AnsweringWorker::start(&site.fleet, "k0", ANSWERING, respond).await;
+        wait_rows_read(&site).await;
+        assert_eq!(send(&site, LOOKUP, "r1").await.unwrap().text(), "ok");
+        let max_idle = Duration::from_millis(max_idle_ms);
+        let closed = timeout(max_idle, worker.wait_closed()).await;
+        assert!(closed.is_ok(), "{stated:?}");
+    });
+    join_all(checks).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_send_the_rest_of_a_refused_body_is_closed() {
+    let site = NativeSite::start(1, 2, SHORT_WORK).await;
+    site.wait_serving().await;
+    let mut caller = RawCaller::connect(&site.nodes[0]).await;
+    let body = format!("content-length: 9000000\r\n\r\n{}", "b".repeat(100_000));
+    caller
+        .write(request_head("POST", LOOKUP_PATH, "long", &body))
+        .await
+        .unwrap();
+    let since = Instant::now();
+    assert_eq!(caller.read_response().await.unwrap().status, 413);
+    caller.wait_closed().await;
+    let elapsed = since.elapsed();
+    assert!(elapsed < Duration::from_millis(4_000), "{elapsed:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_says_nothing_is_closed_after_the_idle_time() {
     let site = NativeSite::start(1, 2, SHORT_WORK).await;
