--- a/crates/cuminlb-catalog/src/response_head.rs
+++ b/crates/cuminlb-catalog/src/response_head.rs
@@ -17,10 +17,13 @@
     pub is_other_instance: bool,
     /// Whether the instance states that it leaves, so that nothing more should be sent to it.
     pub is_leaving: bool,
-    /// Whether the body was modified in transit, by a content encoding.
+    /// Whether the body was modified in transit, by a content encoding or a transfer coding other than
+    /// chunks.
     pub is_encoded: bool,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
+    /// Whether the body has neither a length nor chunks, and ends with the connection.
+    pub ends_with_connection: bool,
     /// The time for which the instance keeps an idle connection open.
     pub keep_alive_ms: Option<Millis>,
     /// Whether the instance closes the connection after this response.
@@ -30,6 +33,12 @@
 }
 
 impl ResponseHead {
+    /// Returns whether the response answers a request. An interim one, such as a change of protocol that
+    /// nobody asked for, does not.
+    pub const fn is_final(&self) -> bool {
+        self.status >= 200
+    }
+
     /// Returns for how long the instance wants no requests, if the response refuses one and says so.
     pub fn refusal_delay(&self) -> Option<Millis> {
         self.retry_after_ms
--- a/crates/cuminlb-gateway/src/links/forward_request.rs
+++ b/crates/cuminlb-gateway/src/links/forward_request.rs
@@ -18,7 +18,6 @@
 
 use super::forward_deadline::ForwardDeadline;
 use super::forwarded_body::ForwardedBody;
-use super::undelimited_body::is_delimited;
 use crate::gateway::Gateway;
 use crate::upstream::{Connection, SendFailure};
 
@@ -85,13 +84,14 @@
     record_head(gateway, &entry, &head);
     let is_first_exchange = connection.is_first_exchange();
     let owner = ResponseOwner::new(head.request.as_ref(), &order.request, is_first_exchange);
-    if owner != ResponseOwner::Request {
+    // The codings of a transfer end here, so that the asking node can't see them.
+    if owner != ResponseOwner::Request || !head.is_final() || head.is_encoded {
         return Err(ForwardOutcome::NoResponse);
     }
-    let outcome = if is_delimited(&parts) {
-        ForwardOutcome::Reached
-    } else {
+    let outcome = if head.ends_with_connection {
         ForwardOutcome::ReachedUndelimited
+    } else {
+        ForwardOutcome::Reached
     };
     remove_hop_headers(&mut parts.headers);
     outcome.write(&mut parts.headers);
--- a/crates/cuminlb-gateway/src/links/mod.rs
+++ b/crates/cuminlb-gateway/src/links/mod.rs
@@ -28,5 +28,5 @@
 pub(crate) use self::instance_link::InstanceLink;
 pub(crate) use self::judgements::Judgements;
 pub(crate) use self::serve_forwarding::serve_forwarding;
-pub(crate) use self::undelimited_body::is_delimited;
+pub(crate) use self::undelimited_body::UndelimitedBody;
 pub(crate) use self::watch_links::watch_links;
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -18,7 +18,7 @@
 use super::stream_source::StreamSource;
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::links::{InstanceLink, is_delimited};
+use crate::links::{InstanceLink, UndelimitedBody};
 use crate::upstream::ConnectionDeadline;
 
 /// Size limit of a response that is buffered because it is not the requested stream.
@@ -48,7 +48,8 @@
 ) -> Result<StreamHead, AttemptFailure> {
     let (parts, body) = response.into_parts();
     let wire = gateway.edges.wire.as_ref();
-    let head = wire.read_response(&parts);
+    let mut head = wire.read_response(&parts);
+    head.ends_with_connection |= parts.extensions.get::<UndelimitedBody>().is_some();
     gateway.record_leaving(target, &head);
     check_owner(request, &head, &link)?;
     let now = Instant::now();
@@ -74,7 +75,6 @@
     in_flight.record_progress(now);
     if parts.status == StatusCode::OK && head.is_event_stream {
         return Ok(StreamHead::Stream(Box::new(StreamSource {
-            is_delimited: is_delimited(&parts),
             parts: Some(Box::new(parts)),
             head,
             body,
@@ -82,6 +82,7 @@
             link,
             decoder: EventDecoder::default(),
             event_count: 0,
+            has_content: false,
             has_ended: false,
         })));
     }
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -1,6 +1,7 @@
 //! The receiving side of an event stream from an instance.
 
 use cuminlb_catalog::ResponseHead;
+use cuminlb_routing::EventContent;
 use cuminlb_upstream::EventDecoder;
 use http::response;
 use http_body_util::BodyExt;
@@ -8,6 +9,7 @@
 use smol_str::ToSmolStr;
 
 use super::attempt_update::AttemptUpdate;
+use super::event_content::event_content;
 use super::request_stage::RequestStage;
 use crate::gateway::Gateway;
 use crate::links::InstanceLink;
@@ -23,14 +25,14 @@
     pub(super) parts: Option<Box<response::Parts>>,
     pub(super) head: ResponseHead,
     pub(super) body: Incoming,
-    /// Whether the body ends by a length or chunks, not with its connection.
-    pub(super) is_delimited: bool,
     pub(super) link: InstanceLink,
     /// Ends the stream at the deadline of the request, even if the caller does not read.
     pub(super) deadline: ConnectionDeadline,
     pub(super) decoder: EventDecoder,
     /// The number of events that have been received.
     pub(super) event_count: u64,
+    /// Whether an event that is more than a comment has been received.
+    pub(super) has_content: bool,
     pub(super) has_ended: bool,
 }
 
@@ -40,6 +42,8 @@
         match self.decoder.next_event() {
             Ok(Some(event)) => {
                 self.event_count += 1;
+                self.has_content |=
+                    event.id().is_some() || event_content(&event) != EventContent::Nothing;
                 Some(AttemptUpdate::Event(event))
             }
             Ok(None) if !self.has_ended => None,
@@ -54,13 +58,19 @@
             let reason = "the stream ended in the middle of an event";
             return AttemptUpdate::Interrupted(reason.into());
         }
-        if self.event_count == 0 && !self.is_delimited {
-            let reason = "the connection ended before the first event";
+        // An instance that ends before it begins closes the connection in the same way.
+        if self.head.ends_with_connection && !self.has_content {
+            let reason = "the stream ended with its connection before its first event";
             return AttemptUpdate::Interrupted(reason.into());
         }
         AttemptUpdate::End
     }
 
+    /// Returns whether a part of an event has been received whose rest has not.
+    pub(super) fn has_begun_event(&self) -> bool {
+        self.decoder.has_begun_event()
+    }
+
     /// Receives more of the stream. Returns an update only if the stream was interrupted.
     pub(super) async fn receive(&mut self) -> Option<AttemptUpdate> {
         match self.body.frame().await {
--- a/tests/testsuite/native_raw_responses.rs
+++ b/tests/testsuite/native_raw_responses.rs
@@ -196,6 +196,53 @@
     check_fails_in_time(RAW_STREAM, script).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_heads_without_end_fail_their_request_only() {
+    for pause in [Duration::ZERO, Duration::from_millis(50)] {
+        let text = "HTTP/1.1 103 Early Hints\r\nx-more: a\r\n\r\n";
+        let script = Script {
+            start: "",
+            end: ResponseEnd::Repeat { text, pause },
+        };
+        check_fails_in_time(RAW_PLAIN, script).await;
+        check_fails_in_time(RAW_STREAM, script).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_framed_body_without_end_fails_its_request_only() {
+    const FILLER: &str = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+    const SLOW: Duration = Duration::from_millis(50);
+    const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        (
+            "content-length: 9000000000000000\r\n\r\n",
+            "",
+            FILLER,
+            Duration::ZERO,
+        ),
+        (CHUNKED, "fffffffffffffff\r\n", FILLER, Duration::ZERO),
+        (CHUNKED, "3;", FILLER, Duration::ZERO),
+        (CHUNKED, "3;", "a", SLOW),
+        (CHUNKED, "0\r\nx-trailer: ", FILLER, Duration::ZERO),
+        (CHUNKED, "0\r\nx-trailer: ", "a", SLOW),
+        (CHUNKED, "", "3\r\naaa\r\n", Duration::ZERO),
+    ];
+    for (service, media_type) in [(RAW_PLAIN, "text/plain"), (RAW_STREAM, "text/event-stream")] {
+        for (framing, body, text, pause) in cases {
+            let start = format!(
+                "HTTP/1.1 200 OK\r\nx-attempt-id: {{id}}\r\nx-response-seal: s\r\n\
+                 content-type: {media_type}\r\n{framing}{body}"
+            );
+            let script = Script {
+                start: start.leak(),
+                end: ResponseEnd::Repeat { text, pause },
+            };
+            check_fails_in_time(service, script).await;
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_without_end_fails_its_request_only() {
     for pause in [Duration::ZERO, Duration::from_millis(50)] {
