Check the links of a leader by members of groups only

A leader orders members of groups and spares only, so only those tell it about its links; those that leave are no control either.

--- a/crates/cuminlb-gateway/src/links/reaches_another.rs
+++ b/crates/cuminlb-gateway/src/links/reaches_another.rs
@@ -19,7 +19,7 @@
         }
         let directory = self.knowledge.directory();
         let instances = directory.services.values().flat_map(|it| it.values());
-        let others = instances.filter(|entry| entry.id != *doubted);
+        let others = instances.filter(|entry| entry.id != *doubted && !entry.is_leaving);
         let chosen = others.sample(&mut rand::rng(), CONTROL_INSTANCES);
         let probes = chosen.into_iter().map(|entry| self.probe_link(entry));
         join_all(probes).await.iter().any(Result::is_ok)
--- a/crates/cuminlb-gateway/src/links/watch_links.rs
+++ b/crates/cuminlb-gateway/src/links/watch_links.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Checks the links to some instances if this node leads and has heard from none for a while. It sends
+/// Checks the links to some members of groups, or spares, if this node leads and has heard from none for a while. It sends
 /// nothing to instances while there is nothing to do, and must not lead without links.
 async fn check_leader(gateway: &Arc<Gateway>, directory: &Directory) {
     let leads = gateway.knowledge.leader().as_ref() == Some(&gateway.settings.id);
@@ -59,8 +59,15 @@
     if !leads || quiet_since.is_none_or(|since| gateway.links.has_contact_since(since)) {
         return;
     }
-    let instances = directory.services.values().flat_map(|it| it.keys());
-    let chosen = instances.sample(&mut rand::rng(), LEADER_CHECKS);
-    let checks = chosen.into_iter().map(|id| gateway.check_own_link(id));
+    let Some(catalog) = gateway.knowledge.catalog() else {
+        return;
+    };
+    let services = catalog.engine_services();
+    let instances = services.flat_map(|service| directory.instances(&service.id));
+    let staying = instances.filter(|entry| !entry.is_leaving);
+    let chosen = staying.sample(&mut rand::rng(), LEADER_CHECKS);
+    let checks = chosen
+        .into_iter()
+        .map(|entry| gateway.check_own_link(&entry.id));
     join_all(checks).await;
 }
