Repeat a notice to the leader until a leader has it

Cause: the node that finds a head crashed notifies the leader once.

Change: the notice is repeated every 150 ms for up to 6 s (a takeover takes up to 2.4 s by its constants, 4.9 s without a relay), until a leader has received it. The reasons of a failure are a type; the first and the last are logged. Not changed: a node that led before accepts a notice although it no longer leads.

Test: a_group_whose_head_crashed_while_no_node_led_is_formed_again kills the leader, crashes a head and sends one request.

--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -31,6 +31,7 @@
 mod instance_load;
 mod load_tracker;
 mod node_position;
+mod notice_failure;
 mod open_streams;
 mod plain_attempt;
 mod plain_attempts;
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -8,10 +8,11 @@
 use cuminlb_replica::{RelayLane, RowOrigin};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::admitted_request::AdmittedRequest;
 use super::group_checks::GroupChecks;
+use super::notice_failure::NoticeFailure;
 use super::probe_group::probe_member;
 use super::target::Target;
 use crate::gateway::Gateway;
@@ -20,6 +21,13 @@
 /// Time within which a relay reports the result of a check.
 const RELAY_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long a notice to the leader is repeated, which covers the time without a leader after one has
+/// failed.
+const NOTICE_VALIDITY: Duration = Duration::from_secs(6);
+
+/// Delay before a notice that no leader has received is repeated.
+const NOTICE_RETRY_DELAY: Duration = Duration::from_millis(150);
+
 impl Gateway {
     /// Stops sending to a head from which nothing was received for a request since `last_seen_at`,
     /// until the members of its group have been probed. Notifies the leader if the group is
@@ -59,23 +67,39 @@
         });
     }
 
+    /// Notifies the leader about a head. While no node leads or the leader does not respond, the
+    /// notice is repeated, because the head may not be found silent again.
     pub(super) async fn notify_leader(&self, notice: SuspicionNotice) {
-        let Some(leader) = self.knowledge.leader() else {
-            warn!(instance:% = notice.head; "no leader to notify about a silent head");
-            return;
-        };
+        let repeat_until = Instant::now() + NOTICE_VALIDITY;
+        let mut is_first = true;
+        while let Err(failure) = self.try_notify_leader(&notice).await {
+            let is_last = Instant::now() >= repeat_until;
+            if is_first || is_last {
+                warn!(
+                    instance:% = notice.head, epoch:% = notice.epoch, is_last = is_last;
+                    "failed to notify the leader about a head: {failure}"
+                );
+            }
+            if is_last {
+                return;
+            }
+            is_first = false;
+            sleep(NOTICE_RETRY_DELAY).await;
+        }
+    }
+
+    async fn try_notify_leader(&self, notice: &SuspicionNotice) -> Result<(), NoticeFailure> {
+        let leader = self.knowledge.leader().ok_or(NoticeFailure::NoLeader)?;
         if leader == self.settings.id {
-            self.suspicions.add(notice);
-            return;
+            self.suspicions.add(notice.clone());
+            return Ok(());
         }
         let directory = self.knowledge.directory();
         let Some(link) = self.peers.link(&directory, &leader, RelayLane::News) else {
-            warn!(node:% = leader; "the leader is not in the node table");
-            return;
+            return Err(NoticeFailure::Unlisted { leader });
         };
-        if let Err(error) = link.suspect(notice).await {
-            warn!(node:% = leader; "failed to notify the leader: {error}");
-        }
+        let notified = link.suspect(notice.clone()).await;
+        notified.map_err(|error| NoticeFailure::Call { leader, error })
     }
 }
 
--- a/tests/testsuite/native_crashes.rs
+++ b/tests/testsuite/native_crashes.rs
@@ -56,6 +56,30 @@
     site.assert_no_violations();
 }
 
+/// The time within which a node takes the lease of a leader that was killed and repairs a group.
+const TAKEOVER_BOUND: Duration = Duration::from_secs(8);
+
+/// No node leads when a request finds that a head has crashed, and no request finds it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_whose_head_crashed_while_no_node_led_is_formed_again() {
+    let mut site = NativeSite::start(3, 3, SHORT_WORK).await;
+    site.wait_serving().await;
+    let leader = site.leader();
+    site.nodes[leader].process.kill().await;
+    let head = site.open_head().unwrap();
+    site.fleet.engine(&head).unwrap().crash(LONG_DOWNTIME);
+    let crashed_at = Instant::now();
+    let response = site.stream((leader + 1) % 3, "only", "3").await.unwrap();
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    wait_until("another head serves", async || {
+        site.open_head().is_some() || crashed_at.elapsed() > TAKEOVER_BOUND
+    })
+    .await
+    .unwrap();
+    assert!(site.open_head().is_some(), "no group was formed again");
+    site.assert_no_violations();
+}
+
 /// The part of prompts that crashes engines.
 const DEADLY_PART: &str = "dead01";
 
