Give each test site loopback addresses that no other test process has

Cause, a fault of the tests: the addresses of NativeSite's nodes are derived from the process id without its bits 8 to 10, so that two test processes whose ids differ by a multiple of 256 (in the same 2,048) use the same ones. The node of the second ends, and its test talks to a node of the first, or reads that node's metrics, while its requests load the first one's workers. Site has a like fault: its addresses repeat after 16 sites of a process, of which the whole suite has more.

Change: a site claims a block of 15 addresses by listening on a port of its first one, and takes the next block if another process or site has it. The system releases a claim with its process. The addresses are of 127.3, which the earlier scheme doesn't use.

--- a/crates/cuminlb-test-support/src/lib.rs
+++ b/crates/cuminlb-test-support/src/lib.rs
@@ -5,6 +5,7 @@
 //! addresses that no other site uses. [`TestClient`] sends requests as a caller.
 
 mod http_client;
+mod loopback_block;
 mod process;
 mod service_plan;
 mod site;
@@ -19,6 +20,7 @@
 mod wait;
 
 pub use crate::http_client::{HttpResponse, TestClient};
+pub use crate::loopback_block::LoopbackBlock;
 pub use crate::process::{Process, Programs};
 pub use crate::service_plan::{ModelPlan, PlainPlan};
 pub use crate::site::Site;
--- a/crates/cuminlb-test-support/src/site.rs
+++ b/crates/cuminlb-test-support/src/site.rs
@@ -1,7 +1,6 @@
 //! A running test site, with its processes, addresses and credentials.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use cuminlb_types::prelude::*;
 use http::Method;
@@ -10,16 +9,14 @@
 
 use crate::site_files::{CALLER_PORT, OPERATOR_PORT, OPERATOR_TOKEN, PLATFORM_PORT, TEAMS, fleet};
 use crate::{
-    Process, Programs, SiteBuilder, SiteError, SiteNode, SiteUpstream, TestClient, wait_until,
+    LoopbackBlock, Process, Programs, SiteBuilder, SiteError, SiteNode, SiteUpstream, TestClient,
+    wait_until,
 };
 
 /// Limits how many sites of one test program run concurrently, so that their processes do not
 /// starve each other.
 static SITE_PERMITS: Semaphore = Semaphore::const_new(3);
 
-/// The number of the next site of this process, from which its addresses are derived.
-static NEXT_SITE: AtomicU32 = AtomicU32::new(0);
-
 /// A running site, in which every node and every stand-in is a separate process.
 #[derive(Debug)]
 pub struct Site {
@@ -34,6 +31,8 @@
     pub nodes: Vec<SiteNode>,
     /// The engines and the workers of plain services.
     pub upstreams: Vec<SiteUpstream>,
+    /// Is dropped last, after the processes.
+    _block: LoopbackBlock,
 }
 
 impl Site {
@@ -51,7 +50,8 @@
             })?;
         let dir = TempDir::with_prefix("cuminlb-site-").map_err(io_error)?;
         let programs = Programs::find()?;
-        let ip = next_ip();
+        let block = LoopbackBlock::claim()?;
+        let ip = block.first();
         let address = SocketAddr::from((ip, PLATFORM_PORT));
         let arguments = [
             format!("--listen={address}"),
@@ -69,6 +69,7 @@
             _permit: permit,
             nodes: Vec::new(),
             upstreams: Vec::new(),
+            _block: block,
         };
         site.start_upstreams()?;
         site.start_nodes()?;
@@ -148,17 +149,3 @@
         self.platform.kill().await;
     }
 }
-
-/// Returns the first address of a block of 16 loopback addresses for the next site, derived from
-/// the process id and the number of the site, so that concurrent sites do not share a block.
-fn next_ip() -> Ipv4Addr {
-    let index = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
-    let pid = std::process::id();
-    let [_, _, high, low] = pid.to_be_bytes();
-    Ipv4Addr::new(
-        127,
-        10 + high % 200,
-        low,
-        u8::try_from(index % 16).unwrap_or(0) * 16 + 1,
-    )
-}
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -1,13 +1,15 @@
 //! [`NativeSite`]: node processes with stand-ins of the users' platform.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use cuminlb_native_standins::{Engine, Fleet, PlainWorker, Store, StoreCopy};
 use cuminlb_standins::{Fault, StandinServer};
-use cuminlb_test_support::{HttpResponse, Process, Programs, SiteError, TestClient, wait_until};
+use cuminlb_test_support::{
+    HttpResponse, LoopbackBlock, Process, Programs, SiteError, TestClient, wait_until,
+};
 use http::{Method, StatusCode};
 use serde_json::Value;
 use tempfile::TempDir;
@@ -30,15 +32,6 @@
 pub const API_KEY: &str = "key-of-rowers";
 pub const TEAM: &str = "rowers";
 
-/// Numbers the nodes of one test process, so that their addresses differ.
-static NODE_COUNT: AtomicUsize = AtomicUsize::new(0);
-
-/// The number of nodes that can share the first three parts of an address.
-const NODES_PER_BLOCK: usize = 250;
-
-/// The number of blocks of addresses that one test process can use.
-const BLOCKS: u8 = 4;
-
 /// The stand-ins and the node processes of one test.
 pub struct NativeSite {
     pub fleet: Fleet,
@@ -49,6 +42,8 @@
     _engines: Vec<StandinServer>,
     programs: Programs,
     folder: TempDir,
+    /// Is dropped last, after the processes.
+    block: LoopbackBlock,
 }
 
 impl NativeSite {
@@ -78,6 +73,7 @@
             _engines: engine_servers,
             programs: Programs::find().unwrap(),
             folder: TempDir::new().unwrap(),
+            block: LoopbackBlock::claim().unwrap(),
         };
         site.put_catalog(1, &[]);
         for _ in 0..nodes {
@@ -95,7 +91,7 @@
     /// Starts one more node with its own store server.
     pub async fn add_node(&mut self) {
         let number = u8::try_from(self.nodes.len() + 1).unwrap();
-        let address = next_address();
+        let address = self.block.address(number);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = Store::start(self.fleet.rows.clone(), any).await.unwrap();
         let settings = self.folder.path().join(format!("n{number}.toml"));
@@ -251,16 +247,6 @@
     }
 }
 
-/// Returns a loopback address that no other node of this test process has.
-fn next_address() -> Ipv4Addr {
-    let process = std::process::id().to_le_bytes();
-    let index = NODE_COUNT.fetch_add(1, Ordering::Relaxed);
-    let block = u8::try_from(index / NODES_PER_BLOCK).unwrap();
-    assert!(block < BLOCKS, "no loopback address is left for the node");
-    let last = u8::try_from(index % NODES_PER_BLOCK + 1).unwrap();
-    Ipv4Addr::new(127, 128 | (process[1] >> 3) << 2 | block, process[0], last)
-}
-
 /// Returns the ids of the events of a streamed response.
 pub fn event_ids(response: &HttpResponse) -> Vec<u64> {
     let text = response.text();
