Take out a zone that has a stream, and give requests prompts of their own in zone tests

Cause, a fault of the test: it took the zone of the first group, whichever groups the 9 streams had gone to, and all requests had the same prompt. A group may get none of 9: the choice is the better of two random groups, and once the load is known, that to which the prompt is mapped wins nearly always. The streams end after 8 s, so that the test then waited in vain.

Change: the test takes out the zone of a group that has been sent a stream, and each request has a prompt of its own. What it checks of that zone, all bounds and numbers are the same; that requests return to the zone now holds for any group.

--- a/tests/testsuite/fleet_support.rs
+++ b/tests/testsuite/fleet_support.rs
@@ -140,7 +140,8 @@
         .unwrap()
 }
 
-/// Callers that each send one request after another; they are distributed over the nodes.
+/// Callers that each send one request after another; they are distributed over the nodes. Each request
+/// has a prompt of its own, since requests with the same prompt go to the same group.
 pub(crate) struct Callers {
     stop: CancellationToken,
     tasks: JoinSet<Vec<u16>>,
@@ -159,7 +160,9 @@
             tasks.spawn(async move {
                 let mut statuses = Vec::new();
                 while !stop.is_cancelled() {
-                    let body = json!({ "model": MODEL, "max_tokens": 2, "messages": [] });
+                    let content = format!("request {} of caller {number}", statuses.len());
+                    let messages = [json!({ "role": "user", "content": content })];
+                    let body = json!({ "model": MODEL, "max_tokens": 2, "messages": messages });
                     let headers = [("authorization", authorization.as_str())];
                     let response = client
                         .call(Method::POST, &url, &headers, body.to_string())
--- a/tests/testsuite/zones.rs
+++ b/tests/testsuite/zones.rs
@@ -27,11 +27,12 @@
         let client = site.client().clone();
         let authorization = format!("Bearer {}", site.api_key());
         streams.spawn(async move {
+            let content = format!("stream {number}");
             let body = json!({
                 "model": MODEL,
                 "stream": true,
                 "max_tokens": LONG_STREAM_TOKENS,
-                "messages": [],
+                "messages": [{ "role": "user", "content": content }],
             });
             let headers = [("authorization", authorization.as_str())];
             client
@@ -51,6 +52,24 @@
     sent.map(|event| event.time.wall_ms).collect()
 }
 
+/// Waits until a request was sent to any of the groups, and returns the zone of that group. A group may
+/// get none of a few requests.
+async fn zone_of_first_request(site: &Site, groups: &[GroupStatus]) -> ZoneId {
+    let mut zone = None;
+    wait_until("a stream is in flight", async || {
+        for group in groups {
+            let ids = HashSet::from([group.id.clone()]);
+            if !sent_times_of_groups(site, &ids).await.is_empty() {
+                zone = Some(group.zone.clone());
+            }
+        }
+        zone.is_some()
+    })
+    .await
+    .unwrap();
+    zone.unwrap()
+}
+
 fn groups_in_zone(found: &[GroupStatus], zone: &ZoneId) -> HashSet<GroupId> {
     let groups = found.iter().filter(|group| group.zone == *zone);
     groups.map(|group| group.id.clone()).collect()
@@ -77,14 +96,9 @@
         .await
         .unwrap();
     let before = groups(&site).await;
-    let zone = before[0].zone.clone();
-    let zone_groups = groups_in_zone(&before, &zone);
     let mut streams = start_streams(&site, 9);
-    wait_until("a stream is in flight in the zone", async || {
-        !sent_times_of_groups(&site, &zone_groups).await.is_empty()
-    })
-    .await
-    .unwrap();
+    let zone = zone_of_first_request(&site, &before).await;
+    let zone_groups = groups_in_zone(&before, &zone);
     let callers = Callers::start(&site, 6);
     site.apply(&site.fleet_toml_with_zones_out(&[zone.as_str()]))
         .await
