Do not let a broken HTTP/1.0 response look complete after another node

Cause: the forwarding node passed on the version of the instance's response. Without a length, a body of HTTP/1.0 ends with the connection, and the forwarding node ends its connection in order whether the instance has ended the body or reset it.

Evidence: the test got `200 OK` with 23 bytes of a response that was reset, for HTTP/1.0; for HTTP/1.1 the request failed as it must. Both fail now.

Why it works: between nodes the version is always HTTP/1.1, so that such a body is sent in chunks, and one that was broken off lacks the last.

--- a/crates/cuminlb-gateway/src/links/forward_request.rs
+++ b/crates/cuminlb-gateway/src/links/forward_request.rs
@@ -9,7 +9,7 @@
 use http::header::{
     CONNECTION, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use log::info;
@@ -88,6 +88,8 @@
         return Err(ForwardOutcome::NoResponse);
     }
     remove_hop_headers(&mut parts.headers);
+    // The body of an HTTP/1.0 response would end with the connection, however it has ended.
+    parts.version = Version::HTTP_11;
     ForwardOutcome::Reached.write(&mut parts.headers);
     gateway.metrics.forwarded_for_others.inc();
     let closes_at = connection.close_after(sleep_until(deadline));
--- a/tests/testsuite/answering_site.rs
+++ b/tests/testsuite/answering_site.rs
@@ -30,6 +30,18 @@
 /// Starts a site whose catalog contains the service with answering workers.
 pub async fn answering_site(nodes: usize) -> NativeSite {
     let site = NativeSite::start(nodes, 2, SHORT_WORK).await;
+    add_answering_service(&site).await;
+    site
+}
+
+/// Starts the same with nodes that reach the instances over links of their own.
+pub async fn answering_site_with_links(nodes: usize) -> NativeSite {
+    let site = NativeSite::start_with_links(nodes, 2, SHORT_WORK).await;
+    add_answering_service(&site).await;
+    site
+}
+
+async fn add_answering_service(site: &NativeSite) {
     let route = |prefix: &str, kind: &str, service: &str| {
         json!({
             "name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix, "kind": kind,
@@ -50,14 +62,13 @@
     }
     site.fleet.rows.put("op", "config", &catalog);
     site.wait_serving().await;
-    for node in 0..nodes {
+    for node in 0..site.nodes.len() {
         wait_until("the catalog is in force", async || {
             site.metric(node, "cuminlb_catalog_version").await == 2
         })
         .await
         .unwrap();
     }
-    site
 }
 
 /// Waits until the first node knows the rows that workers have written before.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod native_deadlines;
 mod native_feeds;
 mod native_file_limit;
+mod native_forwarded_responses;
 mod native_groups;
 mod native_lapsed_entries;
 mod native_late_responses;
