Judge an instance alone where no other node reaches any

What callers saw: while all nodes but one had lost their links, a group whose head had crashed was not formed again, and its streams were refused for as long as the others had no links.

Cause: nodes without links have no opinion on an instance, and a node with links took that for undecided for ever, although nobody else could know better. Besides, only six nodes were asked, those of the own availability zone first, which may have lost the same links: with nine nodes of ten partitioned, most judgements of a sound node found nobody with an opinion.

Why it works: up to 30 nodes are asked in rounds of growing size, which end with the first opinion, and all but the first two are of any zone. If none has an opinion, the node goes by its own links: if it reaches another instance and, after that, still not the one in doubt, that one is lost. It is probed once more last, so that links which come back in between do not tell against it.

--- a/crates/cuminlb-gateway/src/links/judge_instance.rs
+++ b/crates/cuminlb-gateway/src/links/judge_instance.rs
@@ -8,15 +8,16 @@
 use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
 use log::info;
+use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
 
-/// The number of nodes that are asked at the same time.
-const NODES_PER_ROUND: usize = 2;
+/// The number of nodes that are asked first. Each further round asks twice as many.
+const FIRST_ROUND_NODES: usize = 2;
 
 /// The number of rounds until a node has an opinion.
-const MAX_ROUNDS: usize = 3;
+const MAX_ROUNDS: usize = 4;
 
 impl Gateway {
     /// Judges whether an instance that this node does not reach is lost, by what other nodes reach. If
@@ -42,16 +43,11 @@
     failure: LinkFailure,
 ) -> InstanceVerdict {
     let started_at = Instant::now();
-    let mut opinions = Vec::new();
-    let nodes = nodes_to_ask(gateway);
-    for round in nodes.chunks(NODES_PER_ROUND).take(MAX_ROUNDS) {
-        let asked = round.iter().map(|node| ask(gateway, node, query));
-        opinions.extend(join_all(asked).await.into_iter().flatten());
-        if opinions.iter().any(|it| *it != SecondOpinion::Unknown) {
-            break;
-        }
-    }
-    let verdict = InstanceVerdict::judge(&opinions);
+    let opinions = collect_opinions(gateway, query).await;
+    let verdict = match InstanceVerdict::judge(&opinions) {
+        InstanceVerdict::Undecided => judge_alone(gateway, query, started_at).await,
+        verdict => verdict,
+    };
     info!(
         instance:% = query.instance, failure:? = failure, verdict:? = verdict,
         opinions:? = opinions, age_ms = Millis::from(started_at.elapsed()).get();
@@ -60,7 +56,7 @@
     let is_own_link = match verdict {
         InstanceVerdict::InstanceLost => false,
         InstanceVerdict::LinkLost => true,
-        InstanceVerdict::Undecided => !gateway.reaches_another(&query.instance, started_at).await,
+        InstanceVerdict::Undecided => !gateway.links.has_contact_since(started_at),
     };
     if is_own_link {
         gateway.record_outage(&query.instance, failure);
@@ -68,9 +64,45 @@
     verdict
 }
 
-/// Returns the other nodes, first those that forward requests as far as is known.
+/// Asks other nodes about an instance until one has an opinion.
+async fn collect_opinions(gateway: &Gateway, query: &InstanceQuery) -> Vec<SecondOpinion> {
+    let mut opinions = Vec::new();
+    let mut nodes = nodes_to_ask(gateway).into_iter();
+    for round in 0..MAX_ROUNDS {
+        let asked = nodes.by_ref().take(FIRST_ROUND_NODES << round);
+        let asked: Vec<NodeId> = asked.collect();
+        let answers = asked.iter().map(|node| ask(gateway, node, query));
+        opinions.extend(join_all(answers).await.into_iter().flatten());
+        if opinions.iter().any(|it| *it != SecondOpinion::Unknown) {
+            break;
+        }
+    }
+    opinions
+}
+
+/// Judges an instance that no other node knows of, as where the others reach no instance at all. It is
+/// lost if this node reaches another instance and, after that, still not this one.
+async fn judge_alone(gateway: &Gateway, query: &InstanceQuery, since: Instant) -> InstanceVerdict {
+    if !gateway.reaches_another(&query.instance, since).await {
+        return InstanceVerdict::Undecided;
+    }
+    let directory = gateway.knowledge.directory();
+    let Some(entry) = directory.find_instance(&query.instance) else {
+        return InstanceVerdict::InstanceLost;
+    };
+    match gateway.probe_link(entry).await {
+        Ok(()) => InstanceVerdict::Undecided,
+        Err(_) => InstanceVerdict::InstanceLost,
+    }
+}
+
+/// Returns the other nodes, first those that forward requests as far as is known. All but the first are
+/// of any availability zone, since the nodes of one may have lost the same links.
 fn nodes_to_ask(gateway: &Gateway) -> Vec<NodeId> {
     let mut nodes = gateway.fit_forwarders();
+    if let Some(others) = nodes.get_mut(FIRST_ROUND_NODES..) {
+        others.shuffle(&mut rand::rng());
+    }
     for candidate in gateway.other_nodes() {
         if !nodes.contains(&candidate.node) {
             nodes.push(candidate.node);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -43,6 +43,7 @@
 mod native_observation;
 mod native_odd_rows;
 mod native_operation;
+mod native_partial_partitions;
 mod native_partitions;
 mod native_path;
 mod native_plain_silence;
--- /dev/null
+++ b/tests/testsuite/native_partial_partitions.rs
@@ -0,0 +1,54 @@
+//! Tests of nodes on the users' platform: what nodes conclude about instances and links where
+//! only some of the links, or only some of the nodes, are lost.
+
+use std::time::Duration;
+
+use cuminlb_native_standins::LinkMode;
+use cuminlb_test_support::wait_until;
+use http::StatusCode;
+use tokio::time::{Instant, sleep};
+
+use crate::native_site::NativeSite;
+
+/// The processing time of a plain request, on which no test here depends.
+const SHORT_WORK: Duration = Duration::from_millis(5);
+
+/// The time after a cut from which callers must be served.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The number of nodes.
+const NODES: usize = 3;
+
+/// A time that is longer than a test lasts.
+const LONG_DOWNTIME: Duration = Duration::from_secs(60);
+
+/// The time within which a group that lost its head must serve again.
+const REPAIR_BOUND: Duration = Duration::from_secs(2);
+
+async fn serving_site(engines: usize, groups: usize) -> NativeSite {
+    let site = NativeSite::start_with_links(NODES, engines, SHORT_WORK).await;
+    site.wait_serving().await;
+    site.wait_open_groups(groups).await;
+    site
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_whose_head_crashed_is_formed_again_while_no_node_but_the_leader_has_links() {
+    let site = serving_site(3, 1).await;
+    let leader = site.wait_leader().await;
+    for node in (0..NODES).filter(|node| *node != leader) {
+        site.set_links(node, LinkMode::Hang).await;
+    }
+    sleep(CONTACT).await;
+    let head = site.open_head().unwrap();
+    site.fleet.engine(&head).unwrap().crash(LONG_DOWNTIME);
+    let crashed_at = Instant::now();
+    wait_until("a group serves again", async || {
+        let response = site.stream(leader, "after", "3").await;
+        response.is_ok_and(|response| response.status == StatusCode::OK)
+    })
+    .await
+    .unwrap();
+    let elapsed = crashed_at.elapsed();
+    assert!(elapsed < REPAIR_BOUND, "{elapsed:?}");
+}
