Use instances again after a forwarding node saw their zone out

What callers saw: at a node that had lost its links during the evacuation of an availability zone, the instances of the zone were not used again after it was back, until they were started anew; with one zone, all requests were refused.

Cause: a forwarding node answered `leaving` for an instance that it must not use at present, because its zone was out or its entry missing, as for one that states that it leaves. The node that asked recorded that its incarnation leaves, which never ends.

Evidence: a zone was out and back 12 times for 0.3 s each beside callers of a node without links; after that and the return of the links no instance ran any of its lookups. Both workers run some now.

Why it works: only a statement of the instance is told as one. Whatever else keeps the forwarding node from an instance may pass, and is told as not sent; the next node goes by what it knows itself.

--- a/crates/cuminlb-gateway/src/links/forward_request.rs
+++ b/crates/cuminlb-gateway/src/links/forward_request.rs
@@ -115,10 +115,13 @@
     let entry = entry.filter(is_known);
     let entry = entry.ok_or(ForwardOutcome::UnknownInstance)?;
     let now = Instant::now();
-    let is_listed = directory.is_listed(&entry.id, now);
-    if !is_listed || entry.is_leaving || directory.zones_out.contains(&entry.zone) {
+    if entry.is_leaving {
         return Err(ForwardOutcome::Leaving);
     }
+    // Both may pass, and the other node may already know that they have.
+    if !directory.is_listed(&entry.id, now) || directory.zones_out.contains(&entry.zone) {
+        return Err(ForwardOutcome::UnknownInstance);
+    }
     if let Some(until) = gateway.retry_times.until(&entry.id, now) {
         let retry_after_ms = Millis::from(until.duration_since(now));
         return Err(ForwardOutcome::Unavailable { retry_after_ms });
--- a/crates/cuminlb-peer/src/forwarding/forward_outcome.rs
+++ b/crates/cuminlb-peer/src/forwarding/forward_outcome.rs
@@ -17,12 +17,12 @@
     Reached,
     /// The node reaches no instance. The request was not sent.
     NoLinks,
-    /// The node does not know the instance, or does not reach it although others may. The request was
-    /// not sent.
+    /// The node does not know the instance, may not use it at present, or does not reach it although
+    /// others may. The request was not sent.
     UnknownInstance,
     /// The node has too much to do, or stops. The request was not sent.
     Busy,
-    /// The instance leaves, or its availability zone is out. The request was not sent.
+    /// The instance leaves. The request was not sent.
     Leaving,
     /// The instance wants no requests from the node for a time. The request was not sent.
     Unavailable {
--- a/tests/testsuite/native_partial_partitions.rs
+++ b/tests/testsuite/native_partial_partitions.rs
@@ -1,14 +1,17 @@
 //! Tests of nodes on the users' platform: what nodes conclude about instances and links where
 //! only some of the links, or only some of the nodes, are lost.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cuminlb_native_standins::LinkMode;
 use cuminlb_test_support::wait_until;
 use http::StatusCode;
+use serde_json::json;
 use tokio::time::{Instant, sleep};
 
 use crate::native_site::NativeSite;
+use crate::observed_call::{CallKind, ObservedCall, calls_of};
 
 /// The processing time of a plain request, on which no test here depends.
 const SHORT_WORK: Duration = Duration::from_millis(5);
@@ -25,6 +28,9 @@
 /// The time within which a group that lost its head must serve again.
 const REPAIR_BOUND: Duration = Duration::from_secs(2);
 
+/// The pause between two requests of callers that come rarely.
+const RARE_PAUSE: Duration = Duration::from_millis(600);
+
 async fn serving_site(engines: usize, groups: usize) -> NativeSite {
     let site = NativeSite::start_with_links(NODES, engines, SHORT_WORK).await;
     site.wait_serving().await;
@@ -52,3 +58,38 @@
     let elapsed = crashed_at.elapsed();
     assert!(elapsed < REPAIR_BOUND, "{elapsed:?}");
 }
+
+/// How often a zone is out and back, and for how long each time.
+const EVACUATIONS: u32 = 12;
+const EVACUATION: Duration = Duration::from_millis(300);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_is_used_again_after_a_forwarder_said_that_its_zone_was_out() {
+    const CUT: usize = 0;
+    let site = serving_site(2, 1).await;
+    site.set_links(CUT, LinkMode::Hang).await;
+    ObservedCall::send_all(&site, CUT, "warm", 10, RARE_PAUSE / 2).await;
+    let evacuate = async {
+        for _ in 0..EVACUATIONS {
+            site.fleet.rows.put("op", "evacuate/za", &json!({}));
+            sleep(EVACUATION).await;
+            site.fleet.rows.remove("op", "evacuate/za");
+            sleep(EVACUATION).await;
+        }
+    };
+    let callers = (0..4).map(|caller| {
+        let id = format!("beside-{caller}");
+        let site = &site;
+        async move { ObservedCall::send_all(site, CUT, &id, 300, Duration::from_millis(5)).await }
+    });
+    tokio::join!(evacuate, futures_util::future::join_all(callers));
+    site.set_links(CUT, LinkMode::Open).await;
+    sleep(CONTACT).await;
+    let calls = ObservedCall::send_all(&site, CUT, "late", 20, RARE_PAUSE / 10).await;
+    let lookups = calls_of(&calls, CallKind::Lookup);
+    let runs = lookups
+        .iter()
+        .flat_map(|call| site.fleet.runs.workers_of(&call.id));
+    let workers: BTreeSet<_> = runs.collect();
+    assert_eq!(workers.len(), 2, "{workers:?}");
+}
