--- a/crates/cuminlb-gateway/src/links/forward_request.rs
+++ b/crates/cuminlb-gateway/src/links/forward_request.rs
@@ -9,7 +9,7 @@
 use http::header::{
     CONNECTION, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use log::info;
@@ -94,6 +94,8 @@
         ForwardOutcome::Reached
     };
     remove_hop_headers(&mut parts.headers);
+    // The body of an HTTP/1.0 response would end with the connection, however it has ended.
+    parts.version = Version::HTTP_11;
     outcome.write(&mut parts.headers);
     gateway.metrics.forwarded_for_others.inc();
     let closes_at = connection.close_after(sleep_until(deadline));
@@ -119,10 +121,13 @@
     let entry = entry.filter(is_known);
     let entry = entry.ok_or(ForwardOutcome::UnknownInstance)?;
     let now = Instant::now();
-    let is_listed = directory.is_listed(&entry.id, now);
-    if !is_listed || entry.is_leaving || directory.zones_out.contains(&entry.zone) {
+    if entry.is_leaving {
         return Err(ForwardOutcome::Leaving);
     }
+    // Both may pass, and the other node may already know that they have.
+    if !directory.is_listed(&entry.id, now) || directory.zones_out.contains(&entry.zone) {
+        return Err(ForwardOutcome::UnknownInstance);
+    }
     if let Some(until) = gateway.retry_times.until(&entry.id, now) {
         let retry_after_ms = Millis::from(until.duration_since(now));
         return Err(ForwardOutcome::Unavailable { retry_after_ms });
--- a/tests/testsuite/answering_site.rs
+++ b/tests/testsuite/answering_site.rs
@@ -33,16 +33,27 @@
 /// Starts a site whose catalog contains the service with answering workers.
 pub async fn answering_site(nodes: usize) -> NativeSite {
     let site = NativeSite::start(nodes, 2, SHORT_WORK).await;
-    put_answering_catalog(&site, 2, TARGET_LATENCY_MS);
+    add_answering_service(&site).await;
+    site
+}
+
+/// Starts the same with nodes that reach the instances over links of their own.
+pub async fn answering_site_with_links(nodes: usize) -> NativeSite {
+    let site = NativeSite::start_with_links(nodes, 2, SHORT_WORK).await;
+    add_answering_service(&site).await;
+    site
+}
+
+async fn add_answering_service(site: &NativeSite) {
+    put_answering_catalog(site, 2, TARGET_LATENCY_MS);
     site.wait_serving().await;
-    for node in 0..nodes {
+    for node in 0..site.nodes.len() {
         wait_until("the catalog is in force", async || {
             site.metric(node, "cuminlb_catalog_version").await == 2
         })
         .await
         .unwrap();
     }
-    site
 }
 
 /// Writes a version of the catalog whose routes to answering workers have a target latency.
--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -70,7 +70,7 @@
     }
 
     /// Returns the index of the node that holds the leader's lease.
-    pub fn leader(&self) -> usize {
+    pub fn lease_holder(&self) -> usize {
         let lease = self.fleet.rows.get("cuminlb", "lease/leader").unwrap();
         let holder = lease["holder"].as_str().unwrap();
         holder[1..].parse::<usize>().unwrap() - 1
