--- a/tests/testsuite/native_crashes.rs
+++ b/tests/testsuite/native_crashes.rs
@@ -64,7 +64,7 @@
 async fn a_group_whose_head_crashed_while_no_node_led_is_formed_again() {
     let mut site = NativeSite::start(3, 3, SHORT_WORK).await;
     site.wait_serving().await;
-    let leader = site.lease_holder();
+    let leader = site.leader().unwrap();
     site.nodes[leader].process.kill().await;
     let head = site.open_head().unwrap();
     site.fleet.engine(&head).unwrap().crash(LONG_DOWNTIME);
--- a/tests/testsuite/native_observation.rs
+++ b/tests/testsuite/native_observation.rs
@@ -69,13 +69,6 @@
         .unwrap();
     }
 
-    /// Returns the index of the node that holds the leader's lease.
-    pub fn lease_holder(&self) -> usize {
-        let lease = self.fleet.rows.get("cuminlb", "lease/leader").unwrap();
-        let holder = lease["holder"].as_str().unwrap();
-        holder[1..].parse::<usize>().unwrap() - 1
-    }
-
     /// Returns the id of an engine that is the head of a serving group.
     pub fn open_head(&self) -> Option<String> {
         let is_open = |engine: &Arc<Engine>| {
