--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -23,7 +23,7 @@
 
 /// How long a node that was asked to stop continues to accept callers, because the load balancer
 /// notices only with its next readiness check.
-pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(3_000);
+const DRAIN_DELAY: Duration = Duration::from_millis(3_000);
 
 /// Fraction of the time until the process is killed in which requests may still run.
 const DRAIN_FRACTION: f64 = 0.92;
--- a/crates/cuminlb-gateway/src/serving/handle_request.rs
+++ b/crates/cuminlb-gateway/src/serving/handle_request.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use cuminlb_catalog::RouteKind;
-use cuminlb_routing::{Refusal, keep_alive_time};
+use cuminlb_routing::Refusal;
 use cuminlb_types::prelude::*;
-use http::header::{CONNECTION, HeaderName};
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use log::info;
 use tokio::time::Instant;
@@ -19,10 +19,6 @@
 use super::run_stream::run_stream;
 use crate::gateway::Gateway;
 use crate::metrics::RouteLabels;
-use crate::run_gateway::DRAIN_DELAY;
-
-/// The header that states how long a connection may be idle.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Handles one request of a caller and returns its response.
 pub(super) async fn handle_request(
@@ -60,24 +56,11 @@
             }
         }
     };
-    let is_last = gateway.is_draining() || connection.has_unread_body();
-    state_persistence(gateway, is_last, response.headers_mut());
-    response
-}
-
-/// States in the headers of a response whether and for how long its connection can be used again.
-fn state_persistence(gateway: &Gateway, is_last: bool, headers: &mut HeaderMap) {
-    if is_last {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        return;
-    }
-    let idle_timeout = gateway.caller_bounds().idle_timeout_ms.duration();
-    let Some(time) = keep_alive_time(idle_timeout, DRAIN_DELAY) else {
-        return;
-    };
-    if let Ok(value) = HeaderValue::try_from(format!("timeout={}", time.as_secs())) {
-        headers.insert(KEEP_ALIVE, value);
+    if gateway.is_draining() || connection.has_unread_body() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    response
 }
 
 fn refuse(
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -14,7 +14,6 @@
 mod connection_limits;
 mod connection_phase;
 mod crashes;
-mod keep_alive;
 mod quarantine;
 mod refusal;
 mod response_owner;
@@ -42,7 +41,6 @@
     CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
 };
-pub use crate::keep_alive::keep_alive_time;
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
