--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -15,7 +15,6 @@
 mod connection_phase;
 mod crashes;
 mod drain_schedule;
-mod keep_alive;
 mod links;
 mod quarantine;
 mod refusal;
@@ -45,7 +44,6 @@
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
 };
 pub use crate::drain_schedule::DrainSchedule;
-pub use crate::keep_alive::keep_alive_time;
 pub use crate::links::{
     ForwarderBoard, ForwarderCandidate, ForwarderOutcome, InstanceVerdict, LeadFitness, LinkBoard,
     LinkChange, LinkFailure, LinkRoute, SecondOpinion,
