Check other instances before all links count as lost

What callers saw: a node with few callers that had lost its links to some instances sent no request over the others until the first were back: all its requests went over other nodes, it forwarded none for them, and it could not lead. With few callers everywhere, a cut between two zones could do this to all nodes at once, which then refuse everything and have no leader.

Cause: all links counted as lost after three outages if nothing was received for 400 ms, which at night is so without any fault. After that no request and no check used the other links: only the known outages were checked.

Evidence: links of one node to the engines hung; 3 s later a lookup, to a service that it reached, was sent by another node. It is sent directly now.

Why it works: before the failure that would show the loss, instances that are not known to be out of reach are probed, of as many services and zones as possible, and what they respond is the contact that keeps the links in use. While all links count as lost, these are checked too, so that the rest of a cut ends the loss.

--- a/crates/cuminlb-gateway/src/links/judge_instance.rs
+++ b/crates/cuminlb-gateway/src/links/judge_instance.rs
@@ -59,6 +59,7 @@
         InstanceVerdict::Undecided => !gateway.links.has_contact_since(started_at),
     };
     if is_own_link {
+        gateway.confirm_loss(&query.instance).await;
         gateway.record_outage(&query.instance, failure);
     }
     verdict
--- a/crates/cuminlb-gateway/src/links/watch_links.rs
+++ b/crates/cuminlb-gateway/src/links/watch_links.rs
@@ -46,7 +46,12 @@
     let Some(entry) = directory.find_instance(&id) else {
         return;
     };
+    if gateway.links.lost_since().is_some() {
+        // Not all links need come back, and those that do need not be among the known outages.
+        gateway.reaches_another(&id, Instant::now()).await;
+    }
     if gateway.probe_link(entry).await.is_err() {
+        gateway.confirm_loss(&id).await;
         gateway.record_check_failed(&id);
     }
 }
--- a/crates/cuminlb-routing/src/links/link_board.rs
+++ b/crates/cuminlb-routing/src/links/link_board.rs
@@ -97,6 +97,20 @@
         self.links().contact_at.is_some_and(|at| at > since)
     }
 
+    /// Returns whether an instance is among those that only other nodes reach.
+    pub fn is_unreached(&self, id: &InstanceId) -> bool {
+        self.links().outages.contains_key(id)
+    }
+
+    /// Returns whether one more failure would show that the links as a whole are lost. Whether another
+    /// instance is reached should be checked first, since few callers may have used a link lately.
+    pub fn is_loss_near(&self, now: Instant) -> bool {
+        let links = self.links();
+        links.lost_since.is_none()
+            && !links.has_recent_contact(now)
+            && links.outages.len() + 1 >= MIN_OUTAGES
+    }
+
     /// Records that a new connection to an instance was opened.
     pub fn record_opened(&self, id: &InstanceId, now: Instant) -> LinkChange {
         let mut links = self.links();
@@ -181,16 +195,19 @@
     /// Records that an instance was not reached, and decides whether any is.
     fn record_failure(&mut self, now: Instant) -> LinkChange {
         self.reached.clear();
-        let has_contact = self
-            .contact_at
-            .is_some_and(|at| now.duration_since(at) < CONTACT_TIMEOUT);
-        if self.lost_since.is_some() || has_contact || self.outages.len() < MIN_OUTAGES {
+        let is_known = self.lost_since.is_some();
+        if is_known || self.has_recent_contact(now) || self.outages.len() < MIN_OUTAGES {
             return LinkChange::None;
         }
         self.lost_since = Some(now);
         LinkChange::Lost
     }
 
+    fn has_recent_contact(&self, now: Instant) -> bool {
+        self.contact_at
+            .is_some_and(|at| now.duration_since(at) < CONTACT_TIMEOUT)
+    }
+
     /// Returns how the links fail if all do: open connections are usable only if none was silent.
     fn failure_of_all(&self) -> LinkFailure {
         let has_silent = |outage: &LinkOutage| outage.failure == LinkFailure::Silent;
--- a/crates/cuminlb-routing/tests/links.rs
+++ b/crates/cuminlb-routing/tests/links.rs
@@ -88,6 +88,25 @@
     assert_eq!(board.lead_fitness(), LeadFitness::Impaired);
 }
 
+#[test]
+fn another_instance_is_to_be_checked_before_the_failure_that_shows_the_loss_of_all_links() {
+    let start = Instant::now();
+    let board = LinkBoard::default();
+    assert!(!board.is_loss_near(start));
+    for number in 0..2 {
+        board.record_outage(&instance(number), LinkFailure::Silent, start);
+    }
+    assert!(board.is_unreached(&instance(1)) && !board.is_unreached(&instance(3)));
+    assert!(board.is_loss_near(start));
+    board.record_opened(&instance(3), after(start, 100));
+    assert!(!board.is_loss_near(after(start, 100)));
+    let change = board.record_outage(&instance(2), LinkFailure::Silent, after(start, 200));
+    assert_eq!(change, LinkChange::None);
+    assert!(board.is_loss_near(after(start, 600)));
+    board.record_check_failed(&instance(2), after(start, 600));
+    assert!(!board.is_loss_near(after(start, 600)));
+}
+
 #[test]
 fn requests_to_all_instances_are_forwarded_when_all_links_are_lost() {
     let now = Instant::now();
--- a/tests/testsuite/native_partial_partitions.rs
+++ b/tests/testsuite/native_partial_partitions.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cuminlb_native_standins::LinkMode;
+use cuminlb_native_standins::{LinkMode, LinkScope};
 use cuminlb_test_support::wait_until;
 use http::StatusCode;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
 
-use crate::native_site::NativeSite;
+use crate::native_site::{ENGINE_SERVICE, NativeSite};
 use crate::observed_call::{CallKind, ObservedCall, calls_of};
 
 /// The processing time of a plain request, on which no test here depends.
@@ -28,7 +28,8 @@
 /// The time within which a group that lost its head must serve again.
 const REPAIR_BOUND: Duration = Duration::from_secs(2);
 
-/// The pause between two requests of callers that come rarely.
+/// The number of requests with a pause in which a node may forget that it reaches instances.
+const RARE_REQUESTS: u32 = 6;
 const RARE_PAUSE: Duration = Duration::from_millis(600);
 
 async fn serving_site(engines: usize, groups: usize) -> NativeSite {
@@ -38,6 +39,27 @@
     site
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_with_few_callers_goes_on_using_its_links_to_a_service_when_those_to_another_hang() {
+    let site = serving_site(10, 3).await;
+    let cut = (site.wait_leader().await + 1) % NODES;
+    let engines = LinkScope::Service(ENGINE_SERVICE.to_owned());
+    site.links(cut).set(engines, LinkMode::Hang).await;
+    let streams = (0..24).map(|number| {
+        let id = format!("stream-{number}");
+        ObservedCall::send(&site, cut, CallKind::Stream, id)
+    });
+    futures_util::future::join_all(streams).await;
+    sleep(CONTACT).await;
+    for number in 0..RARE_REQUESTS {
+        let id = format!("rare-{number}");
+        let call = ObservedCall::send(&site, cut, CallKind::Lookup, id).await;
+        assert!(call.is_served(), "{}", call.summary());
+        assert_eq!(site.senders_of(&call.id), [cut], "{}", call.id);
+        sleep(RARE_PAUSE).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_group_whose_head_crashed_is_formed_again_while_no_node_but_the_leader_has_links() {
     let site = serving_site(3, 1).await;
