Count no crash at a node without links when no other node responds

What callers saw: nothing yet; but a node that had lost its links counted each failure as a crash of an instance, and told all nodes, if the nodes that it asked did not respond in 400 ms.

Cause: without any opinion of others, what the node had seen itself was all that counted, and it had not been asked what it sees of other instances.

Why it works: such a node judges as one that is told nothing: an instance is lost only if the node reaches another one. A node that knows of no other node goes by its failures, as before.

--- a/crates/cuminlb-gateway/src/links/judge_instance.rs
+++ b/crates/cuminlb-gateway/src/links/judge_instance.rs
@@ -44,9 +44,12 @@
 ) -> InstanceVerdict {
     let started_at = Instant::now();
     let opinions = collect_opinions(gateway, query).await;
-    let verdict = match InstanceVerdict::judge(&opinions) {
-        InstanceVerdict::Undecided => judge_alone(gateway, query, started_at).await,
-        verdict => verdict,
+    let verdict = InstanceVerdict::judge(&opinions);
+    let is_unheard = opinions.is_empty() && !gateway.other_nodes().is_empty();
+    let verdict = if is_unheard || verdict == InstanceVerdict::Undecided {
+        judge_alone(gateway, query, started_at).await
+    } else {
+        verdict
     };
     info!(
         instance:% = query.instance, failure:? = failure, verdict:? = verdict,
@@ -81,13 +84,16 @@
     opinions
 }
 
-/// Judges an instance that no other node knows of, as where the others reach no instance at all. It is
-/// lost if this node reaches another instance and, after that, still not this one.
+/// Judges an instance on which no other node has an opinion, as where the others reach no instance at
+/// all, or do not respond. It is lost if this node reaches another instance and, after that, still not
+/// this one, or if there is no other.
 async fn judge_alone(gateway: &Gateway, query: &InstanceQuery, since: Instant) -> InstanceVerdict {
-    if !gateway.reaches_another(&query.instance, since).await {
+    let directory = gateway.knowledge.directory();
+    let mut instances = directory.services.values().flat_map(|it| it.keys());
+    let has_others = instances.any(|id| *id != query.instance);
+    if has_others && !gateway.reaches_another(&query.instance, since).await {
         return InstanceVerdict::Undecided;
     }
-    let directory = gateway.knowledge.directory();
     let Some(entry) = directory.find_instance(&query.instance) else {
         return InstanceVerdict::InstanceLost;
     };
--- a/tests/testsuite/native_partial_partitions.rs
+++ b/tests/testsuite/native_partial_partitions.rs
@@ -7,6 +7,7 @@
 use cuminlb_native_standins::{LinkMode, LinkScope};
 use cuminlb_test_support::wait_until;
 use http::StatusCode;
+use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
 
@@ -115,3 +116,19 @@
     let workers: BTreeSet<_> = runs.collect();
     assert_eq!(workers.len(), 2, "{workers:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_links_counts_no_crash_while_the_other_nodes_do_not_respond() {
+    const CUT: usize = 0;
+    let site = serving_site(4, 2).await;
+    for node in 1..NODES {
+        site.nodes[node].process.signal(Signal::SIGSTOP);
+    }
+    site.set_links(CUT, LinkMode::Reset).await;
+    ObservedCall::send_all(&site, CUT, "cut", 10, RARE_PAUSE / 2).await;
+    let crashes = site.metric(CUT, "cuminlb_instance_crashes_total").await;
+    for node in 1..NODES {
+        site.nodes[node].process.signal(Signal::SIGCONT);
+    }
+    assert_eq!(crashes, 0);
+}
