--- a/crates/cuminlb-gateway/src/links/forwarded_link.rs
+++ b/crates/cuminlb-gateway/src/links/forwarded_link.rs
@@ -80,7 +80,7 @@
         write_order(order, &mut request)?;
         loop {
             let sent = self.send_once(gateway, request.clone()).await;
-            let outcome = self.evaluate(gateway, sent);
+            let outcome = self.evaluate(gateway, &order.request, sent);
             let next = match outcome {
                 Ok(response) => return Ok(response),
                 Err(AskNext::No(failure)) => return Err(failure),
@@ -110,6 +110,7 @@
     fn evaluate(
         &self,
         gateway: &Arc<Gateway>,
+        request: &RequestId,
         sent: Result<Response<Incoming>, SendFailure>,
     ) -> Result<Response<Incoming>, AskNext> {
         let mut response = match sent {
@@ -128,13 +129,18 @@
         self.record(gateway, forwarder_outcome(outcome));
         if outcome.is_reached() {
             gateway.metrics.forwarded.inc();
+            info!(
+                request:% = request, instance:% = self.target.instance, node:% = self.node;
+                "request forwarded"
+            );
             if outcome == ForwardOutcome::ReachedUndelimited {
                 response.extensions_mut().insert(UndelimitedBody);
             }
             return Ok(response);
         }
         info!(
-            instance:% = self.target.instance, node:% = self.node, outcome:% = outcome;
+            request:% = request, instance:% = self.target.instance, node:% = self.node,
+            outcome:% = outcome;
             "request not forwarded"
         );
         Err(self.next_step(gateway, outcome))
--- a/crates/cuminlb-gateway/src/links/report_links.rs
+++ b/crates/cuminlb-gateway/src/links/report_links.rs
@@ -45,8 +45,10 @@
             LinkChange::None => {}
             LinkChange::Lost => {
                 self.metrics.link_losses.inc();
+                let contact_age = self.links.contact_age(Instant::now());
                 warn!(
-                    instance:% = instance, unreached = self.links.outage_count();
+                    instance:% = instance, unreached = self.links.outage_count(),
+                    contact_age_ms = contact_age.map(|age| Millis::from(age).get());
                     "links to instances lost"
                 );
             }
--- a/crates/cuminlb-routing/src/links/link_board.rs
+++ b/crates/cuminlb-routing/src/links/link_board.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Returns the time since something was last received from an instance that is not out of reach.
+    pub fn contact_age(&self, now: Instant) -> Option<Duration> {
+        let contact_at = self.links().contact_at?;
+        Some(now.saturating_duration_since(contact_at))
+    }
+
     /// Returns whether something was received after `since` from an instance that is not out of reach.
     pub fn has_contact_since(&self, since: Instant) -> bool {
         self.links().contact_at.is_some_and(|at| at > since)
