Forget the failures of an instance that were those of the link to it

Cause: the failure rate of an instance changes only with requests to it, and an instance with a high one is chosen only if no other is eligible. Failures while the link was lost counted for it.

Change: they are forgotten once the link is known to be at fault, and when it is back.

--- a/crates/cuminlb-gateway/src/links/report_links.rs
+++ b/crates/cuminlb-gateway/src/links/report_links.rs
@@ -10,6 +10,9 @@
 impl Gateway {
     /// Records that a new connection to an instance was opened.
     pub(crate) fn record_opened(&self, instance: &InstanceId) {
+        if self.links.is_unreached(instance) {
+            self.loads.forget_failures(instance);
+        }
         let change = self.links.record_opened(instance, Instant::now());
         self.report(change, instance);
     }
@@ -22,6 +25,9 @@
                 "instance reached only by other nodes"
             );
         }
+        if !self.links.is_unreached(instance) {
+            self.loads.forget_failures(instance);
+        }
         let now = Instant::now();
         let change = self.links.record_outage(instance, failure, now);
         if failure == LinkFailure::Silent {
@@ -53,6 +59,7 @@
                 );
             }
             LinkChange::Regained { outage } => {
+                self.loads.forget_all_failures();
                 let outage_ms = Millis::from(outage).get();
                 info!(instance:% = instance, outage_ms = outage_ms; "links to instances regained");
             }
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -189,6 +189,13 @@
         observations.failure_rate += FAILURE_WEIGHT * (outcome - observations.failure_rate);
     }
 
+    /// Forgets the failures and the suspicion of the instance.
+    pub(super) fn forget_failures(&self) {
+        let mut observations = self.observations();
+        observations.failure_rate = 0.0;
+        observations.suspicion = None;
+    }
+
     /// Returns the fraction of recent requests that failed through the instance's fault, as a
     /// moving average.
     pub(super) fn failure_rate(&self) -> Ratio {
--- a/crates/cuminlb-gateway/src/serving/load_tracker.rs
+++ b/crates/cuminlb-gateway/src/serving/load_tracker.rs
@@ -43,6 +43,19 @@
         InFlightGuard::new(self.load(id))
     }
 
+    /// Forgets the failures of an instance, which were those of the link to it.
+    pub(crate) fn forget_failures(&self, id: &InstanceId) {
+        self.load(id).forget_failures();
+    }
+
+    /// Forgets the failures of all instances.
+    pub(crate) fn forget_all_failures(&self) {
+        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        for load in loads.values() {
+            load.forget_failures();
+        }
+    }
+
     /// Removes the instances that are no longer known and have no request in flight.
     pub(crate) fn retain(&self, is_known: impl Fn(&InstanceId) -> bool) {
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
