Let answering workers of tests tell health probes from requests

A node probes an instance that does not respond (GET /report), also one without groups. It responds 404 to a probe now and does not record it; all other requests count as before, also those without an id.

--- a/tests/testsuite/answering_worker.rs
+++ b/tests/testsuite/answering_worker.rs
@@ -25,6 +25,10 @@
     pub at: Instant,
 }
 
+/// How a health probe begins, and what a worker without groups responds to it. Probes are no requests.
+const PROBE_START: &str = "get /report ";
+const PROBE_RESPONSE: &[u8] = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
 /// What happens to the connection after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerEnd {
@@ -177,7 +181,10 @@
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     for number_on_connection in 0.. {
-        let id = read_request(&mut stream).await?;
+        let Some(id) = read_request(&mut stream).await? else {
+            stream.write_all(PROBE_RESPONSE).await?;
+            continue;
+        };
         let request = {
             let mut requests = log.requests.lock().unwrap();
             let request = WorkerRequest {
@@ -212,7 +219,8 @@
 }
 
 /// Reads a request and returns its id.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<String> {
+/// Reads a request and returns its id; `None` if it is a health probe.
+async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<String>> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await?);
@@ -222,5 +230,8 @@
     let length = value("content-length: ").and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await?;
-    Ok(value("x-attempt-id: ").unwrap_or_default().to_owned())
+    if head.starts_with(PROBE_START) {
+        return Ok(None);
+    }
+    Ok(Some(value("x-attempt-id: ").unwrap_or_default().to_owned()))
 }
