--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -59,6 +59,7 @@
 mod share_crashes;
 mod share_loads;
 mod silence;
+mod silence_limit;
 mod silence_watch;
 mod stream_attempt;
 mod stream_attempts;
--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_catalog::RouteKind;
 use cuminlb_routing::LinkRoute;
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::StreamEvent;
@@ -18,6 +17,7 @@
 use super::in_flight_guard::InFlightGuard;
 use super::plain_exchange::{forward_order, forwarded_request, from_send_failure};
 use super::silence::Silence;
+use super::silence_limit::silence_limit;
 use super::silence_watch::SilenceWatch;
 use super::stream_head::{StreamHead, read_head};
 use super::stream_progress::StreamProgress;
@@ -29,15 +29,6 @@
 /// How often an attempt that receives nothing checks the silence of its instance.
 const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(30);
 
-/// Fraction of the acceptable pause after which an instance is suspected.
-const PAUSE_SUSPICION_FRACTION: f64 = 0.75;
-
-/// Fraction of the target latency of the first event after which an instance is suspected.
-const FIRST_EVENT_SUSPICION_FRACTION: f64 = 0.9;
-
-/// Acceptable pause between two events if the route states none.
-const DEFAULT_MAX_PAUSE: Duration = Duration::from_millis(500);
-
 /// One attempt to get an event stream from an instance. Dropping it closes its connection, which lets
 /// the instance know that it can stop.
 #[derive(Debug)]
@@ -287,24 +278,3 @@
         }
     }
 }
-
-/// Returns how long an instance may be silent for a request, before or after its first event.
-fn silence_limit(request: &AdmittedRequest, has_started: bool) -> Duration {
-    if !has_started {
-        return request
-            .route
-            .target_latency_ms
-            .duration()
-            .mul_f64(FIRST_EVENT_SUSPICION_FRACTION);
-    }
-    target_gap(request).mul_f64(PAUSE_SUSPICION_FRACTION)
-}
-
-/// Returns the acceptable pause between two events of a stream.
-pub(super) fn target_gap(request: &AdmittedRequest) -> Duration {
-    let gap = match request.route.kind {
-        RouteKind::Stream { target_gap_ms, .. } => target_gap_ms.map(Millis::duration),
-        RouteKind::Idempotent | RouteKind::AtMostOnce => None,
-    };
-    gap.unwrap_or(DEFAULT_MAX_PAUSE)
-}
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::response_body::ResponseBody;
-use super::stream_attempt::target_gap;
+use super::silence_limit::target_gap;
 use super::stream_attempts::StreamAttempts;
 use super::stream_error::StreamError;
 use super::stream_update::StreamUpdate;
