--- a/crates/cuminlb-gateway/src/links/report_links.rs
+++ b/crates/cuminlb-gateway/src/links/report_links.rs
@@ -11,7 +11,7 @@
     /// Records that a new connection to an instance was opened.
     pub(crate) fn record_opened(&self, instance: &InstanceId) {
         if self.links.is_unreached(instance) {
-            self.loads.forget_failures(instance);
+            self.loads.clear_failures(instance);
         }
         let change = self.links.record_opened(instance, Instant::now());
         self.report(change, instance);
@@ -26,7 +26,7 @@
             );
         }
         if !self.links.is_unreached(instance) {
-            self.loads.forget_failures(instance);
+            self.loads.clear_failures(instance);
         }
         let now = Instant::now();
         let change = self.links.record_outage(instance, failure, now);
@@ -59,7 +59,7 @@
                 );
             }
             LinkChange::Regained { outage } => {
-                self.loads.forget_all_failures();
+                self.loads.clear_all_failures();
                 let outage_ms = Millis::from(outage).get();
                 info!(instance:% = instance, outage_ms = outage_ms; "links to instances regained");
             }
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -189,8 +189,8 @@
         observations.failure_rate += FAILURE_WEIGHT * (outcome - observations.failure_rate);
     }
 
-    /// Forgets the failures and the suspicion of the instance.
-    pub(super) fn forget_failures(&self) {
+    /// Clears the failures and the suspicion of the instance.
+    pub(super) fn clear_failures(&self) {
         let mut observations = self.observations();
         observations.failure_rate = 0.0;
         observations.suspicion = None;
--- a/crates/cuminlb-gateway/src/serving/load_tracker.rs
+++ b/crates/cuminlb-gateway/src/serving/load_tracker.rs
@@ -43,16 +43,16 @@
         InFlightGuard::new(self.load(id))
     }
 
-    /// Forgets the failures of an instance, which were those of the link to it.
-    pub(crate) fn forget_failures(&self, id: &InstanceId) {
-        self.load(id).forget_failures();
+    /// Clears the failures of an instance, which were those of the link to it.
+    pub(crate) fn clear_failures(&self, id: &InstanceId) {
+        self.load(id).clear_failures();
     }
 
-    /// Forgets the failures of all instances.
-    pub(crate) fn forget_all_failures(&self) {
+    /// Clears the failures of all instances.
+    pub(crate) fn clear_all_failures(&self) {
         let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
         for load in loads.values() {
-            load.forget_failures();
+            load.clear_failures();
         }
     }
 
