Ask nodes of several zones whether they reach an instance

What callers would see: where the links between two availability zones are lost, a node asked first two nodes of its own zone, which had lost the same links but reached others, and took all instances of the other zone for lost: crashes counted, groups reported silent.

Cause: the nodes of a zone are no independent witnesses.

--- a/crates/cuminlb-gateway/src/links/judge_instance.rs
+++ b/crates/cuminlb-gateway/src/links/judge_instance.rs
@@ -4,11 +4,12 @@
 
 use cuminlb_peer::InstanceQuery;
 use cuminlb_replica::RelayLane;
-use cuminlb_routing::{ForwarderOutcome, InstanceVerdict, LinkFailure, SecondOpinion};
+use cuminlb_routing::{
+    ForwarderOutcome, InstanceVerdict, LinkFailure, SecondOpinion, adviser_order,
+};
 use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
 use log::info;
-use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
@@ -71,7 +72,7 @@
 /// Asks other nodes about an instance until one has an opinion.
 async fn collect_opinions(gateway: &Gateway, query: &InstanceQuery) -> Vec<SecondOpinion> {
     let mut opinions = Vec::new();
-    let mut nodes = nodes_to_ask(gateway).into_iter();
+    let mut nodes = nodes_to_ask(gateway, &query.instance).into_iter();
     for round in 0..MAX_ROUNDS {
         let asked = nodes.by_ref().take(FIRST_ROUND_NODES << round);
         let asked: Vec<NodeId> = asked.collect();
@@ -103,19 +104,21 @@
     }
 }
 
-/// Returns the other nodes, first those that forward requests as far as is known. All but the first are
-/// of any availability zone, since the nodes of one may have lost the same links.
-fn nodes_to_ask(gateway: &Gateway) -> Vec<NodeId> {
-    let mut nodes = gateway.fit_forwarders();
-    if let Some(others) = nodes.get_mut(FIRST_ROUND_NODES..) {
-        others.shuffle(&mut rand::rng());
-    }
-    for candidate in gateway.other_nodes() {
-        if !nodes.contains(&candidate.node) {
-            nodes.push(candidate.node);
-        }
-    }
-    nodes
+/// Returns the other nodes in the order in which they are asked about an instance, last those that
+/// reach no instances as far as is known.
+fn nodes_to_ask(gateway: &Gateway, instance: &InstanceId) -> Vec<NodeId> {
+    let directory = gateway.knowledge.directory();
+    let entry = directory.find_instance(instance);
+    let zone = entry.map_or(&gateway.settings.zone, |entry| &entry.zone);
+    let others = gateway.other_nodes().into_iter();
+    let nodes = others.filter_map(|it| {
+        let zone = directory.nodes.get(&it.node)?.zone.clone();
+        Some((it.node, zone))
+    });
+    let fit = gateway.fit_forwarders();
+    let mut order = adviser_order(nodes.collect(), zone, &mut rand::rng());
+    order.sort_by_key(|node| !fit.contains(node));
+    order
 }
 
 async fn ask(gateway: &Gateway, node: &NodeId, query: &InstanceQuery) -> Option<SecondOpinion> {
--- a/crates/cuminlb-gateway/src/links/watch_links.rs
+++ b/crates/cuminlb-gateway/src/links/watch_links.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// Checks the links to some members of groups, or spares, if this node leads and has heard from none for a while. It sends
-/// nothing to instances while there is nothing to do, and must not lead without links.
+/// Checks the links to some members of groups, or spares, if this node leads and has heard from no
+/// instance for a while. A leader with nothing to do sends nothing, and must not lead without links.
 async fn check_leader(gateway: &Arc<Gateway>, directory: &Directory) {
     let leads = gateway.knowledge.leader().as_ref() == Some(&gateway.settings.id);
     let quiet_since = Instant::now().checked_sub(MAX_LEADER_QUIET);
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -46,7 +46,7 @@
 pub use crate::drain_schedule::DrainSchedule;
 pub use crate::links::{
     ForwarderBoard, ForwarderCandidate, ForwarderOutcome, InstanceVerdict, LeadFitness, LinkBoard,
-    LinkChange, LinkFailure, LinkRoute, SecondOpinion,
+    LinkChange, LinkFailure, LinkRoute, SecondOpinion, adviser_order,
 };
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
--- a/crates/cuminlb-routing/src/links/mod.rs
+++ b/crates/cuminlb-routing/src/links/mod.rs
@@ -5,6 +5,7 @@
 //! instances that only other nodes reach, and decides by which [`LinkRoute`] a request is sent;
 //! [`ForwarderBoard`] decides which node forwards it.
 
+mod adviser_order;
 mod forwarder_board;
 mod forwarder_candidate;
 mod forwarder_outcome;
@@ -17,6 +18,7 @@
 mod link_route;
 mod second_opinion;
 
+pub use self::adviser_order::adviser_order;
 pub use self::forwarder_board::ForwarderBoard;
 pub use self::forwarder_candidate::ForwarderCandidate;
 pub use self::forwarder_outcome::ForwarderOutcome;
