--- a/crates/cuminlb-config/src/settings/gateway_settings.rs
+++ b/crates/cuminlb-config/src/settings/gateway_settings.rs
@@ -25,6 +25,8 @@
     pub ready: SocketAddr,
     /// The address on which the other nodes connect.
     pub peer: SocketAddr,
+    /// The address on which this node forwards requests of the other nodes, if it does.
+    pub forwarding: Option<SocketAddr>,
     /// The address on which metrics are scraped.
     pub metrics: SocketAddr,
     /// The address of the platform's store.
@@ -63,11 +65,12 @@
         let region = reader.required("region", "name the region of this node");
         let zone = reader.required("zone", "name the availability zone of this node");
         let zones = read_zones(reader);
-        let (caller, ready, peer, metrics) = reader.section("listen", |reader| {
+        let (caller, ready, peer, forwarding, metrics) = reader.section("listen", |reader| {
             (
                 reader.required("caller", hint),
                 reader.required("ready", hint),
                 reader.required("peer", hint),
+                reader.optional("forwarding"),
                 reader.required("metrics", hint),
             )
         });
@@ -93,6 +96,7 @@
             caller: caller?,
             ready: ready?,
             peer: peer?,
+            forwarding,
             metrics: metrics?,
             store: store?,
             store_timeout_ms,
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use cuminlb_catalog::{CallerBounds, StoreTable};
 use cuminlb_config::GatewaySettings;
 use cuminlb_replica::{FollowTiming, Follower, Replica, RowSink};
-use cuminlb_routing::{CrashBoard, LoadBoard, RetryTimes};
+use cuminlb_routing::{CrashBoard, ForwarderBoard, LinkBoard, LoadBoard, RetryTimes};
 use cuminlb_types::prelude::*;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -14,6 +14,7 @@
 use crate::Edges;
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::Suspicions;
+use crate::links::{ForwardingBudget, Judgements};
 use crate::metrics::{GatewayMetrics, RequestLabels};
 use crate::serving::{GroupChecks, InstanceChecks, LoadTracker, RetryBudgets};
 use crate::upstream::ConnectionPool;
@@ -41,7 +42,18 @@
     /// The crashes of instances that all nodes have seen.
     pub(crate) crash_board: CrashBoard,
     pub(crate) budgets: RetryBudgets,
+    /// The connections to instances.
     pub(crate) pool: ConnectionPool,
+    /// The connections to the nodes that forward requests of this one.
+    pub(crate) forwarders: ConnectionPool,
+    /// What this node knows of its own links to instances.
+    pub(crate) links: LinkBoard,
+    /// Which nodes can forward requests of this one.
+    pub(crate) forwarder_board: ForwarderBoard,
+    /// The judgements about instances that this node does not reach.
+    pub(crate) judgements: Judgements,
+    /// What the requests of other nodes that this one forwards may hold.
+    pub(crate) forwarding_budget: ForwardingBudget,
     pub(crate) metrics: GatewayMetrics,
     /// Short background tasks, which are not awaited before the node stops.
     pub(crate) background_tasks: TaskTracker,
@@ -58,6 +70,16 @@
         let replica = Arc::new(Replica::new(Arc::clone(&knowledge) as Arc<dyn RowSink>));
         let peers = PeerLinks::new(settings.id.clone(), settings.peer_token.clone().into_text());
         let peers = Arc::new(peers);
+        let pool = ConnectionPool::new(
+            background_tasks.clone(),
+            metrics.connections.clone(),
+            metrics.connections_refused.clone(),
+        );
+        let forwarders = ConnectionPool::new(
+            background_tasks.clone(),
+            metrics.forwarder_connections.clone(),
+            metrics.forwarder_connections_refused.clone(),
+        );
         let node_peers = NodePeers {
             own_id: settings.id.clone(),
             zone: settings.zone.clone(),
@@ -74,7 +96,7 @@
             knowledge,
             replica,
             follower,
-            peers,
+            peers: Arc::clone(&peers),
             suspicions: Suspicions::default(),
             group_checks: GroupChecks::default(),
             instance_checks: InstanceChecks::default(),
@@ -83,11 +105,12 @@
             load_board: LoadBoard::default(),
             crash_board: CrashBoard::default(),
             budgets: RetryBudgets::default(),
-            pool: ConnectionPool::new(
-                background_tasks.clone(),
-                metrics.connections.clone(),
-                metrics.connections_refused.clone(),
-            ),
+            pool,
+            forwarders: forwarders.with_token(peers.token()),
+            links: LinkBoard::default(),
+            forwarder_board: ForwarderBoard::default(),
+            judgements: Judgements::default(),
+            forwarding_budget: ForwardingBudget::new(settings.bounds.memory_mb),
             metrics,
             background_tasks,
             is_draining: AtomicBool::new(false),
@@ -150,6 +173,11 @@
         self.metrics
             .quarantined_causes
             .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+        self.metrics
+            .links_lost
+            .set(i64::from(self.links.lost_since().is_some()));
+        let unreached = i64::try_from(self.links.outage_count());
+        self.metrics.unreached.set(unreached.unwrap_or(i64::MAX));
         let directory = self.knowledge.directory();
         let groups = directory.groups.values().flatten();
         let serving = groups.filter(|group| group.is_serving()).count();
--- a/crates/cuminlb-gateway/src/knowledge/register_node.rs
+++ b/crates/cuminlb-gateway/src/knowledge/register_node.rs
@@ -28,6 +28,7 @@
     let settings = &gateway.settings;
     let row = NodeRow {
         peer: settings.peer,
+        forwarding: settings.forwarding,
         zone: settings.zone.clone(),
         capacity: NodeCapacity {
             link_mbps: settings.machine.link_mbps,
--- a/crates/cuminlb-gateway/src/knowledge/relay_service.rs
+++ b/crates/cuminlb-gateway/src/knowledge/relay_service.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use cuminlb_peer::{
-    ChunkRequest, GroupHealth, LoadReport, LoadScope, RelayHandler, RelayedUpdate, SuspicionNotice,
-    TableCursors, ValueChunk,
+    ChunkRequest, GroupHealth, InstanceQuery, LoadReport, LoadScope, RelayHandler, RelayedUpdate,
+    SuspicionNotice, TableCursors, ValueChunk,
 };
-use cuminlb_routing::{CrashReport, InFlightCount};
+use cuminlb_routing::{CrashReport, InFlightCount, SecondOpinion};
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
@@ -63,4 +63,8 @@
         board.merge(report, now);
         board.report(now)
     }
+
+    async fn examine_instance(&self, query: InstanceQuery) -> SecondOpinion {
+        self.gateway.examine_instance(&query).await
+    }
 }
--- a/crates/cuminlb-gateway/src/leading/keep_lease.rs
+++ b/crates/cuminlb-gateway/src/leading/keep_lease.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cuminlb_fleet::lease::LeaseWriteOutcome;
-use cuminlb_types::prelude::*;
+use cuminlb_routing::LeadFitness;
+use log::info;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -29,11 +30,14 @@
 /// Acquires the lease when no node holds it and renews it, until `stop` is cancelled; then releases
 /// it.
 ///
+/// A node that has lost its links to instances gives the lease to one that has its own.
+///
 /// While the store is unavailable to all nodes, none of them can acquire the lease, and this node
 /// extends its own.
 pub(crate) async fn keep_lease(gateway: Arc<Gateway>, lease: SharedLease, stop: CancellationToken) {
     let mut state = LeaseState::new(gateway.settings.id.clone());
     let mut acquirable_since = None;
+    let mut fitness_at_start = LeadFitness::Fit;
     while !stop.is_cancelled() {
         if state.held().is_none() {
             tokio::select! {
@@ -43,6 +47,7 @@
             if !state.may_acquire(&gateway, Instant::now()) {
                 acquirable_since = None;
             } else if is_candidate(&gateway, &mut acquirable_since) {
+                fitness_at_start = gateway.links.lead_fitness();
                 acquire(&gateway, &mut state).await;
             }
             lease.send_replace(state.held().map(ActiveLease::new));
@@ -52,6 +57,13 @@
             () = stop.cancelled() => break,
             () = sleep(LEASE_TIMING.renewal_period_ms().duration()) => {}
         }
+        let fitness = gateway.links.lead_fitness();
+        if fitness > fitness_at_start {
+            info!(fitness:? = fitness; "lease released, because links to instances are lost");
+            lease.send_replace(None);
+            state.release(&gateway).await;
+            continue;
+        }
         let written = state.write(&gateway, LEASE_TIMING.length_ms).await;
         if written == LeaseWriteOutcome::Unknown && is_store_outage(&gateway).await {
             state.extend(Instant::now() + MAX_EXTENSION_MS.duration());
@@ -60,7 +72,7 @@
     }
     lease.send_replace(None);
     if state.held().is_some() {
-        state.write(&gateway, Millis(0)).await;
+        state.release(&gateway).await;
     }
 }
 
@@ -69,7 +81,12 @@
 fn is_candidate(gateway: &Gateway, acquirable_since: &mut Option<Instant>) -> bool {
     let now = Instant::now();
     let since = *acquirable_since.get_or_insert(now);
-    gateway.follower.is_relay(now) || now.duration_since(since) >= OTHER_NODE_DELAY
+    let has_waited = now.duration_since(since) >= OTHER_NODE_DELAY;
+    match gateway.links.lead_fitness() {
+        LeadFitness::Fit => gateway.follower.is_relay(now) || has_waited,
+        LeadFitness::Impaired => has_waited,
+        LeadFitness::Unfit => false,
+    }
 }
 
 /// Tries to acquire the lease.
--- a/crates/cuminlb-gateway/src/leading/leader.rs
+++ b/crates/cuminlb-gateway/src/leading/leader.rs
@@ -6,6 +6,7 @@
 
 use cuminlb_assembly::{Assembler, AssemblyView, InstanceOrder};
 use cuminlb_catalog::{InstanceEntry, UpstreamService};
+use cuminlb_routing::{LeadFitness, LinkRoute};
 use cuminlb_types::prelude::*;
 use log::info;
 use tokio::sync::watch;
@@ -17,6 +18,7 @@
 use super::order_report::OrderReport;
 use super::probe_instance::probe_instance;
 use super::probe_report::ProbeReport;
+use super::probe_result::ProbeResult;
 use crate::gateway::Gateway;
 use crate::knowledge::Directory;
 
@@ -99,7 +101,7 @@
             let now = Instant::now();
             match *lease.borrow() {
                 None => return,
-                Some(held) if held.is_valid(now) => self.plan(now),
+                Some(held) if held.is_valid(now) && self.may_plan() => self.plan(now),
                 Some(_) => {}
             }
             self.next_plan_at = Instant::now() + now.elapsed() * REST_FACTOR;
@@ -116,6 +118,11 @@
         }
     }
 
+    /// Returns whether this node sees enough of the instances to plan groups.
+    fn may_plan(&self) -> bool {
+        self.gateway.links.lead_fitness() != LeadFitness::Unfit
+    }
+
     fn plan(&mut self, now: Instant) {
         let gateway = Arc::clone(&self.gateway);
         let directory = gateway.knowledge.directory();
@@ -175,6 +182,9 @@
         let (address, incarnation) = (entry.address, entry.incarnation);
         let gateway = Arc::clone(&self.gateway);
         self.orders.spawn(async move {
+            if gateway.links.route(&instance) != LinkRoute::Direct {
+                return OrderReport::unreachable(service, instance, order);
+            }
             let control = &gateway.edges.instances;
             let response = control
                 .order(address, &instance, &order, ORDER_TIMEOUT_MS)
@@ -260,11 +270,11 @@
         let gateway = Arc::clone(&self.gateway);
         let entry = entry.clone();
         self.probes.spawn(async move {
-            let report = probe_instance(&gateway, &entry, max_failures).await;
+            let result = probe_instance(&gateway, &entry, max_failures).await;
             ProbeReport {
                 service: entry.service,
                 instance: entry.id,
-                report,
+                result,
             }
         });
     }
@@ -278,9 +288,12 @@
         let Some(service) = catalog.services.get(&probe.service) else {
             return;
         };
-        self.with_assembler(&directory, service, |assembler, view| match &probe.report {
-            Some(report) => assembler.handle_report(&probe.instance, report, view),
-            None => assembler.mark_silent(&probe.instance),
+        self.with_assembler(&directory, service, |assembler, view| match &probe.result {
+            ProbeResult::Responding(report) => {
+                assembler.handle_report(&probe.instance, report, view);
+            }
+            ProbeResult::Lost => assembler.mark_silent(&probe.instance),
+            ProbeResult::Unknown => {}
         });
     }
 }
--- a/crates/cuminlb-gateway/src/leading/lease_state.rs
+++ b/crates/cuminlb-gateway/src/leading/lease_state.rs
@@ -35,6 +35,12 @@
         self.candidate.held().copied()
     }
 
+    /// Releases the lease, so that another node can acquire it at once.
+    pub(super) async fn release(&mut self, gateway: &Gateway) {
+        self.write(gateway, Millis(0)).await;
+        self.candidate.clear();
+    }
+
     /// Extends the validity of the lease to a later time.
     pub(super) fn extend(&mut self, until: Instant) {
         self.candidate.extend(until);
--- a/crates/cuminlb-gateway/src/leading/mod.rs
+++ b/crates/cuminlb-gateway/src/leading/mod.rs
@@ -15,6 +15,7 @@
 mod order_report;
 mod probe_instance;
 mod probe_report;
+mod probe_result;
 mod store_outage;
 mod suspicions;
 
--- a/crates/cuminlb-gateway/src/leading/order_report.rs
+++ b/crates/cuminlb-gateway/src/leading/order_report.rs
@@ -1,6 +1,6 @@
 //! The result of an order that the leader sent.
 
-use cuminlb_catalog::{GroupOrder, OrderResponse};
+use cuminlb_catalog::{GroupOrder, OrderOutcome, OrderResponse};
 use cuminlb_types::prelude::*;
 
 /// The result of an order of the leader.
@@ -15,3 +15,15 @@
     /// The response of the instance.
     pub(super) response: OrderResponse,
 }
+
+impl OrderReport {
+    /// Returns the result of an order that was not sent, because this node does not reach the instance.
+    pub(super) fn unreachable(service: ServiceId, instance: InstanceId, order: GroupOrder) -> Self {
+        Self {
+            service,
+            instance,
+            order,
+            response: OrderOutcome::Unreachable.into(),
+        }
+    }
+}
--- a/crates/cuminlb-gateway/src/leading/probe_report.rs
+++ b/crates/cuminlb-gateway/src/leading/probe_report.rs
@@ -1,8 +1,9 @@
 //! The result of probing an instance.
 
-use cuminlb_catalog::InstanceReport;
 use cuminlb_types::prelude::*;
 
+use super::probe_result::ProbeResult;
+
 /// The result of probing an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct ProbeReport {
@@ -10,6 +11,6 @@
     pub(super) service: ServiceId,
     /// The instance.
     pub(super) instance: InstanceId,
-    /// Its report, or `None` if it did not respond.
-    pub(super) report: Option<InstanceReport>,
+    /// What the probe has shown.
+    pub(super) result: ProbeResult,
 }
--- a/crates/cuminlb-gateway/src/lib.rs
+++ b/crates/cuminlb-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod gateway_error;
 mod knowledge;
 mod leading;
+mod links;
 mod metrics;
 mod run_gateway;
 mod serving;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/links/instance_link.rs
@@ -0,0 +1,119 @@
+//! The way by which one attempt reaches its instance.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cuminlb_peer::ForwardOrder;
+use cuminlb_routing::LinkRoute;
+use cuminlb_types::prelude::*;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::forwarded_link::ForwardedLink;
+use crate::gateway::Gateway;
+use crate::serving::Target;
+use crate::upstream::{Connection, ConnectionDeadline, SendFailure};
+
+/// The way by which one attempt reaches its instance.
+#[derive(Debug)]
+pub(crate) enum InstanceLink {
+    /// A connection to the instance.
+    Direct(Connection),
+    /// A connection to a node that forwards the request.
+    Forwarded(ForwardedLink),
+}
+
+impl InstanceLink {
+    /// Opens the way to an instance. If this node does not reach the instance but others may, the
+    /// request will be forwarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure`] if there is no way; nothing was sent.
+    pub(crate) async fn open(gateway: &Arc<Gateway>, target: &Target) -> Result<Self, SendFailure> {
+        match gateway.links.route(&target.instance) {
+            LinkRoute::Direct => {
+                let opened = gateway.connect_directly(target).await;
+                let Err(failure) = opened else {
+                    return opened.map(Self::Direct);
+                };
+                if let Some(link_failure) = failure.link_failure() {
+                    gateway.judge_instance(target.query(), link_failure).await;
+                }
+                if gateway.links.route(&target.instance) == LinkRoute::Direct {
+                    return Err(failure);
+                }
+            }
+            LinkRoute::OpenOrForwarded => {
+                if let Some(connection) = gateway.pool.take_idle(target.address) {
+                    return Ok(Self::Direct(connection));
+                }
+            }
+            LinkRoute::Forwarded => {}
+        }
+        let forwarded = ForwardedLink::open(gateway, target).await?;
+        Ok(Self::Forwarded(forwarded))
+    }
+
+    /// Returns whether no earlier response can arrive on the connection. A forwarding node checks for
+    /// itself that a response belongs to the request.
+    pub(crate) const fn is_first_exchange(&self) -> bool {
+        match self {
+            Self::Direct(connection) => connection.is_first_exchange(),
+            Self::Forwarded(_) => true,
+        }
+    }
+
+    /// Returns the node that forwards the request.
+    pub(crate) const fn forwarder(&self) -> Option<&NodeId> {
+        match self {
+            Self::Direct(_) => None,
+            Self::Forwarded(link) => Some(link.node()),
+        }
+    }
+
+    /// Sends a request and returns the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure`] if no response was received.
+    pub(crate) async fn send(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        order: &ForwardOrder,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        match self {
+            Self::Direct(connection) => connection.send(request).await,
+            Self::Forwarded(link) => link.send(gateway, order, request).await,
+        }
+    }
+
+    /// Records that something was received from an instance by this way.
+    pub(crate) fn record_contact(&self, gateway: &Gateway, id: &InstanceId, now: Instant) {
+        if let Self::Direct(_) = self {
+            gateway.links.record_contact(id, now);
+        }
+    }
+
+    /// Closes the connection after a deadline, unless the result is dropped before.
+    pub(crate) fn close_after(
+        &self,
+        deadline: impl Future<Output = ()> + Send + 'static,
+    ) -> ConnectionDeadline {
+        match self {
+            Self::Direct(connection) => connection.close_after(deadline),
+            Self::Forwarded(link) => link.connection().close_after(deadline),
+        }
+    }
+
+    /// Keeps the connection for other requests after its response has been read completely.
+    pub(crate) fn release(self, gateway: &Gateway, keep_alive_ms: Option<Millis>) {
+        match self {
+            Self::Direct(connection) => gateway.pool.release(connection, keep_alive_ms),
+            Self::Forwarded(link) => gateway.forwarders.release(link.into_connection(), None),
+        }
+    }
+}
--- a/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
+++ b/crates/cuminlb-gateway/src/metrics/gateway_metrics.rs
@@ -33,6 +33,20 @@
     pub(crate) connections: Counter,
     /// Connections to instances that could not be opened.
     pub(crate) connections_refused: Counter,
+    /// Connections opened to nodes that forward requests.
+    pub(crate) forwarder_connections: Counter,
+    /// Connections to nodes that forward requests which could not be opened.
+    pub(crate) forwarder_connections_refused: Counter,
+    /// Requests of this node that another node has forwarded.
+    pub(crate) forwarded: Counter,
+    /// Requests of other nodes that this node has forwarded.
+    pub(crate) forwarded_for_others: Counter,
+    /// Losses of the links to all instances.
+    pub(crate) link_losses: Counter,
+    /// Whether the links to all instances are lost.
+    pub(crate) links_lost: Gauge,
+    /// The instances that only other nodes reach.
+    pub(crate) unreached: Gauge,
     /// Orders sent to instances.
     pub(crate) orders: Counter,
     /// Calls to the store by table and outcome.
@@ -86,6 +100,13 @@
             quarantined_causes: Gauge::default(),
             connections: Counter::default(),
             connections_refused: Counter::default(),
+            forwarder_connections: Counter::default(),
+            forwarder_connections_refused: Counter::default(),
+            forwarded: Counter::default(),
+            forwarded_for_others: Counter::default(),
+            link_losses: Counter::default(),
+            links_lost: Gauge::default(),
+            unreached: Gauge::default(),
             orders: Counter::default(),
             store_calls: Family::default(),
             peer_fetches: Counter::default(),
@@ -146,6 +167,7 @@
             "Connections to instances that could not be opened",
             self.connections_refused.clone(),
         );
+        self.register_links(&mut registry);
         registry.register("orders", "Orders to instances", self.orders.clone());
         registry.register(
             "store_calls",
@@ -176,6 +198,50 @@
         );
         registry
     }
+
+    /// Registers what concerns the links of this node to instances.
+    fn register_links(&self, registry: &mut Registry) {
+        let counters = [
+            (
+                "forwarder_connections",
+                "Connections opened to nodes that forward requests",
+                &self.forwarder_connections,
+            ),
+            (
+                "forwarder_connections_refused",
+                "Connections to nodes that forward requests which could not be opened",
+                &self.forwarder_connections_refused,
+            ),
+            (
+                "forwarded",
+                "Requests of this node that another node has forwarded",
+                &self.forwarded,
+            ),
+            (
+                "forwarded_for_others",
+                "Requests of other nodes that this node has forwarded",
+                &self.forwarded_for_others,
+            ),
+            (
+                "link_losses",
+                "Losses of the links to all instances",
+                &self.link_losses,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        registry.register(
+            "links_lost",
+            "Whether the links to all instances are lost",
+            self.links_lost.clone(),
+        );
+        registry.register(
+            "unreached_instances",
+            "Instances that only other nodes reach",
+            self.unreached.clone(),
+        );
+    }
 }
 
 fn latency_histogram() -> Histogram {
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::knowledge::{RelayService, register_node};
 use crate::leading::{SharedLease, keep_lease, lead};
+use crate::links::{serve_forwarding, watch_links};
 use crate::metrics::serve_metrics;
 use crate::serving::{serve_callers, serve_ready, share_crashes, share_loads};
 use crate::{Edges, GatewayError};
@@ -48,6 +49,10 @@
     let ready_listener = bind(gateway.settings.ready).await?;
     let metrics_listener = bind(gateway.settings.metrics).await?;
     let peer_listener = bind(gateway.settings.peer).await?;
+    let forwarding_listener = match gateway.settings.forwarding {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
     info!(
         node:% = gateway.settings.id, zone:% = gateway.settings.zone,
         caller:% = gateway.settings.caller, store:% = gateway.settings.store;
@@ -78,6 +83,7 @@
         RelayService::new(Arc::clone(&gateway)),
         background_stop.clone(),
     ));
+    background.spawn(watch_links(Arc::clone(&gateway), background_stop.clone()));
     background.spawn(share_loads(Arc::clone(&gateway), background_stop.clone()));
     background.spawn(share_crashes(Arc::clone(&gateway), background_stop.clone()));
     background.spawn(clean_up(Arc::clone(&gateway), background_stop.clone()));
@@ -103,6 +109,15 @@
         drain_timeout,
     ));
 
+    if let Some(listener) = forwarding_listener {
+        caller_tasks.spawn(serve_forwarding(
+            Arc::clone(&gateway),
+            listener,
+            callers_stop.clone(),
+            drain_timeout,
+        ));
+    }
+
     stop.cancelled().await;
     info!("node stops");
     gateway.start_draining();
@@ -148,6 +163,7 @@
         let now = Instant::now();
         gateway.knowledge.remove_expired(now);
         gateway.pool.close_expired(now);
+        gateway.forwarders.close_expired(now);
         gateway.crash_board.remove_expired(now);
         gateway.retry_times.remove_expired(now);
         let directory = gateway.knowledge.directory();
--- a/crates/cuminlb-gateway/src/serving/attempt_failure.rs
+++ b/crates/cuminlb-gateway/src/serving/attempt_failure.rs
@@ -1,5 +1,6 @@
 //! The failure of one attempt to run a request on an instance.
 
+use cuminlb_routing::LinkFailure;
 use smol_str::SmolStr;
 
 use super::request_stage::RequestStage;
@@ -21,6 +22,8 @@
     NotConnected {
         /// The error of the attempt to connect.
         reason: SmolStr,
+        /// How the link failed.
+        failure: LinkFailure,
     },
     /// The connection was lost before the response began. The request may have run.
     #[error("unknown: {reason}")]
--- a/crates/cuminlb-gateway/src/serving/attempt_stage.rs
+++ b/crates/cuminlb-gateway/src/serving/attempt_stage.rs
@@ -9,15 +9,16 @@
 use super::attempt_failure::AttemptFailure;
 use super::response_body::ResponseBody;
 use super::stream_source::StreamSource;
-use crate::upstream::{Connection, SendFailure};
+use crate::links::InstanceLink;
+use crate::upstream::SendFailure;
 
 /// How far an attempt to get an event stream has come. Each stage holds what it waits for, so that it
 /// can be polled beside other attempts.
 pub(super) enum AttemptStage {
-    /// A connection is being opened.
-    Connecting(BoxFuture<'static, Result<Connection, SendFailure>>),
+    /// The way to the instance is being opened.
+    Connecting(BoxFuture<'static, Result<InstanceLink, SendFailure>>),
     /// The request was sent, and its response has not begun.
-    Waiting(BoxFuture<'static, (Connection, Result<Response<Incoming>, SendFailure>)>),
+    Waiting(BoxFuture<'static, (InstanceLink, Result<Response<Incoming>, SendFailure>)>),
     /// The response is no stream and is being read.
     ReadingResponse(BoxFuture<'static, Result<Response<ResponseBody>, AttemptFailure>>),
     /// The response is a stream of events.
--- a/crates/cuminlb-gateway/src/serving/check_instance.rs
+++ b/crates/cuminlb-gateway/src/serving/check_instance.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cuminlb_peer::{GroupHealth, SuspicionNotice};
-use cuminlb_routing::CrashRecord;
+use cuminlb_routing::{CrashRecord, InstanceVerdict, LinkFailure, LinkRoute};
 use log::info;
 use tokio::time::Instant;
 
@@ -45,35 +45,75 @@
         let target = target.clone();
         let guard = RunningCheckGuard::new(Arc::clone(self), key);
         self.background_tasks.spawn(async move {
-            let is_alive = gateway.is_alive(&target).await;
-            if let Some(check) = guard.finish().filter(|_| !is_alive) {
+            let is_lost = gateway.is_lost(&target).await;
+            if let Some(check) = guard.finish().filter(|_| is_lost) {
                 gateway.handle_crash(&target, check).await;
             }
         });
     }
 
-    /// Returns whether an instance accepts connections and, if it is the head of a group, still holds
-    /// its seat.
-    async fn is_alive(&self, target: &Target) -> bool {
+    /// Returns whether an instance accepts no connections or, if it is the head of a group, no longer
+    /// holds its seat, and no other node finds it as it should be.
+    async fn is_lost(self: &Arc<Self>, target: &Target) -> bool {
+        let failure = match self.links.route(&target.instance) {
+            LinkRoute::Direct => match self.try_own_link(target).await {
+                Ok(is_sound) => return !is_sound,
+                Err(failure) => failure,
+            },
+            LinkRoute::OpenOrForwarded | LinkRoute::Forwarded => LinkFailure::Refused,
+        };
+        let verdict = self.judge_instance(target.query(), failure).await;
+        verdict == InstanceVerdict::InstanceLost
+    }
+
+    /// Returns whether an instance that this node reaches accepts connections and, if it is the head of
+    /// a group, still holds its seat.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the link failed if this node does not reach the instance.
+    async fn try_own_link(&self, target: &Target) -> Result<bool, LinkFailure> {
         let Some((group, epoch)) = &target.group else {
-            return self.accepts_connections(target).await;
+            return self.accepts_connections(target).await.map(|()| true);
         };
         let directory = self.knowledge.directory();
         let Some(head) = directory.find_instance(&target.instance) else {
-            return false;
+            return Ok(false);
         };
-        let report = probe_member(self, head).await;
-        report.is_some_and(|report| holds_seat(&report, group, *epoch))
+        let report = probe_member(self, head).await?;
+        Ok(holds_seat(&report, group, *epoch))
     }
 
     /// Opens a connection, which later requests can use.
-    async fn accepts_connections(&self, target: &Target) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Returns how the link failed.
+    async fn accepts_connections(&self, target: &Target) -> Result<(), LinkFailure> {
         let connection = self.pool.connect_new(target.address).await;
-        let is_open = connection.is_ok();
-        if let Ok(connection) = connection {
-            self.pool.release(connection, None);
+        let connection = connection.map_err(|error| {
+            let failure = error.link_failure();
+            failure.unwrap_or(LinkFailure::Silent)
+        })?;
+        self.pool.release(connection, None);
+        self.record_opened(&target.instance);
+        Ok(())
+    }
+
+    /// Checks the link to an instance from which nothing was received for a request in time, unless
+    /// this was done just before.
+    pub(super) fn check_link(self: &Arc<Self>, target: &Target) {
+        let is_direct = self.links.route(&target.instance) == LinkRoute::Direct;
+        if !is_direct || !self.links.begin_check(&target.instance, Instant::now()) {
+            return;
         }
-        is_open
+        let gateway = Arc::clone(self);
+        let target = target.clone();
+        self.background_tasks.spawn(async move {
+            if let Err(failure) = gateway.try_own_link(&target).await {
+                gateway.judge_instance(target.query(), failure).await;
+            }
+        });
     }
 
     async fn handle_crash(&self, target: &Target, check: RunningCheck) {
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -149,6 +149,14 @@
             .then(|| (epoch, now + SUSPICION_PERIOD));
     }
 
+    /// Records that this node does not reach the instance, while others do. What waits for it is offered
+    /// to other instances, but new requests are forwarded to it.
+    pub(super) fn record_link_lost(&self, epoch: Epoch, now: Instant) {
+        let mut observations = self.observations();
+        observations.group_health = Some((epoch, GroupHealth::HeadLost, now));
+        observations.suspicion = None;
+    }
+
     /// Returns the result of a recent probe of the instance's group in an epoch.
     pub(super) fn group_health(&self, epoch: Epoch, now: Instant) -> Option<GroupHealth> {
         let (probed_epoch, group_health, at) = self.observations().group_health?;
--- a/crates/cuminlb-gateway/src/serving/plain_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempt.rs
@@ -20,5 +20,7 @@
     /// When its instance counts as silent; never if no other attempt may follow.
     pub(super) silent_at: Option<Instant>,
     pub(super) is_silent: bool,
+    /// When the link to its instance is checked, unless that was done.
+    pub(super) check_at: Option<Instant>,
     pub(super) exchange: BoxFuture<'a, PlainOutcome>,
 }
--- a/crates/cuminlb-gateway/src/serving/plain_attempts.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_attempts.rs
@@ -5,7 +5,7 @@
 
 use cuminlb_routing::{OpenAttempts, Unavailability};
 use cuminlb_types::prelude::*;
-use futures_util::future::select_all;
+use futures_util::future::{OptionFuture, select_all};
 use log::info;
 use smol_str::ToSmolStr;
 use tokio::time::{Instant, sleep_until};
@@ -21,6 +21,12 @@
 /// Fraction of the remaining time after which an attempt counts as silent if another may follow.
 const ATTEMPT_TIME_FRACTION: f64 = 0.45;
 
+/// The time without a response after which the link to an instance is checked, in target latencies.
+const LINK_CHECK_FACTOR: u32 = 2;
+
+/// The shortest time without a response after which the link to an instance is checked.
+const MIN_LINK_CHECK_DELAY: Duration = Duration::from_millis(250);
+
 /// Time reserved before the deadline for telling the caller that the request timed out.
 const TIMEOUT_RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
@@ -106,6 +112,8 @@
         let remaining = self.deadline().saturating_duration_since(now);
         let may_run_again = self.decisions.may_run_again();
         let silent_at = may_run_again.then(|| now + remaining.mul_f64(ATTEMPT_TIME_FRACTION));
+        let usual_time = self.request.route.target_latency_ms.duration();
+        let check_at = now + (usual_time * LINK_CHECK_FACTOR).max(MIN_LINK_CHECK_DELAY);
         let (gateway, request) = (self.gateway, self.request);
         let destination = target.clone();
         self.open.push(PlainAttempt {
@@ -113,6 +121,7 @@
             target,
             silent_at,
             is_silent: false,
+            check_at: Some(check_at),
             exchange: Box::pin(async move { plain_exchange(gateway, request, &destination).await }),
         });
     }
@@ -122,6 +131,7 @@
     pub(super) async fn next(&mut self) -> Option<PlainOutcome> {
         let waiting = self.open.iter().filter(|attempt| !attempt.is_silent);
         let silent_at = waiting.filter_map(|attempt| attempt.silent_at).min();
+        let check_at = self.open.iter().filter_map(|it| it.check_at).min();
         let deadline = &self.request.deadline;
         let expired = async move {
             match silent_at {
@@ -129,6 +139,7 @@
                 None => deadline.passed_but_for(TIMEOUT_RESPONSE_MARGIN).await,
             }
         };
+        let check_due = OptionFuture::from(check_at.map(sleep_until));
         let exchanges = self.open.iter_mut().map(|it| it.exchange.as_mut());
         tokio::select! {
             biased;
@@ -137,6 +148,10 @@
                 self.record_silence();
                 None
             }
+            Some(()) = check_due => {
+                self.check_links();
+                None
+            }
         }
     }
 
@@ -162,6 +177,20 @@
         outcome
     }
 
+    /// Checks the links to the instances that have not responded for a while.
+    fn check_links(&mut self) {
+        let now = Instant::now();
+        for attempt in &mut self.open {
+            if attempt
+                .check_at
+                .take_if(|check_at| *check_at <= now)
+                .is_some()
+            {
+                self.gateway.check_link(&attempt.target);
+            }
+        }
+    }
+
     fn record_silence(&mut self) {
         let now = Instant::now();
         for index in 0..self.open.len() {
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cuminlb_catalog::{Forwarding, ResponseHead};
+use cuminlb_peer::ForwardOrder;
 use cuminlb_routing::{ResponseOwner, request_urgency};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,10 +13,12 @@
 
 use super::admitted_request::AdmittedRequest;
 use super::attempt_failure::AttemptFailure;
+use super::in_flight_guard::InFlightGuard;
 use super::response_body::{ResponseBody, full_body};
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::upstream::{Connection, SendFailure};
+use crate::links::InstanceLink;
+use crate::upstream::SendFailure;
 
 /// Size limit of a plain response, which is buffered completely.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -28,23 +31,17 @@
 ) -> Result<(ResponseHead, Response<ResponseBody>), AttemptFailure> {
     let in_flight = gateway.loads.start_request(&target.instance);
     let wire = gateway.edges.wire.as_ref();
-    let mut connection = gateway
-        .pool
-        .connect(target.address)
-        .await
-        .map_err(|failure| {
-            in_flight.load().record_outcome(true);
-            from_send_failure(failure)
-        })?;
+    let opened = InstanceLink::open(gateway, target).await;
+    let mut link = opened.map_err(|failure| record_failure(&in_flight, failure))?;
     let outgoing = forwarded_request(gateway, request, target, request.head.resume_after);
-    let response = connection.send(outgoing).await.map_err(|failure| {
-        in_flight.load().record_outcome(true);
-        from_send_failure(failure)
-    })?;
+    let order = forward_order(request, target);
+    let sent = link.send(gateway, &order, outgoing).await;
+    let response = sent.map_err(|failure| record_failure(&in_flight, failure))?;
+    link.record_contact(gateway, &target.instance, Instant::now());
     let (parts, body) = response.into_parts();
     let head = wire.read_response(&parts);
     gateway.record_leaving(target, &head);
-    check_owner(request, &head, &connection)?;
+    check_owner(request, &head, &link)?;
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| {
         in_flight.load().record_outcome(true);
@@ -54,7 +51,7 @@
     })?;
     in_flight.record_progress(Instant::now());
     if !head.closes {
-        gateway.pool.release(connection, head.keep_alive_ms);
+        link.release(gateway, head.keep_alive_ms);
     }
     if let Some(delay_ms) = head.refusal_delay() {
         gateway
@@ -86,9 +83,9 @@
 pub(super) fn check_owner(
     request: &AdmittedRequest,
     head: &ResponseHead,
-    connection: &Connection,
+    link: &InstanceLink,
 ) -> Result<(), AttemptFailure> {
-    let is_first_exchange = connection.is_first_exchange();
+    let is_first_exchange = link.is_first_exchange();
     let named = head.request.as_ref();
     match ResponseOwner::new(named, &request.head.id, is_first_exchange) {
         ResponseOwner::Request => Ok(()),
@@ -119,12 +116,32 @@
     Request::from_parts(parts, Full::new(request.body.clone()))
 }
 
+/// Returns what a node that forwards a request is told about it.
+pub(super) fn forward_order(request: &AdmittedRequest, target: &Target) -> ForwardOrder {
+    ForwardOrder {
+        instance: target.instance.clone(),
+        incarnation: target.incarnation,
+        request: request.head.id.clone(),
+        remaining_ms: request.remaining_ms(Instant::now()),
+    }
+}
+
+/// Records a failed send, which counts against the instance unless no node reaches any.
+fn record_failure(in_flight: &InFlightGuard, failure: SendFailure) -> AttemptFailure {
+    if failure != SendFailure::NoForwarder {
+        in_flight.load().record_outcome(true);
+    }
+    from_send_failure(failure)
+}
+
 /// Converts a failed send into the failure of an attempt, by whether the request may have run.
 pub(super) fn from_send_failure(failure: SendFailure) -> AttemptFailure {
     match failure {
-        SendFailure::NotConnected { reason } => AttemptFailure::NotConnected { reason },
-        SendFailure::NotSent { reason } => AttemptFailure::NotRun {
-            reason,
+        SendFailure::NotConnected { reason, failure } => {
+            AttemptFailure::NotConnected { reason, failure }
+        }
+        SendFailure::NoForwarder | SendFailure::NotSent { .. } => AttemptFailure::NotRun {
+            reason: failure.to_smolstr(),
             has_reached_instance: false,
         },
         SendFailure::NoResponse { .. } => AttemptFailure::ConnectionLost {
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -35,6 +35,9 @@
         // A failed response is kept while an instance that is silent may still respond.
         if attempts.is_empty() {
             let wait_until = request.useful_wait_until();
+            if !gateway.has_way_to_instances() {
+                break;
+            }
             let decision = attempts.unavailability().decide(wait_until);
             let WaitDecision::WaitUntil(until) = decision else {
                 break;
--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -15,7 +15,7 @@
 use super::attempt_stage::AttemptStage;
 use super::attempt_update::AttemptUpdate;
 use super::in_flight_guard::InFlightGuard;
-use super::plain_exchange::{forwarded_request, from_send_failure};
+use super::plain_exchange::{forward_order, forwarded_request, from_send_failure};
 use super::silence::Silence;
 use super::silence_watch::SilenceWatch;
 use super::stream_head::{StreamHead, read_head};
@@ -23,7 +23,7 @@
 use super::stream_source::StreamSource;
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::upstream::Connection;
+use crate::links::InstanceLink;
 
 /// How often an attempt that receives nothing checks the silence of its instance.
 const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(30);
@@ -69,14 +69,14 @@
         let in_flight = gateway.loads.start_request(&target.instance);
         let now = Instant::now();
         let connecting = Arc::clone(gateway);
-        let address = target.address;
+        let destination = target.clone();
         Self {
             number,
             target,
             resume_after,
             started_at: now,
             stage: AttemptStage::Connecting(Box::pin(async move {
-                connecting.pool.connect(address).await
+                InstanceLink::open(&connecting, &destination).await
             })),
             in_flight,
             last_seen_at: now,
@@ -157,19 +157,20 @@
     ) -> Result<Option<AttemptUpdate>, AttemptFailure> {
         match &mut self.stage {
             AttemptStage::Connecting(connection) => {
-                let connection = connection.await.map_err(from_send_failure)?;
-                self.send(gateway, request, connection);
+                let link = connection.await.map_err(from_send_failure)?;
+                self.send(gateway, request, link);
                 Ok(None)
             }
             AttemptStage::Waiting(response) => {
-                let (connection, response) = response.await;
+                let (link, response) = response.await;
                 let response = response.map_err(from_send_failure)?;
+                link.record_contact(gateway, &self.target.instance, Instant::now());
                 let head = read_head(
                     gateway,
                     request,
                     &self.target,
                     &self.in_flight,
-                    connection,
+                    link,
                     response,
                 )?;
                 Ok(self.continue_after(head))
@@ -183,6 +184,10 @@
                 if update.is_none() {
                     self.last_seen_at = Instant::now();
                     self.in_flight.record_progress(self.last_seen_at);
+                    let instance = &self.target.instance;
+                    source
+                        .link
+                        .record_contact(gateway, instance, self.last_seen_at);
                 }
                 Ok(update)
             }
@@ -213,12 +218,14 @@
         None
     }
 
-    fn send(&mut self, gateway: &Gateway, request: &AdmittedRequest, mut connection: Connection) {
+    fn send(&mut self, gateway: &Arc<Gateway>, request: &AdmittedRequest, mut link: InstanceLink) {
         let outgoing = forwarded_request(gateway, request, &self.target, self.resume_after);
+        let order = forward_order(request, &self.target);
+        let sending = Arc::clone(gateway);
         self.last_seen_at = Instant::now();
         self.stage = AttemptStage::Waiting(Box::pin(async move {
-            let response = connection.send(outgoing).await;
-            (connection, response)
+            let response = link.send(&sending, &order, outgoing).await;
+            (link, response)
         }));
     }
 
@@ -259,6 +266,9 @@
             Silence::Normal => None,
             Silence::Suspicious => {
                 gateway.suspect(request, &self.target, self.last_seen_at);
+                if let Some(node) = self.source().and_then(|it| it.link.forwarder()) {
+                    gateway.check_forwarder(node);
+                }
                 None
             }
             Silence::TooLong => Some(AttemptUpdate::Silent),
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -18,7 +18,8 @@
 use super::stream_source::StreamSource;
 use super::target::Target;
 use crate::gateway::Gateway;
-use crate::upstream::{Connection, ConnectionDeadline};
+use crate::links::InstanceLink;
+use crate::upstream::ConnectionDeadline;
 
 /// Size limit of a response that is buffered because it is not the requested stream.
 const MAX_NON_STREAM_BYTES: usize = 1 << 20;
@@ -42,14 +43,14 @@
     request: &AdmittedRequest,
     target: &Target,
     in_flight: &InFlightGuard,
-    connection: Connection,
+    link: InstanceLink,
     response: Response<Incoming>,
 ) -> Result<StreamHead, AttemptFailure> {
     let (parts, body) = response.into_parts();
     let wire = gateway.edges.wire.as_ref();
     let head = wire.read_response(&parts);
     gateway.record_leaving(target, &head);
-    check_owner(request, &head, &connection)?;
+    check_owner(request, &head, &link)?;
     let now = Instant::now();
     if let Some(delay_ms) = head.refusal_delay() {
         gateway.retry_times.record(&target.instance, delay_ms, now);
@@ -76,8 +77,8 @@
             parts: Some(Box::new(parts)),
             head,
             body,
-            deadline: close_at_deadline(&connection, request),
-            connection,
+            deadline: close_at_deadline(&link, request),
+            link,
             decoder: EventDecoder::default(),
             event_count: 0,
             has_ended: false,
@@ -87,15 +88,15 @@
     Ok(StreamHead::Other(Box::pin(async move {
         let response = read_rest(body, parts, headers).await;
         // The rest is read through the connection.
-        drop(connection);
+        drop(link);
         response
     })))
 }
 
 /// Closes a connection at the deadline of a request, unless the result is dropped before.
-fn close_at_deadline(connection: &Connection, request: &AdmittedRequest) -> ConnectionDeadline {
+fn close_at_deadline(link: &InstanceLink, request: &AdmittedRequest) -> ConnectionDeadline {
     let deadline = request.deadline.clone();
-    connection.close_after(async move { deadline.passed().await })
+    link.close_after(async move { deadline.passed().await })
 }
 
 async fn read_rest(
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -10,7 +10,8 @@
 use super::attempt_update::AttemptUpdate;
 use super::request_stage::RequestStage;
 use crate::gateway::Gateway;
-use crate::upstream::{Connection, ConnectionDeadline};
+use crate::links::InstanceLink;
+use crate::upstream::ConnectionDeadline;
 
 /// The number of events from which on a crash of the instance is not attributed to the stream.
 pub(super) const RESPONDING_EVENTS: u64 = 2;
@@ -22,7 +23,7 @@
     pub(super) parts: Option<Box<response::Parts>>,
     pub(super) head: ResponseHead,
     pub(super) body: Incoming,
-    pub(super) connection: Connection,
+    pub(super) link: InstanceLink,
     /// Ends the stream at the deadline of the request, even if the caller does not read.
     pub(super) deadline: ConnectionDeadline,
     pub(super) decoder: EventDecoder,
@@ -75,9 +76,7 @@
     pub(super) fn release_connection(self, gateway: &Gateway) {
         drop(self.deadline);
         if self.has_ended && !self.head.closes {
-            gateway
-                .pool
-                .release(self.connection, self.head.keep_alive_ms);
+            self.link.release(gateway, self.head.keep_alive_ms);
         }
     }
 }
--- a/crates/cuminlb-gateway/src/serving/suspect.rs
+++ b/crates/cuminlb-gateway/src/serving/suspect.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminlb_peer::{GroupHealth, SuspicionNotice};
+use cuminlb_peer::{GroupHealth, InstanceCheck, InstanceQuery, SuspicionNotice};
 use cuminlb_replica::{RelayLane, RowOrigin};
+use cuminlb_routing::LinkRoute;
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::time::{Instant, timeout};
@@ -54,8 +55,14 @@
         );
         let gateway = Arc::clone(self);
         self.background_tasks.spawn(async move {
+            let head = notice.head.clone();
             let health = check_group(&gateway, notice).await;
-            load.record_group_health(epoch, health, Instant::now());
+            let now = Instant::now();
+            if gateway.links.route(&head) == LinkRoute::Forwarded && !health.is_lost() {
+                load.record_link_lost(epoch, now);
+            } else {
+                load.record_group_health(epoch, health, now);
+            }
         });
     }
 
@@ -89,7 +96,10 @@
         let checked = timeout(RELAY_CHECK_TIMEOUT, link.check_group(notice.clone())).await;
         match checked {
             Ok(Ok(health)) if health != GroupHealth::Intact => return health,
-            Ok(Ok(_)) => return check_own_path(gateway, &directory, &notice).await,
+            Ok(Ok(health)) => {
+                check_own_link(gateway, &directory, &notice).await;
+                return health;
+            }
             Ok(Err(error)) => warn!(node:% = relay; "failed to have a group checked: {error}"),
             Err(_elapsed) => warn!(node:% = relay; "the check of a group took too long"),
         }
@@ -98,16 +108,21 @@
 }
 
 /// Checks whether this node reaches the head of a group that is intact to others.
-async fn check_own_path(
-    gateway: &Gateway,
-    directory: &Directory,
-    notice: &SuspicionNotice,
-) -> GroupHealth {
+async fn check_own_link(gateway: &Arc<Gateway>, directory: &Directory, notice: &SuspicionNotice) {
+    if gateway.links.route(&notice.head) != LinkRoute::Direct {
+        return;
+    }
     let Some(head) = directory.find_instance(&notice.head) else {
-        return GroupHealth::HeadLost;
+        return;
     };
-    match probe_member(gateway, head).await {
-        Some(_) => GroupHealth::Intact,
-        None => GroupHealth::HeadLost,
+    if let Err(failure) = probe_member(gateway, head).await {
+        let query = InstanceQuery {
+            instance: notice.head.clone(),
+            check: InstanceCheck::HoldsSeat {
+                group: notice.group.clone(),
+                epoch: notice.epoch,
+            },
+        };
+        gateway.judge_instance(query, failure).await;
     }
 }
--- a/crates/cuminlb-gateway/src/serving/target.rs
+++ b/crates/cuminlb-gateway/src/serving/target.rs
@@ -2,22 +2,36 @@
 
 use std::net::SocketAddr;
 
+use cuminlb_peer::{InstanceCheck, InstanceQuery};
 use cuminlb_types::prelude::*;
 
 /// The instance that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Target {
+pub(crate) struct Target {
     /// The instance.
-    pub(super) instance: InstanceId,
+    pub(crate) instance: InstanceId,
     /// The incarnation of its process.
-    pub(super) incarnation: Incarnation,
+    pub(crate) incarnation: Incarnation,
     /// The address that it listens on.
-    pub(super) address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// The group of which it is the head, and the epoch of the group.
-    pub(super) group: Option<(GroupId, Epoch)>,
+    pub(crate) group: Option<(GroupId, Epoch)>,
 }
 
 impl Target {
+    /// Returns the question whether another node reaches the instance.
+    pub(crate) fn query(&self) -> InstanceQuery {
+        InstanceQuery {
+            instance: self.instance.clone(),
+            check: self
+                .group
+                .clone()
+                .map_or(InstanceCheck::Accepts, |(group, epoch)| {
+                    InstanceCheck::HoldsSeat { group, epoch }
+                }),
+        }
+    }
+
     /// Returns the epoch of its group; zero if it serves without a group.
     pub(super) fn epoch(&self) -> Epoch {
         let group = self.group.as_ref();
--- a/crates/cuminlb-gateway/src/serving/wait_for_target.rs
+++ b/crates/cuminlb-gateway/src/serving/wait_for_target.rs
@@ -25,6 +25,9 @@
     let until = until.min(request.deadline.latest());
     let mut changes = gateway.knowledge.directory_changes();
     loop {
+        if !gateway.has_way_to_instances() {
+            return Err(Unavailability::default());
+        }
         let unavailability = match select_target(gateway, request, decisions) {
             Ok(target) => return Ok(target),
             Err(unavailability) => unavailability,
--- a/crates/cuminlb-gateway/src/upstream/connection_pool.rs
+++ b/crates/cuminlb-gateway/src/upstream/connection_pool.rs
@@ -1,10 +1,12 @@
-//! The pool of idle connections to instances.
+//! The pool of idle connections to instances, or to the nodes that forward requests to them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use cuminlb_peer::PeerToken;
+use cuminlb_routing::LinkFailure;
 use cuminlb_types::prelude::*;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -26,9 +28,11 @@
 /// Fraction of the instance's keep-alive time that is used, because its timer started earlier.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
-/// Keeps idle connections to instances.
+/// Keeps idle connections to instances, or to the nodes that forward requests to them.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
+    /// What authenticates this node to other nodes, if the connections lead to those.
+    token: Option<PeerToken>,
     tasks: TaskTracker,
     opened: Counter,
     refused: Counter,
@@ -46,6 +50,7 @@
     /// `refused`.
     pub(crate) fn new(tasks: TaskTracker, opened: Counter, refused: Counter) -> Self {
         Self {
+            token: None,
             tasks,
             opened,
             refused,
@@ -53,6 +58,12 @@
         }
     }
 
+    /// Makes the pool one of connections to other nodes, which are opened with a token.
+    pub(crate) fn with_token(mut self, token: PeerToken) -> Self {
+        self.token = Some(token);
+        self
+    }
+
     /// Returns an idle connection, or opens a new one.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
         match self.take_idle(address) {
@@ -64,11 +75,13 @@
     /// Opens a new connection, which shows that an instance accepts some.
     pub(crate) async fn connect_new(&self, address: SocketAddr) -> Result<Connection, SendFailure> {
         let opened = timeout(CONNECT_TIMEOUT, self.open(address)).await;
-        let opened = opened.unwrap_or_else(|_elapsed| Err("timed out while connecting".into()));
-        opened.map_err(|reason| {
-            self.refused.inc();
-            SendFailure::NotConnected { reason }
-        })
+        let (reason, failure) = match opened {
+            Ok(Ok(connection)) => return Ok(connection),
+            Ok(Err(reason)) => (reason, LinkFailure::Refused),
+            Err(_elapsed) => ("timed out while connecting".into(), LinkFailure::Silent),
+        };
+        self.refused.inc();
+        Err(SendFailure::NotConnected { reason, failure })
     }
 
     /// Returns a connection to the pool after its response has been read completely.
@@ -101,7 +114,8 @@
         idle.remove(&address);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Returns an idle connection.
+    pub(crate) fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
@@ -113,12 +127,16 @@
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, SmolStr> {
-        let stream = TcpStream::connect(address)
+        let mut stream = TcpStream::connect(address)
             .await
             .map_err(|error| error.to_smolstr())?;
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_smolstr())?;
+        if let Some(token) = &self.token {
+            let verified = token.client_handshake(&mut stream).await;
+            verified.map_err(|error| error.to_smolstr())?;
+        }
         let (mut sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_smolstr())?;
--- a/crates/cuminlb-peer/src/handshake.rs
+++ b/crates/cuminlb-peer/src/handshake.rs
@@ -32,7 +32,7 @@
     ///
     /// Returns [`PeerError::HandshakeFailed`] if the server's token is wrong, or the exchange fails
     /// or times out.
-    pub(crate) async fn client_handshake(&self, stream: &mut TcpStream) -> Result<(), PeerError> {
+    pub async fn client_handshake(&self, stream: &mut TcpStream) -> Result<(), PeerError> {
         with_timeout(async {
             self.send(stream).await?;
             self.verify(stream).await
@@ -46,7 +46,7 @@
     ///
     /// Returns [`PeerError::HandshakeFailed`] if the client's token is wrong, or the exchange fails
     /// or times out.
-    pub(crate) async fn server_handshake(&self, stream: &mut TcpStream) -> Result<(), PeerError> {
+    pub async fn server_handshake(&self, stream: &mut TcpStream) -> Result<(), PeerError> {
         with_timeout(async {
             self.verify(stream).await?;
             self.send(stream).await
--- a/crates/cuminlb-peer/src/lib.rs
+++ b/crates/cuminlb-peer/src/lib.rs
@@ -4,10 +4,12 @@
 //! after a failure. [`serve_peers`] is the server side: it runs one task for each connection and
 //! passes each call to a [`PeerHandler`]. [`RelayLink`], [`serve_relay`] and [`RelayHandler`] are
 //! the counterparts for nodes that follow a platform's store. Both sides present the peer token
-//! before the first call.
+//! before the first call. [`ForwardOrder`] and [`ForwardOutcome`] accompany requests that one node
+//! forwards to an instance for another.
 
 mod accept_peers;
 mod call_counts;
+mod forwarding;
 mod handshake;
 mod message;
 mod peer_api;
@@ -23,12 +25,14 @@
 mod transport;
 
 pub use crate::call_counts::CallCounts;
+pub use crate::forwarding::{ForwardHeaderError, ForwardOrder, ForwardOutcome};
 pub use crate::handshake::PeerToken;
 pub use crate::message::{
     ChunkId, ChunkList, ChunkRef, ChunkRequest, ConfigDocument, EventsQuery, GroupHealth,
-    LoadReport, LoadScope, PeerStatus, RelayedRow, RelayedTable, RelayedUpdate, RelayedValue,
-    ReleasedSlot, RenewalResponse, RenewedGroup, SlotGrant, SlotRelease, SlotRenewal, SlotRequest,
-    SlotResponse, StoreContact, SuspicionNotice, TableCursors, TableNotice, ValueChunk,
+    InstanceCheck, InstanceQuery, LoadReport, LoadScope, PeerStatus, RelayedRow, RelayedTable,
+    RelayedUpdate, RelayedValue, ReleasedSlot, RenewalResponse, RenewedGroup, SlotGrant,
+    SlotRelease, SlotRenewal, SlotRequest, SlotResponse, StoreContact, SuspicionNotice,
+    TableCursors, TableNotice, ValueChunk,
 };
 pub use crate::peer_api::{PeerApi, PeerApiClient};
 pub use crate::peer_error::PeerError;
--- a/crates/cuminlb-peer/src/relay_api.rs
+++ b/crates/cuminlb-peer/src/relay_api.rs
@@ -2,11 +2,12 @@
 //!
 //! The order of its methods and of their parameters is part of the wire format.
 
-use cuminlb_routing::{CrashReport, InFlightCount};
+use cuminlb_routing::{CrashReport, InFlightCount, SecondOpinion};
 use cuminlb_types::prelude::*;
 
 use crate::message::{
-    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+    ChunkRequest, GroupHealth, InstanceQuery, LoadReport, RelayedUpdate, SuspicionNotice,
+    TableCursors, ValueChunk,
 };
 
 /// The calls between nodes that follow a platform's store.
@@ -32,4 +33,7 @@
 
     /// Reports crashes and returns those that the called node knows of.
     async fn exchange_crashes(report: CrashReport) -> CrashReport;
+
+    /// Checks whether the called node reaches an instance that the caller does not reach.
+    async fn examine_instance(query: InstanceQuery) -> SecondOpinion;
 }
--- a/crates/cuminlb-peer/src/relay_handler.rs
+++ b/crates/cuminlb-peer/src/relay_handler.rs
@@ -1,10 +1,11 @@
 //! The interface between the relay server and the node that handles its calls.
 
-use cuminlb_routing::{CrashReport, InFlightCount};
+use cuminlb_routing::{CrashReport, InFlightCount, SecondOpinion};
 use cuminlb_types::prelude::*;
 
 use crate::message::{
-    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+    ChunkRequest, GroupHealth, InstanceQuery, LoadReport, RelayedUpdate, SuspicionNotice,
+    TableCursors, ValueChunk,
 };
 
 /// Handles the calls of `RelayApi`.
@@ -30,4 +31,7 @@
 
     /// Records reported crashes and returns those that this node knows of.
     fn exchange_crashes(&self, report: &CrashReport) -> CrashReport;
+
+    /// Checks whether this node reaches an instance that a peer does not reach.
+    fn examine_instance(&self, query: InstanceQuery) -> impl Future<Output = SecondOpinion> + Send;
 }
--- a/crates/cuminlb-peer/src/relay_link.rs
+++ b/crates/cuminlb-peer/src/relay_link.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
-use cuminlb_routing::{CrashReport, InFlightCount};
+use cuminlb_routing::{CrashReport, InFlightCount, SecondOpinion};
 use cuminlb_types::prelude::*;
 use smol_str::{SmolStr, ToSmolStr};
 use tarpc::client::RpcError;
@@ -13,7 +13,8 @@
 use tokio::sync::Mutex;
 
 use crate::message::{
-    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+    ChunkRequest, GroupHealth, InstanceQuery, LoadReport, RelayedUpdate, SuspicionNotice,
+    TableCursors, ValueChunk,
 };
 use crate::relay_api::RelayApiClient;
 use crate::transport::tarpc_transport;
@@ -110,6 +111,19 @@
         .await
     }
 
+    /// Asks the peer whether it reaches an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no response was received.
+    pub async fn examine_instance(&self, query: InstanceQuery) -> Result<SecondOpinion, PeerError> {
+        let call_timeout_ms = self.timeout_ms;
+        self.call(call_timeout_ms, async |client, context| {
+            client.examine_instance(context, query).await
+        })
+        .await
+    }
+
     /// Runs one call. If the link has to connect first, that has a timeout of its own, the one given
     /// to [`Self::new`], which is not part of `call_timeout_ms`.
     async fn call<T>(
--- a/crates/cuminlb-peer/src/relay_server.rs
+++ b/crates/cuminlb-peer/src/relay_server.rs
@@ -1,6 +1,6 @@
 //! The server side of the calls between nodes that follow a platform's store.
 
-use cuminlb_routing::{CrashReport, InFlightCount};
+use cuminlb_routing::{CrashReport, InFlightCount, SecondOpinion};
 use cuminlb_types::prelude::*;
 use futures_util::StreamExt;
 use tarpc::context::Context;
@@ -10,7 +10,8 @@
 
 use crate::accept_peers::accept_peers;
 use crate::message::{
-    ChunkRequest, GroupHealth, LoadReport, RelayedUpdate, SuspicionNotice, TableCursors, ValueChunk,
+    ChunkRequest, GroupHealth, InstanceQuery, LoadReport, RelayedUpdate, SuspicionNotice,
+    TableCursors, ValueChunk,
 };
 use crate::relay_api::RelayApi;
 use crate::transport::tarpc_transport;
@@ -74,4 +75,8 @@
     async fn exchange_crashes(self, _: Context, report: CrashReport) -> CrashReport {
         self.handler.exchange_crashes(&report)
     }
+
+    async fn examine_instance(self, _: Context, query: InstanceQuery) -> SecondOpinion {
+        self.handler.examine_instance(query).await
+    }
 }
--- a/crates/cuminlb-replica/src/node_row.rs
+++ b/crates/cuminlb-replica/src/node_row.rs
@@ -16,6 +16,9 @@
 pub struct NodeRow {
     /// The address that the other nodes connect to.
     pub peer: SocketAddr,
+    /// The address on which it forwards requests of other nodes, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forwarding: Option<SocketAddr>,
     /// The availability zone.
     pub zone: ZoneId,
     /// The capacity of the machine.
--- a/crates/cuminlb-replica/tests/records/restored_orders.rs
+++ b/crates/cuminlb-replica/tests/records/restored_orders.rs
@@ -27,6 +27,7 @@
     NodeRow {
         peer: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: zone("za"),
+        forwarding: None,
         capacity: NodeCapacity::default(),
     }
 }
--- a/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
+++ b/crates/cuminlb-replica/tests/replica/simulated_fleet.rs
@@ -252,6 +252,7 @@
     let zone = ZONES[number % ZONES.len()];
     NodeRow {
         peer: "127.0.0.1:1".parse().unwrap(),
+        forwarding: None,
         zone: zone.parse().unwrap(),
         capacity: NodeCapacity {
             link_mbps: if number < fast { FAST_LINK } else { SLOW_LINK },
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection_limits;
 mod connection_phase;
 mod crashes;
+mod links;
 mod quarantine;
 mod refusal;
 mod response_owner;
@@ -41,6 +42,10 @@
     CauseReport, CrashBoard, CrashCandidates, CrashCause, CrashRecord, CrashReport, CrashVerdict,
     ProbeSchedule, QuarantinedCause, ReportedCrash, attribute_crashes,
 };
+pub use crate::links::{
+    ForwarderBoard, ForwarderCandidate, ForwarderOutcome, InstanceVerdict, LeadFitness, LinkBoard,
+    LinkChange, LinkFailure, LinkRoute, SecondOpinion,
+};
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
