--- a/crates/cuminlb-gateway/src/links/forwarded_body.rs
+++ b/crates/cuminlb-gateway/src/links/forwarded_body.rs
@@ -31,6 +31,8 @@
     connection: Connection,
     /// How long the connection can be kept afterwards; `None` if the instance closes it.
     keep_alive_ms: Option<Option<Millis>>,
+    /// Whether the body has been read as a whole.
+    has_ended: bool,
 }
 
 impl ForwardedBody {
@@ -53,6 +55,7 @@
             body,
             connection,
             keep_alive_ms: (!head.closes).then_some(head.keep_alive_ms),
+            has_ended: false,
         };
         Self {
             source: Some(source),
@@ -77,7 +80,7 @@
             return;
         };
         if let Some(keep_alive_ms) = source.keep_alive_ms
-            && source.body.is_end_stream()
+            && (source.has_ended || source.body.is_end_stream())
         {
             let pool = &source.gateway.pool;
             pool.release(source.connection, keep_alive_ms);
@@ -102,7 +105,10 @@
                 let links = &source.gateway.links;
                 links.record_contact(&source.instance, Instant::now());
             }
-            Poll::Ready(None) => self.finish(),
+            Poll::Ready(None) => {
+                source.has_ended = true;
+                self.finish();
+            }
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
         polled
--- a/crates/cuminlb-gateway/src/links/report_links.rs
+++ b/crates/cuminlb-gateway/src/links/report_links.rs
@@ -28,6 +28,13 @@
         self.report(change, instance);
     }
 
+    /// Records that a check has found the link to an instance down.
+    pub(super) fn record_check_failed(&self, instance: &InstanceId) {
+        let now = Instant::now();
+        let change = self.links.record_check_failed(instance, now);
+        self.report(change, instance);
+    }
+
     fn report(&self, change: LinkChange, instance: &InstanceId) {
         match change {
             LinkChange::None => {}
--- a/crates/cuminlb-gateway/src/links/watch_links.rs
+++ b/crates/cuminlb-gateway/src/links/watch_links.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::Gateway;
@@ -41,6 +41,6 @@
             gateway.pool.release(connection, None);
             gateway.record_opened(&id);
         }
-        Err(_) => gateway.links.record_check_failed(&id, Instant::now()),
+        Err(_) => gateway.record_check_failed(&id),
     }
 }
--- a/crates/cuminlb-routing/src/links/link_board.rs
+++ b/crates/cuminlb-routing/src/links/link_board.rs
@@ -130,15 +130,7 @@
             outage.failure = failure;
         }
         outage.checked_at = now;
-        links.reached.clear();
-        let has_contact = links
-            .contact_at
-            .is_some_and(|at| now.duration_since(at) < CONTACT_TIMEOUT);
-        if links.lost_since.is_some() || has_contact || links.outages.len() < MIN_OUTAGES {
-            return LinkChange::None;
-        }
-        links.lost_since = Some(now);
-        LinkChange::Lost
+        links.record_failure(now)
     }
 
     /// Returns whether the link to an instance that may be down should be checked now, which it is not
@@ -162,12 +154,13 @@
     }
 
     /// Records that a check has found the link to an instance down.
-    pub fn record_check_failed(&self, id: &InstanceId, now: Instant) {
+    pub fn record_check_failed(&self, id: &InstanceId, now: Instant) -> LinkChange {
         let mut links = self.links();
-        links.reached.clear();
-        if let Some(outage) = links.outages.get_mut(id) {
-            outage.checked_at = now;
-        }
+        let Some(outage) = links.outages.get_mut(id) else {
+            return LinkChange::None;
+        };
+        outage.checked_at = now;
+        links.record_failure(now)
     }
 
     /// Removes the instances that no longer exist. If none is left, the links count as usable.
@@ -185,6 +178,19 @@
 }
 
 impl Links {
+    /// Records that an instance was not reached, and decides whether any is.
+    fn record_failure(&mut self, now: Instant) -> LinkChange {
+        self.reached.clear();
+        let has_contact = self
+            .contact_at
+            .is_some_and(|at| now.duration_since(at) < CONTACT_TIMEOUT);
+        if self.lost_since.is_some() || has_contact || self.outages.len() < MIN_OUTAGES {
+            return LinkChange::None;
+        }
+        self.lost_since = Some(now);
+        LinkChange::Lost
+    }
+
     /// Returns how the links fail if all do: open connections are usable only if none was silent.
     fn failure_of_all(&self) -> LinkFailure {
         let has_silent = |outage: &LinkOutage| outage.failure == LinkFailure::Silent;
