--- a/crates/cuminlb-assembly/src/probe_series.rs
+++ b/crates/cuminlb-assembly/src/probe_series.rs
@@ -39,7 +39,7 @@
     pub fn record(&mut self, response: &ProbeResponse, now: Instant) -> ProbeVerdict {
         match response {
             ProbeResponse::Report(_) => ProbeVerdict::Responding,
-            ProbeResponse::Failed => {
+            ProbeResponse::NoReport | ProbeResponse::Failed => {
                 self.failures += 1;
                 if self.failures >= self.max_failures {
                     ProbeVerdict::Lost
--- a/crates/cuminlb-catalog/src/probe_response.rs
+++ b/crates/cuminlb-catalog/src/probe_response.rs
@@ -7,8 +7,9 @@
 pub enum ProbeResponse {
     /// The instance has reported its state.
     Report(InstanceReport),
-    /// The connection was refused or broke, or the response was no report, so that no report can be
-    /// expected from this process.
+    /// The process at the address has responded, but not with a report.
+    NoReport,
+    /// The connection was refused or broke.
     Failed,
     /// Nothing arrived in time. The process may have stopped for a moment, or may be unreachable.
     Silent,
@@ -19,7 +20,7 @@
     pub fn into_report(self) -> Option<InstanceReport> {
         match self {
             Self::Report(report) => Some(report),
-            Self::Failed | Self::Silent => None,
+            Self::NoReport | Self::Failed | Self::Silent => None,
         }
     }
 }
--- a/crates/cuminlb-gateway/src/leading/probe_instance.rs
+++ b/crates/cuminlb-gateway/src/leading/probe_instance.rs
@@ -37,12 +37,12 @@
             gateway.record_report(entry, &report);
             return ProbeResult::Responding(report);
         }
-        ProbeResponse::Failed => LinkFailure::Refused,
+        ProbeResponse::NoReport | ProbeResponse::Failed => LinkFailure::Refused,
         ProbeResponse::Silent => LinkFailure::Silent,
     };
     let query = InstanceQuery {
         instance: entry.id.clone(),
-        check: InstanceCheck::Responds,
+        check: InstanceCheck::Reports,
     };
     match gateway.judge_instance(query, failure).await {
         InstanceVerdict::InstanceLost => ProbeResult::Lost,
--- a/crates/cuminlb-gateway/src/links/examine_instance.rs
+++ b/crates/cuminlb-gateway/src/links/examine_instance.rs
@@ -31,7 +31,8 @@
                 Ok(_) => return SecondOpinion::Lost,
                 Err(_) => false,
             },
-            InstanceCheck::Responds => probe_member(self, entry).await.is_ok(),
+            InstanceCheck::Reports => probe_member(self, entry).await.is_ok(),
+            InstanceCheck::Responds => self.probe_link(entry).await.is_ok(),
             InstanceCheck::Accepts => {
                 match timeout(CONNECT_TIMEOUT, self.pool.connect_new(entry.address)).await {
                     Ok(Ok(connection)) => {
--- a/crates/cuminlb-gateway/src/links/mod.rs
+++ b/crates/cuminlb-gateway/src/links/mod.rs
@@ -7,7 +7,6 @@
 //! stay at the node that the caller is connected to; the forwarding node only passes it on, once.
 
 mod connect_forwarder;
-mod control_connection;
 mod examine_instance;
 mod forward_connection;
 mod forward_deadline;
@@ -18,6 +17,8 @@
 mod instance_link;
 mod judge_instance;
 mod judgements;
+mod probe_link;
+mod reaches_another;
 mod report_links;
 mod serve_forwarding;
 mod watch_links;
--- /dev/null
+++ b/crates/cuminlb-gateway/src/links/probe_link.rs
@@ -0,0 +1,34 @@
+//! Probes the link of this node to an instance.
+
+use cuminlb_catalog::{InstanceEntry, ProbeResponse};
+use cuminlb_routing::LinkFailure;
+use cuminlb_types::prelude::*;
+
+use crate::gateway::Gateway;
+
+/// Timeout of a probe.
+const PROBE_TIMEOUT_MS: Millis = Millis(140);
+
+impl Gateway {
+    /// Probes the link to an instance over a new connection. Any response shows that it works.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the link failed.
+    pub(crate) async fn probe_link(&self, entry: &InstanceEntry) -> Result<(), LinkFailure> {
+        let control = &self.edges.instances;
+        match control.probe(entry.address, PROBE_TIMEOUT_MS).await {
+            ProbeResponse::Report(report) => {
+                self.record_report(entry, &report);
+                self.record_opened(&entry.id);
+                Ok(())
+            }
+            ProbeResponse::NoReport => {
+                self.record_opened(&entry.id);
+                Ok(())
+            }
+            ProbeResponse::Failed => Err(LinkFailure::Refused),
+            ProbeResponse::Silent => Err(LinkFailure::Silent),
+        }
+    }
+}
--- a/crates/cuminlb-gateway/src/serving/check_instance.rs
+++ b/crates/cuminlb-gateway/src/serving/check_instance.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use cuminlb_peer::{GroupHealth, SuspicionNotice};
+use cuminlb_peer::{GroupHealth, InstanceCheck, InstanceQuery, SuspicionNotice};
 use cuminlb_routing::{CrashRecord, InstanceVerdict, LinkFailure, LinkRoute};
+use cuminlb_types::prelude::*;
 use log::info;
 use tokio::time::Instant;
 
@@ -100,6 +101,21 @@
         Ok(())
     }
 
+    /// Probes the own link to an instance and, if it does not work, judges which of both is at fault.
+    pub(crate) async fn check_own_link(self: &Arc<Self>, instance: &InstanceId) {
+        let directory = self.knowledge.directory();
+        let Some(entry) = directory.find_instance(instance) else {
+            return;
+        };
+        if let Err(failure) = self.probe_link(entry).await {
+            let query = InstanceQuery {
+                instance: instance.clone(),
+                check: InstanceCheck::Responds,
+            };
+            self.judge_instance(query, failure).await;
+        }
+    }
+
     /// Checks the link to an instance from which nothing was received for a request in time, unless
     /// this was done just before.
     pub(super) fn check_link(self: &Arc<Self>, target: &Target) {
@@ -110,9 +126,7 @@
         let gateway = Arc::clone(self);
         let target = target.clone();
         self.background_tasks.spawn(async move {
-            if let Err(failure) = gateway.try_own_link(&target).await {
-                gateway.judge_instance(target.query(), failure).await;
-            }
+            gateway.check_own_link(&target.instance).await;
         });
     }
 
--- a/crates/cuminlb-gateway/src/serving/probe_group.rs
+++ b/crates/cuminlb-gateway/src/serving/probe_group.rs
@@ -67,7 +67,7 @@
     };
     let query = InstanceQuery {
         instance: entry.id.clone(),
-        check: InstanceCheck::Responds,
+        check: InstanceCheck::Reports,
     };
     let verdict = gateway.judge_instance(query, failure).await;
     (verdict == InstanceVerdict::InstanceLost).then_some(None)
@@ -99,7 +99,7 @@
                 gateway.record_opened(&entry.id);
                 return Ok(report);
             }
-            ProbeResponse::Failed => failure = LinkFailure::Refused,
+            ProbeResponse::NoReport | ProbeResponse::Failed => failure = LinkFailure::Refused,
             ProbeResponse::Silent => failure = LinkFailure::Silent,
         }
     }
--- a/crates/cuminlb-peer/src/message/instance_check.rs
+++ b/crates/cuminlb-peer/src/message/instance_check.rs
@@ -9,9 +9,11 @@
 pub enum InstanceCheck {
     /// It accepts a connection.
     Accepts,
-    /// It responds to a probe.
+    /// It responds to a probe, with a report or not.
     Responds,
-    /// It responds to a probe and is still in a group.
+    /// It responds to a probe with a report.
+    Reports,
+    /// It responds to a probe with a report, and is still in a group.
     HoldsSeat {
         /// The group.
         group: GroupId,
--- a/tests/testsuite/native_node.rs
+++ b/tests/testsuite/native_node.rs
@@ -11,6 +11,7 @@
 pub const READY_PORT: u16 = 8_101;
 pub const PEER_PORT: u16 = 8_102;
 pub const METRICS_PORT: u16 = 8_103;
+pub const FORWARDING_PORT: u16 = 8_104;
 
 /// A node process and the store server that it uses.
 pub struct NativeNode {
--- a/tests/testsuite/native_site.rs
+++ b/tests/testsuite/native_site.rs
@@ -13,7 +13,9 @@
 use tempfile::TempDir;
 
 use crate::native_catalog::native_catalog;
-use crate::native_node::{CALLER_PORT, METRICS_PORT, NativeNode, PEER_PORT, READY_PORT};
+use crate::native_node::{
+    CALLER_PORT, FORWARDING_PORT, METRICS_PORT, NativeNode, PEER_PORT, READY_PORT,
+};
 
 /// The host of all routes, and the path prefixes of the three kinds of routes.
 pub const HOST: &str = "desk.example";
@@ -132,6 +134,7 @@
 caller = "{address}:{CALLER_PORT}"
 ready = "{address}:{READY_PORT}"
 peer = "{address}:{PEER_PORT}"
+forwarding = "{address}:{FORWARDING_PORT}"
 metrics = "{address}:{METRICS_PORT}"
 [store]
 address = "{store}"
