--- a/crates/cuminlb-gateway/src/links/report_links.rs
+++ b/crates/cuminlb-gateway/src/links/report_links.rs
@@ -1,6 +1,6 @@
 //! Records and reports changes of this node's links to instances.
 
-use cuminlb_routing::{LinkChange, LinkFailure};
+use cuminlb_routing::{LinkChange, LinkFailure, LinkRoute};
 use cuminlb_types::prelude::*;
 use log::{info, warn};
 use tokio::time::Instant;
@@ -16,7 +16,12 @@
 
     /// Records that this node does not reach an instance that others reach.
     pub(super) fn record_outage(&self, instance: &InstanceId, failure: LinkFailure) {
-        info!(instance:% = instance, failure:? = failure; "instance reached only by other nodes");
+        if self.links.route(instance) == LinkRoute::Direct {
+            info!(
+                instance:% = instance, failure:? = failure;
+                "instance reached only by other nodes"
+            );
+        }
         let now = Instant::now();
         let change = self.links.record_outage(instance, failure, now);
         if failure == LinkFailure::Silent {
--- a/crates/cuminlb-gateway/src/serving/probe_group.rs
+++ b/crates/cuminlb-gateway/src/serving/probe_group.rs
@@ -5,7 +5,7 @@
 use cuminlb_assembly::STRAGGLER_SLOWDOWN;
 use cuminlb_catalog::{InstanceEntry, InstanceReport, ProbeResponse, SeatState};
 use cuminlb_peer::{GroupHealth, InstanceCheck, InstanceQuery};
-use cuminlb_routing::{InstanceVerdict, LinkFailure};
+use cuminlb_routing::{InstanceVerdict, LinkFailure, LinkRoute};
 use cuminlb_types::prelude::*;
 use futures_util::future::join_all;
 
@@ -61,9 +61,12 @@
     gateway: &Arc<Gateway>,
     entry: &InstanceEntry,
 ) -> Option<Option<InstanceReport>> {
-    let failure = match probe_member(gateway, entry).await {
-        Ok(report) => return Some(Some(report)),
-        Err(failure) => failure,
+    let failure = match gateway.links.route(&entry.id) {
+        LinkRoute::Direct => match probe_member(gateway, entry).await {
+            Ok(report) => return Some(Some(report)),
+            Err(failure) => failure,
+        },
+        LinkRoute::OpenOrForwarded | LinkRoute::Forwarded => LinkFailure::Refused,
     };
     let query = InstanceQuery {
         instance: entry.id.clone(),
--- a/crates/cuminlb-gateway/src/serving/stream_attempt.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cuminlb_catalog::RouteKind;
+use cuminlb_routing::LinkRoute;
 use cuminlb_types::prelude::*;
 use cuminlb_upstream::StreamEvent;
 use http::response;
@@ -43,6 +44,8 @@
 pub(super) struct StreamAttempt {
     pub(super) number: AttemptNumber,
     pub(super) target: Target,
+    /// Whether another node forwards the request.
+    is_forwarded: bool,
     resume_after: Option<EventId>,
     started_at: Instant,
     pub(super) stage: AttemptStage,
@@ -73,6 +76,7 @@
         Self {
             number,
             target,
+            is_forwarded: false,
             resume_after,
             started_at: now,
             stage: AttemptStage::Connecting(Box::pin(async move {
@@ -95,6 +99,13 @@
         }
     }
 
+    /// Returns whether the request was sent on a connection of this node to an instance that only other
+    /// nodes reach.
+    pub(super) fn has_lost_link(&self, gateway: &Gateway) -> bool {
+        let route = gateway.links.route(&self.target.instance);
+        !self.is_forwarded && route == LinkRoute::Forwarded
+    }
+
     /// Returns the head of the response, unless it was taken before or is no stream's.
     pub(super) fn take_head(&mut self) -> Option<Box<response::Parts>> {
         match &mut self.stage {
@@ -221,6 +232,7 @@
     fn send(&mut self, gateway: &Arc<Gateway>, request: &AdmittedRequest, mut link: InstanceLink) {
         let outgoing = forwarded_request(gateway, request, &self.target, self.resume_after);
         let order = forward_order(request, &self.target);
+        self.is_forwarded = link.forwarder().is_some();
         let sending = Arc::clone(gateway);
         self.last_seen_at = Instant::now();
         self.stage = AttemptStage::Waiting(Box::pin(async move {
--- a/crates/cuminlb-gateway/src/serving/stream_attempts/updates.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_attempts/updates.rs
@@ -43,7 +43,11 @@
                 self.update_after_failure(reason)
             }
             AttemptUpdate::Silent => {
-                self.decisions.record_silence(attempt.number);
+                if attempt.has_lost_link(&self.gateway) {
+                    self.decisions.record_lost_link(attempt.number);
+                } else {
+                    self.decisions.record_silence(attempt.number);
+                }
                 Some(StreamUpdate::Silent)
             }
             AttemptUpdate::TimedOut => self.update_at_deadline(),
--- a/crates/cuminlb-routing/src/retry/open_attempt.rs
+++ b/crates/cuminlb-routing/src/retry/open_attempt.rs
@@ -8,4 +8,6 @@
     pub(super) number: AttemptNumber,
     pub(super) instance: InstanceId,
     pub(super) is_silent: bool,
+    /// Whether the link that it uses is lost, so that its instance may be reached by another way.
+    pub(super) has_lost_link: bool,
 }
--- a/crates/cuminlb-routing/src/retry/open_attempts.rs
+++ b/crates/cuminlb-routing/src/retry/open_attempts.rs
@@ -63,12 +63,14 @@
     /// on one that has not failed.
     pub fn may_run_again(&self) -> bool {
         let may_run_on = |instance| self.may_run_on(instance);
-        self.may_run_on_another() || self.instances.iter().any(may_run_on)
+        let cut = self.open.iter().filter(|attempt| attempt.has_lost_link);
+        let mut known = self.instances.iter().chain(cut.map(|it| &it.instance));
+        self.may_run_on_another() || known.any(may_run_on)
     }
 
     /// Returns whether the request may run on an instance now.
     pub fn may_run_on(&self, instance: &InstanceId) -> bool {
-        let is_known = self.may_retry && self.instances.contains(instance);
+        let is_known = self.may_retry && self.has_instance(instance);
         let is_excluded = self.failed.contains(instance) || self.is_open_on(instance);
         !is_excluded && (is_known || self.may_run_on_another())
     }
@@ -91,6 +93,7 @@
             number,
             instance,
             is_silent: false,
+            has_lost_link: false,
         });
         number
     }
@@ -103,6 +106,16 @@
         }
     }
 
+    /// Records that the link which an attempt uses is lost. It stays open, but the request may be sent to
+    /// its instance by another way, which adds no instance.
+    pub fn record_lost_link(&mut self, number: AttemptNumber) {
+        let attempt = self.open.iter_mut().find(|it| it.number == number);
+        if let Some(attempt) = attempt {
+            attempt.is_silent = true;
+            attempt.has_lost_link = true;
+        }
+    }
+
     /// Records that an attempt has ended without a response.
     pub fn record_end(&mut self, number: AttemptNumber, may_have_run: bool) {
         for attempt in self.open.extract_if(.., |it| it.number == number) {
@@ -142,13 +155,19 @@
     fn is_open_on(&self, instance: &InstanceId) -> bool {
         self.open
             .iter()
-            .any(|attempt| attempt.instance == *instance)
+            .any(|attempt| attempt.instance == *instance && !attempt.has_lost_link)
+    }
+
+    /// Returns whether an instance already counts among those that may have run the request.
+    fn has_instance(&self, instance: &InstanceId) -> bool {
+        let mut open = self.open.iter().map(|attempt| &attempt.instance);
+        self.instances.contains(instance) || open.any(|it| it == instance)
     }
 
     /// Returns the number of instances that may have run the request.
     fn instance_count(&self) -> u32 {
         let open = self.open.iter().map(|attempt| &attempt.instance);
-        let added = open.filter(|instance| !self.instances.contains(*instance));
-        (self.instances.len() + added.count()) as u32
+        let all: BTreeSet<&InstanceId> = self.instances.iter().chain(open).collect();
+        all.len() as u32
     }
 }
--- a/crates/cuminlb-routing/tests/open_attempts.rs
+++ b/crates/cuminlb-routing/tests/open_attempts.rs
@@ -144,3 +144,26 @@
         }
     }
 }
+
+#[test]
+fn a_stream_whose_link_is_lost_may_reach_its_instance_by_another_way() {
+    let mut attempts = OpenAttempts::new(2, true);
+    let first = attempts.start(instance(0));
+    let second = attempts.start(instance(1));
+    assert!(!attempts.may_run_again());
+    attempts.record_lost_link(first);
+    attempts.record_silence(second);
+    assert!(attempts.may_run_again());
+    assert!(attempts.may_run_on(&instance(0)));
+    assert!(!attempts.may_run_on(&instance(1)));
+    assert!(!attempts.may_run_on(&instance(2)));
+}
+
+#[test]
+fn a_request_that_must_not_repeat_is_not_sent_again_when_its_link_is_lost() {
+    let mut attempts = OpenAttempts::new(3, false);
+    let first = attempts.start(instance(0));
+    attempts.record_lost_link(first);
+    assert!(!attempts.may_run_again());
+    assert!(!attempts.may_run_on(&instance(0)));
+}
