--- a/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
+++ b/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
@@ -2,6 +2,7 @@
 //! The invariants of the groups are in `checks`.
 
 mod checks;
+mod delivery;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
+pub use self::delivery::Delivery;
 use crate::simulated_engine::SimulatedEngine;
 
 /// The simulated time of one step.
@@ -25,16 +27,6 @@
 /// The number of steps after which a stalled head stops serving.
 const STALL_STEPS: u32 = 24;
 
-/// The delivery outcome of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Delivery {
-    Delivered,
-    ResponseLost,
-    Lost,
-    /// Carried out after this number of steps, without a response.
-    Delayed(u8),
-}
-
 /// Simulated engines with one leader at a time.
 pub struct ClusterSimulation {
     pub now: Instant,
