Split the start of a node, admission and the end of plain requests into short functions

Change: the listeners are types of their own, and each group of tasks is started by a function; the refusal of a plain request and the reading of a body in time stand apart; NextForwarder has its file. What they do has not changed.

--- a/crates/cuminlb-gateway/src/lib.rs
+++ b/crates/cuminlb-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod knowledge;
 mod leading;
 mod links;
+mod listeners;
 mod metrics;
 mod run_gateway;
 mod serving;
--- a/crates/cuminlb-gateway/src/links/forwarded_link.rs
+++ b/crates/cuminlb-gateway/src/links/forwarded_link.rs
@@ -16,6 +16,7 @@
 use smol_str::format_smolstr;
 use tokio::time::{Instant, timeout};
 
+use super::next_forwarder::NextForwarder;
 use super::undelimited_body::UndelimitedBody;
 use crate::gateway::Gateway;
 use crate::serving::Target;
@@ -83,8 +84,8 @@
             let outcome = self.evaluate(gateway, &order.request, sent);
             let next = match outcome {
                 Ok(response) => return Ok(response),
-                Err(AskNext::No(failure)) => return Err(failure),
-                Err(AskNext::Yes) => connect_next(gateway, &mut self.others).await?,
+                Err(NextForwarder::GiveUp(failure)) => return Err(failure),
+                Err(NextForwarder::Ask) => connect_next(gateway, &mut self.others).await?,
             };
             (self.connection, self.node) = next;
         }
@@ -112,19 +113,19 @@
         gateway: &Arc<Gateway>,
         request: &RequestId,
         sent: Result<Response<Incoming>, SendFailure>,
-    ) -> Result<Response<Incoming>, AskNext> {
+    ) -> Result<Response<Incoming>, NextForwarder> {
         let mut response = match sent {
             Ok(response) => response,
             // The connection was idle, and its node may have closed it.
-            Err(SendFailure::NotSent { .. }) => return Err(AskNext::Yes),
+            Err(SendFailure::NotSent { .. }) => return Err(NextForwarder::Ask),
             Err(failure) => {
                 self.record(gateway, ForwarderOutcome::Failed);
-                return Err(AskNext::No(failure));
+                return Err(NextForwarder::GiveUp(failure));
             }
         };
         let outcome = ForwardOutcome::take(response.headers_mut()).map_err(|error| {
             let reason = format_smolstr!("node {}: {error}", self.node);
-            AskNext::No(SendFailure::NoResponse { reason })
+            NextForwarder::GiveUp(SendFailure::NoResponse { reason })
         })?;
         self.record(gateway, forwarder_outcome(outcome));
         if outcome.is_reached() {
@@ -147,18 +148,18 @@
     }
 
     /// Decides what follows from the outcome of a request that got no response of its instance.
-    fn next_step(&self, gateway: &Arc<Gateway>, outcome: ForwardOutcome) -> AskNext {
+    fn next_step(&self, gateway: &Arc<Gateway>, outcome: ForwardOutcome) -> NextForwarder {
         let reason = format_smolstr!("{outcome} at node {}", self.node);
         match outcome {
             ForwardOutcome::NoLinks | ForwardOutcome::UnknownInstance | ForwardOutcome::Busy => {
-                AskNext::Yes
+                NextForwarder::Ask
             }
             ForwardOutcome::Unavailable { retry_after_ms } => {
                 let now = Instant::now();
                 gateway
                     .retry_times
                     .record(&self.target.instance, retry_after_ms, now);
-                AskNext::No(SendFailure::NotSent { reason })
+                NextForwarder::GiveUp(SendFailure::NotSent { reason })
             }
             ForwardOutcome::Leaving => {
                 let Target {
@@ -167,16 +168,18 @@
                     ..
                 } = &self.target;
                 gateway.knowledge.record_leaving(instance, *incarnation);
-                AskNext::No(SendFailure::NotSent { reason })
+                NextForwarder::GiveUp(SendFailure::NotSent { reason })
             }
-            ForwardOutcome::NotConnected => AskNext::No(SendFailure::NotConnected {
+            ForwardOutcome::NotConnected => NextForwarder::GiveUp(SendFailure::NotConnected {
                 reason,
                 failure: LinkFailure::Refused,
             }),
-            ForwardOutcome::NotSent => AskNext::No(SendFailure::NotSent { reason }),
+            ForwardOutcome::NotSent => NextForwarder::GiveUp(SendFailure::NotSent { reason }),
             ForwardOutcome::Reached
             | ForwardOutcome::ReachedUndelimited
-            | ForwardOutcome::NoResponse => AskNext::No(SendFailure::NoResponse { reason }),
+            | ForwardOutcome::NoResponse => {
+                NextForwarder::GiveUp(SendFailure::NoResponse { reason })
+            }
         }
     }
 
@@ -186,12 +189,6 @@
     }
 }
 
-/// Whether another node is asked to forward a request.
-enum AskNext {
-    Yes,
-    No(SendFailure),
-}
-
 /// Adds to a request where it is to be forwarded.
 ///
 /// # Errors
--- a/crates/cuminlb-gateway/src/links/mod.rs
+++ b/crates/cuminlb-gateway/src/links/mod.rs
@@ -17,6 +17,7 @@
 mod instance_link;
 mod judge_instance;
 mod judgements;
+mod next_forwarder;
 mod probe_link;
 mod reaches_another;
 mod report_links;
--- a/crates/cuminlb-gateway/src/run_gateway.rs
+++ b/crates/cuminlb-gateway/src/run_gateway.rs
@@ -1,6 +1,5 @@
 //! Start, operation and shutdown of a node.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +8,6 @@
 use cuminlb_routing::DrainSchedule;
 use log::{info, warn};
 use smol_str::ToSmolStr;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval};
@@ -19,6 +17,7 @@
 use crate::knowledge::{RelayService, register_node};
 use crate::leading::{SharedLease, keep_lease, lead};
 use crate::links::{serve_forwarding, watch_links};
+use crate::listeners::{Listeners, LocalListeners, RequestListeners};
 use crate::metrics::serve_metrics;
 use crate::serving::{serve_callers, serve_ready, share_crashes, share_loads};
 use crate::{Edges, GatewayError};
@@ -39,73 +38,19 @@
     stop: CancellationToken,
 ) -> Result<(), GatewayError> {
     let gateway = Gateway::new(settings, edges);
-    let caller_listener = bind(gateway.settings.caller).await?;
-    let ready_listener = bind(gateway.settings.ready).await?;
-    let metrics_listener = bind(gateway.settings.metrics).await?;
-    let peer_listener = bind(gateway.settings.peer).await?;
-    let forwarding_listener = match gateway.settings.forwarding {
-        Some(address) => Some(bind(address).await?),
-        None => None,
-    };
+    let listeners = Listeners::bind(&gateway.settings).await?;
     info!(
         node:% = gateway.settings.id, zone:% = gateway.settings.zone,
         caller:% = gateway.settings.caller, store:% = gateway.settings.store;
         "node starts"
     );
-
     let leading_stop = CancellationToken::new();
     let callers_stop = CancellationToken::new();
     let background_stop = CancellationToken::new();
-    let mut background = JoinSet::new();
-    let following = (Arc::clone(&gateway), background_stop.clone());
-    background.spawn(async move { following.0.follower.run(following.1).await });
-    let registration = (Arc::clone(&gateway), background_stop.clone());
-    background.spawn(async move { register_node(&registration.0, registration.1).await });
-    background.spawn(serve_ready(
-        Arc::clone(&gateway),
-        ready_listener,
-        background_stop.clone(),
-    ));
-    background.spawn(serve_metrics(
-        Arc::clone(&gateway),
-        metrics_listener,
-        background_stop.clone(),
-    ));
-    background.spawn(serve_relay(
-        peer_listener,
-        gateway.peers.token(),
-        RelayService::new(Arc::clone(&gateway)),
-        background_stop.clone(),
-    ));
-    background.spawn(watch_links(Arc::clone(&gateway), background_stop.clone()));
-    background.spawn(share_loads(Arc::clone(&gateway), background_stop.clone()));
-    background.spawn(share_crashes(Arc::clone(&gateway), background_stop.clone()));
-    background.spawn(clean_up(Arc::clone(&gateway), background_stop.clone()));
-    let mut leading_tasks = JoinSet::new();
-    let lease = SharedLease::new(None);
-    leading_tasks.spawn(lead(
-        Arc::clone(&gateway),
-        lease.subscribe(),
-        leading_stop.clone(),
-    ));
-    leading_tasks.spawn(keep_lease(
-        Arc::clone(&gateway),
-        lease,
-        leading_stop.clone(),
-    ));
-    let mut caller_tasks = JoinSet::new();
-    caller_tasks.spawn(serve_callers(
-        Arc::clone(&gateway),
-        caller_listener,
-        callers_stop.clone(),
-    ));
-    if let Some(listener) = forwarding_listener {
-        caller_tasks.spawn(serve_forwarding(
-            Arc::clone(&gateway),
-            listener,
-            callers_stop.clone(),
-        ));
-    }
+    let mut background = spawn_following(&gateway, &background_stop);
+    spawn_endpoints(&mut background, &gateway, listeners.local, &background_stop);
+    let mut leading_tasks = spawn_leading(&gateway, &leading_stop);
+    let mut caller_tasks = spawn_serving(&gateway, listeners.requests, &callers_stop);
 
     stop.cancelled().await;
     info!("node stops");
@@ -122,11 +67,65 @@
     outcome
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address).await.map_err(|error| {
-        let reason = error.to_smolstr();
-        GatewayError::Bind { address, reason }
-    })
+/// Starts the tasks that keep up what this node knows.
+fn spawn_following(gateway: &Arc<Gateway>, stop: &CancellationToken) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    let following = (Arc::clone(gateway), stop.clone());
+    tasks.spawn(async move { following.0.follower.run(following.1).await });
+    let registration = (Arc::clone(gateway), stop.clone());
+    tasks.spawn(async move { register_node(&registration.0, registration.1).await });
+    tasks.spawn(watch_links(Arc::clone(gateway), stop.clone()));
+    tasks.spawn(share_loads(Arc::clone(gateway), stop.clone()));
+    tasks.spawn(share_crashes(Arc::clone(gateway), stop.clone()));
+    tasks.spawn(clean_up(Arc::clone(gateway), stop.clone()));
+    tasks
+}
+
+/// Starts the tasks that respond to the load balancer, the metrics reader and the other nodes.
+fn spawn_endpoints(
+    tasks: &mut JoinSet<()>,
+    gateway: &Arc<Gateway>,
+    listeners: LocalListeners,
+    stop: &CancellationToken,
+) {
+    let LocalListeners {
+        ready,
+        metrics,
+        peer,
+    } = listeners;
+    tasks.spawn(serve_ready(Arc::clone(gateway), ready, stop.clone()));
+    tasks.spawn(serve_metrics(Arc::clone(gateway), metrics, stop.clone()));
+    let service = RelayService::new(Arc::clone(gateway));
+    let token = gateway.peers.token();
+    tasks.spawn(serve_relay(peer, token, service, stop.clone()));
+}
+
+/// Starts the tasks that lead while this node holds the lease.
+fn spawn_leading(gateway: &Arc<Gateway>, stop: &CancellationToken) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    let lease = SharedLease::new(None);
+    tasks.spawn(lead(Arc::clone(gateway), lease.subscribe(), stop.clone()));
+    tasks.spawn(keep_lease(Arc::clone(gateway), lease, stop.clone()));
+    tasks
+}
+
+/// Starts the tasks that serve callers, and the requests that other nodes have this one forward.
+fn spawn_serving(
+    gateway: &Arc<Gateway>,
+    listeners: RequestListeners,
+    stop: &CancellationToken,
+) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    let RequestListeners { caller, forwarding } = listeners;
+    tasks.spawn(serve_callers(Arc::clone(gateway), caller, stop.clone()));
+    if let Some(listener) = forwarding {
+        tasks.spawn(serve_forwarding(
+            Arc::clone(gateway),
+            listener,
+            stop.clone(),
+        ));
+    }
+    tasks
 }
 
 async fn join_all(tasks: &mut JoinSet<()>) -> Result<(), GatewayError> {
--- a/crates/cuminlb-gateway/src/serving/admit.rs
+++ b/crates/cuminlb-gateway/src/serving/admit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use cuminlb_routing::{Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::{Request, request};
@@ -15,6 +16,7 @@
 use super::draining_refusal::draining_refusal;
 use super::examined_request::ExaminedRequest;
 use super::read_body::{discard_body, read_body};
+use super::request_deadline::RequestDeadline;
 use crate::gateway::Gateway;
 
 /// Validates a request, resolves its route and service, and reads its body.
@@ -58,23 +60,9 @@
     } = examined;
     connection.record_request(head.id.clone());
     let refuse = |kind| (Refusal::not_run(kind), Some(head.id.clone()));
-    let latest_deadline = deadline.latest();
-    connection.activity().record_deadline(latest_deadline);
-    let body = tokio::select! {
-        biased;
-        body = read_body(body, max_body_bytes, latest_deadline) => body,
-        () = deadline.start_expired() => {
-            connection.leave_body_unread();
-            return Err((draining_refusal(), Some(head.id)));
-        }
-    };
-    let body = body.map_err(|kind| {
-        connection.leave_body_unread();
-        refuse(kind)
-    })?;
-    if !deadline.may_start() {
-        return Err((draining_refusal(), Some(head.id)));
-    }
+    connection.activity().record_deadline(deadline.latest());
+    let body = read_body_in_time(connection, body, max_body_bytes, &deadline).await;
+    let body = body.map_err(|refusal| (refusal, Some(head.id.clone())))?;
     let path = parts.uri.path();
     let Some(service) = route.pick_service(&mut rand::rng()).cloned() else {
         let name = path.to_smolstr();
@@ -96,6 +84,35 @@
     })
 }
 
+/// Reads a body, while a node that stops can still pass the request on.
+///
+/// # Errors
+///
+/// Returns the refusal of a request whose body is too large or late.
+async fn read_body_in_time(
+    connection: &CallerConnection,
+    body: Incoming,
+    max_body_bytes: ByteCount,
+    deadline: &RequestDeadline,
+) -> Result<Bytes, Refusal> {
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, max_body_bytes, deadline.latest()) => body,
+        () = deadline.start_expired() => {
+            connection.leave_body_unread();
+            return Err(draining_refusal());
+        }
+    };
+    let body = body.map_err(|kind| {
+        connection.leave_body_unread();
+        Refusal::not_run(kind)
+    })?;
+    if !deadline.may_start() {
+        return Err(draining_refusal());
+    }
+    Ok(body)
+}
+
 /// Returns how long a caller waits, if the head of its request is valid and contains it.
 fn caller_timeout(gateway: &Gateway, parts: &request::Parts) -> Option<Duration> {
     let head = gateway.edges.wire.read_request(parts).ok()?;
--- a/crates/cuminlb-gateway/src/serving/run_plain.rs
+++ b/crates/cuminlb-gateway/src/serving/run_plain.rs
@@ -68,21 +68,24 @@
         return Ok(response);
     }
     let reason = reason.unwrap_or_else(|| "no instance is available".into());
+    Err(refusal(&request, &attempts, reason))
+}
+
+/// Returns the refusal of a request without a response.
+fn refusal(request: &AdmittedRequest, attempts: &PlainAttempts<'_>, reason: SmolStr) -> Refusal {
     if !attempts.may_have_run() {
         if !request.deadline.may_start() {
-            return Err(draining_refusal());
+            return draining_refusal();
         }
         let service = request.service.clone();
         let refusal = Refusal::not_run(RefusalKind::NoGroup { service });
         let unavailability = attempts.unavailability();
         let retry_after_ms = unavailability.retry_after(Instant::now(), &mut rand::rng());
-        return Err(refusal.with_retry_after(retry_after_ms.unwrap_or(RETRY_AFTER_MS)));
+        return refusal.with_retry_after(retry_after_ms.unwrap_or(RETRY_AFTER_MS));
     }
     if attempts.is_late() {
         let timeout_ms = request.age_ms(Instant::now());
-        return Err(Refusal::unknown(RefusalKind::DeadlineExceeded {
-            timeout_ms,
-        }));
+        return Refusal::unknown(RefusalKind::DeadlineExceeded { timeout_ms });
     }
-    Err(Refusal::unknown(RefusalKind::UpstreamFailed { reason }))
+    Refusal::unknown(RefusalKind::UpstreamFailed { reason })
 }
