Review case 1: odd entries that fill a page hide all workers after a restart

Thirteen entries of another writer fill the first page of the workers' table; nodes that start read it as the whole table and serve nothing (rule RECOVER). It takes the first place, as the gravest; the other cases move down by one.

--- a/review/standins/src/bin/bodies.rs
+++ b/review/standins/src/bin/bodies.rs
@@ -1,4 +1,4 @@
-//! Case 3: callers send bodies of the size that the manifest allows, all at once.
+//! Case 4: callers send bodies of the size that the manifest allows, all at once.
 //!
 //! This program is the rest of the platform: it ends the node when its memory is over the limit of
 //! its machine, and starts it again; and it is the callers.
--- a/review/standins/src/bin/revoked_key.rs
+++ b/review/standins/src/bin/revoked_key.rs
@@ -1,4 +1,4 @@
-//! Case 4: a key is taken away, and requests with it go on running on a route that needs none.
+//! Case 5: a key is taken away, and requests with it go on running on a route that needs none.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -75,8 +75,13 @@
         )
     }
 
-    /// Starts the node with the command of the deploy file.
+    /// Starts the only node of a case.
     pub fn start_node(&self, setting: &Setting, settings: &Path) {
+        *self.node.lock().unwrap() = Some(self.spawn_node(setting, settings));
+    }
+
+    /// Starts a node with the command of the deploy file.
+    pub fn spawn_node(&self, setting: &Setting, settings: &Path) -> Child {
         let log = setting.folder.join("node.log");
         let file = File::options().create(true).append(true).open(log).unwrap();
         let child = Command::new(setting.root.join("target/release/cuminlb"))
@@ -89,7 +94,7 @@
             .spawn()
             .expect("the build of the deploy file has made target/release/cuminlb");
         self.note(&format!("platform: process {} starts", child.id()));
-        *self.node.lock().unwrap() = Some(child);
+        child
     }
 
     /// Ends the node and this process.
@@ -103,9 +108,13 @@
     }
 }
 
-/// Writes the settings of the node: the template of the deploy file, filled in as the platform does.
+/// Writes the settings of the only node of a case.
 pub fn write_settings(setting: &Setting, store: SocketAddr) -> PathBuf {
-    let ip = &setting.ip;
+    write_node_settings(setting, store, "front-za-1", &setting.ip)
+}
+
+/// Writes the settings of a node: the template of the deploy file, filled in as the platform does.
+pub fn write_node_settings(setting: &Setting, store: SocketAddr, name: &str, ip: &str) -> PathBuf {
     let template = setting.root.join("deploy/node.toml.template");
     let template = std::fs::read_to_string(template).unwrap();
     let zones = template
@@ -113,10 +122,10 @@
         .find(|line| line.starts_with("zones = "))
         .unwrap();
     let fields = [
-        ("nodeName", "front-za-1".to_owned()),
+        ("nodeName", name.to_owned()),
         ("region", "ra".to_owned()),
         ("zone", "za".to_owned()),
-        ("ip", ip.clone()),
+        ("ip", ip.to_owned()),
         ("listen.front", format!("{ip}:8227")),
         ("listen.ready", format!("{ip}:8220")),
         ("internalPorts.0", "7340".to_owned()),
@@ -139,7 +148,7 @@
         text = text.replace(&format!("{{{{{name}}}}}"), &value);
     }
     assert!(!text.contains("{{"), "a placeholder is left: {text}");
-    let path = setting.folder.join("node.toml");
+    let path = setting.folder.join(format!("{name}.toml"));
     std::fs::write(&path, text).unwrap();
     path
 }
