--- a/review/standins/src/bin/bodies.rs
+++ b/review/standins/src/bin/bodies.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -86,8 +85,9 @@
 async fn platform(case: Arc<Case>, seen: Arc<Seen>, setting: Arc<Setting>, settings: PathBuf) {
     while !seen.ended.load(Ordering::Relaxed) {
         sleep(Duration::from_millis(10)).await;
-        let pid = case.node.lock().unwrap().as_ref().map(Child::id);
-        let Some(pid) = pid else { continue };
+        let Some(&pid) = case.node_ids().first() else {
+            continue;
+        };
         let Some(used_mb) = resident_mb(pid) else {
             continue;
         };
@@ -95,9 +95,7 @@
         if used_mb <= MEMORY_MB {
             continue;
         }
-        let mut child = case.node.lock().unwrap().take().unwrap();
-        child.kill().unwrap();
-        child.wait().unwrap();
+        case.kill_nodes();
         seen.kills.fetch_add(1, Ordering::Relaxed);
         case.note(&format!(
             "platform: process {pid} has {used_mb} MB, over its {MEMORY_MB} MB: killed"
@@ -177,6 +175,7 @@
 async fn main() {
     let (case, setting) = Case::from_arguments();
     let (case, setting) = (Arc::new(case), Arc::new(setting));
+    case.end_in_time();
     let seen = Arc::new(Seen::default());
     let fleet = Fleet::default();
     let mut servers = Vec::new();
--- a/review/standins/src/bin/odd_entries.rs
+++ b/review/standins/src/bin/odd_entries.rs
@@ -196,6 +196,7 @@
 async fn main() {
     let (case, setting) = Case::from_arguments();
     let case = Arc::new(case);
+    case.end_in_time();
     let fleet = Fleet::default();
     let mut workers = Vec::new();
     for id in ["i-02d9e6b4", "i-7f3a91c2", "i-9b20c5de"] {
@@ -228,19 +229,12 @@
         .iter()
         .map(|ip| format!("{ip}:8227").parse().unwrap())
         .collect();
-    let start_all = || -> Vec<_> {
-        settings
-            .iter()
-            .map(|file| case.spawn_node(&setting, file))
-            .collect()
-    };
-    let mut nodes = start_all();
-    let end_all = |nodes: &mut Vec<std::process::Child>| {
-        for mut node in nodes.drain(..) {
-            let _ = node.kill();
-            let _ = node.wait();
+    let start_all = || {
+        for file in &settings {
+            case.start_node(&setting, file);
         }
     };
+    start_all();
     let mut are_serving = false;
     for _ in 0..200 {
         sleep(Duration::from_millis(100)).await;
@@ -254,7 +248,6 @@
         }
     }
     if !are_serving {
-        end_all(&mut nodes);
         case.end(2, "not run: the nodes serve nothing");
     }
     case.note("all nodes serve");
@@ -268,15 +261,20 @@
             "another writer: {ODD_ENTRIES} entries of {ROW_BYTES} bytes that can't be read"
         ));
     }
-    ask_all(&case, &addresses, Duration::from_secs(4)).await;
-    end_all(&mut nodes);
+    let (sent, served) = ask_all(&case, &addresses, Duration::from_secs(4)).await;
+    if served * 4 < sent {
+        case.end(
+            2,
+            "not run: less than a quarter was served before the fault",
+        );
+    }
+    case.kill_nodes();
     case.note("platform: all processes killed");
     sleep(Duration::from_millis(700)).await;
-    let mut nodes = start_all();
+    start_all();
     ask_all(&case, &addresses, RECOVER).await;
     case.note("the time of recovery is over");
     let (sent, served) = ask_all(&case, &addresses, JUDGED).await;
-    end_all(&mut nodes);
     if served * 4 < sent {
         case.end(1, "RECOVER is broken");
     }
--- a/review/standins/src/bin/revoked_key.rs
+++ b/review/standins/src/bin/revoked_key.rs
@@ -64,6 +64,8 @@
 #[tokio::main]
 async fn main() {
     let (case, setting) = Case::from_arguments();
+    let case = Arc::new(case);
+    case.end_in_time();
     let fleet = Fleet::default();
     let mut servers = Vec::new();
     for id in ["p0", "p1", "p2"] {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,16 +7,20 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::signal::unix::{SignalKind, signal};
 
 pub const HOST: &str = "desk.example";
 pub const KEY: &str = "key-of-rowers";
 
+/// When a case that has not ended is given up; a script may run for 120 s.
+const MAX_TIME: Duration = Duration::from_secs(100);
+
 /// `limits.memoryMb` of a machine of suva-oars.
 pub const MEMORY_MB: u64 = 260;
 
@@ -29,11 +33,13 @@
     pub ip: String,
 }
 
-/// The record of a case, and its node process.
+/// The record of a case, and its node processes.
 pub struct Case {
     start: Instant,
     record: Mutex<File>,
-    pub node: Mutex<Option<Child>>,
+    nodes: Mutex<Vec<Child>>,
+    /// Lists the processes that were started, for the script.
+    pids: PathBuf,
     ids: AtomicUsize,
 }
 
@@ -48,7 +54,8 @@
         let case = Self {
             start: Instant::now(),
             record: Mutex::new(File::create(record).unwrap()),
-            node: Mutex::new(None),
+            nodes: Mutex::default(),
+            pids: folder.join("pids"),
             ids: AtomicUsize::new(0),
         };
         let setting = Setting {
@@ -75,13 +82,29 @@
         )
     }
 
-    /// Starts the only node of a case.
-    pub fn start_node(&self, setting: &Setting, settings: &Path) {
-        *self.node.lock().unwrap() = Some(self.spawn_node(setting, settings));
+    /// Ends all nodes after a signal to this process, or when the case takes too long.
+    pub fn end_in_time(self: &Arc<Self>) {
+        let case = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(MAX_TIME);
+            case.end(2, "not run: the case takes too long");
+        });
+        for kind in [
+            SignalKind::terminate(),
+            SignalKind::interrupt(),
+            SignalKind::hangup(),
+        ] {
+            let case = Arc::clone(self);
+            let mut signals = signal(kind).unwrap();
+            tokio::spawn(async move {
+                signals.recv().await;
+                case.end(2, "not run: a signal ended the case");
+            });
+        }
     }
 
     /// Starts a node with the command of the deploy file.
-    pub fn spawn_node(&self, setting: &Setting, settings: &Path) -> Child {
+    pub fn start_node(&self, setting: &Setting, settings: &Path) {
         let log = setting.folder.join("node.log");
         let file = File::options().create(true).append(true).open(log).unwrap();
         let child = Command::new(setting.root.join("target/release/cuminlb"))
@@ -93,21 +116,44 @@
             .stderr(Stdio::from(file))
             .spawn()
             .expect("the build of the deploy file has made target/release/cuminlb");
-        self.note(&format!("platform: process {} starts", child.id()));
-        child
+        let pid = child.id();
+        self.nodes.lock().unwrap().push(child);
+        let pids = File::options().create(true).append(true).open(&self.pids);
+        writeln!(pids.unwrap(), "{pid}").unwrap();
+        self.note(&format!("platform: process {pid} starts"));
     }
 
-    /// Ends the node and this process.
-    pub fn end(&self, code: i32, verdict: &str) -> ! {
-        if let Some(mut child) = self.node.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
+    /// Returns the ids of the nodes that were started and not ended.
+    pub fn node_ids(&self) -> Vec<u32> {
+        self.nodes.lock().unwrap().iter().map(Child::id).collect()
+    }
+
+    /// Ends all nodes.
+    pub fn kill_nodes(&self) {
+        let mut nodes = self
+            .nodes
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        for mut node in nodes.drain(..) {
+            let _ = node.kill();
+            let _ = node.wait();
         }
+    }
+
+    /// Ends the nodes and this process.
+    pub fn end(&self, code: i32, verdict: &str) -> ! {
+        self.kill_nodes();
         self.note(verdict);
         std::process::exit(code)
     }
 }
 
+impl Drop for Case {
+    fn drop(&mut self) {
+        self.kill_nodes();
+    }
+}
+
 /// Writes the settings of the only node of a case.
 pub fn write_settings(setting: &Setting, store: SocketAddr) -> PathBuf {
     write_node_settings(setting, store, "front-za-1", &setting.ip)
