Refuse credentials that are no team's key on every route

Cause: no key, an unknown key and a malformed header were the same `None` to `examine`, which a route with `allows_anonymous` lets pass. Ruled out: a late catalog, and a team kept with the connection (the same connection gets 401 on the other route).

Change: `Credentials` tells them apart, and `Catalog::authenticate` decides. Credentials that are there must be the key of a team: also another scheme, an empty key, bytes that are no text, and several keys get 401. A catalog without teams ignores them, as before.

No row or call between nodes changes.

--- a/crates/cuminlb-catalog/src/catalog.rs
+++ b/crates/cuminlb-catalog/src/catalog.rs
@@ -6,7 +6,7 @@
 use cuminlb_types::prelude::*;
 use smol_str::SmolStr;
 
-use crate::{ApiKey, CallerBounds, Route, Team, UpstreamService};
+use crate::{ApiKey, AuthenticationError, CallerBounds, Credentials, Route, Team, UpstreamService};
 
 /// One complete version of the operators' desired state.
 #[derive(Clone, Debug, Default)]
@@ -61,9 +61,31 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
-    /// Returns whether callers must send a key.
-    pub const fn requires_keys(&self) -> bool {
-        self.teams.is_some()
+    /// Returns the team that a request on a route counts for, if any.
+    ///
+    /// Credentials that are there must be the key of a team, also on a route that needs none: a key
+    /// that was taken away works nowhere. A catalog without teams ignores them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the credentials do not allow the request.
+    pub fn authenticate(
+        &self,
+        credentials: &Credentials,
+        route: &Route,
+    ) -> Result<Option<&Team>, AuthenticationError> {
+        if self.teams.is_none() {
+            return Ok(None);
+        }
+        match credentials {
+            Credentials::Missing if route.allows_anonymous => Ok(None),
+            Credentials::Missing => Err(AuthenticationError::MissingKey),
+            Credentials::Key(key) => self
+                .team(key)
+                .map(Some)
+                .ok_or(AuthenticationError::UnknownKey),
+            Credentials::Invalid => Err(AuthenticationError::UnknownKey),
+        }
     }
 
     /// Returns the team that a key belongs to.
--- a/crates/cuminlb-catalog/src/lib.rs
+++ b/crates/cuminlb-catalog/src/lib.rs
@@ -8,8 +8,10 @@
 //! Only their implementations know the platform's protocol and the names that it uses.
 
 mod api_key;
+mod authentication_error;
 mod caller_bounds;
 mod catalog;
+mod credentials;
 mod engine_spec;
 mod forwarding;
 mod group_order;
@@ -41,8 +43,10 @@
 mod write_outcome;
 
 pub use crate::api_key::ApiKey;
+pub use crate::authentication_error::AuthenticationError;
 pub use crate::caller_bounds::CallerBounds;
 pub use crate::catalog::Catalog;
+pub use crate::credentials::Credentials;
 pub use crate::engine_spec::EngineSpec;
 pub use crate::forwarding::Forwarding;
 pub use crate::group_order::{CloseMode, GroupOrder};
--- a/crates/cuminlb-catalog/src/request_head.rs
+++ b/crates/cuminlb-catalog/src/request_head.rs
@@ -3,7 +3,7 @@
 use cuminlb_types::prelude::*;
 use smol_str::SmolStr;
 
-use crate::{ApiKey, PromptSize};
+use crate::{Credentials, PromptSize};
 
 /// The parsed headers of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,8 +14,8 @@
     pub host: SmolStr,
     /// The time that the caller waits for the response.
     pub caller_timeout_ms: Option<Millis>,
-    /// The key of the caller's team.
-    pub key: Option<ApiKey>,
+    /// The credentials of the caller.
+    pub credentials: Credentials,
     /// The model that the request is for.
     pub model: Option<ModelId>,
     /// The size of the prompt and the limit for the response.
--- a/crates/cuminlb-gateway/src/serving/examined_request.rs
+++ b/crates/cuminlb-gateway/src/serving/examined_request.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use cuminlb_catalog::{ApiKey, Catalog, RequestHead, Route, Team};
+use cuminlb_catalog::{RequestHead, Route, Team};
 use cuminlb_routing::{Refusal, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::request;
+use log::debug;
 use smol_str::ToSmolStr;
 use tokio::time::Instant;
 
@@ -70,10 +71,13 @@
             refuse(RefusalKind::UnknownService { name })
         })?;
         let route = Arc::clone(route);
-        let team = team_for_key(&catalog, &head.key);
-        if team.is_none() && catalog.requires_keys() && !route.allows_anonymous {
-            return Err(refuse(RefusalKind::Unauthenticated));
-        }
+        let team = catalog
+            .authenticate(&head.credentials, &route)
+            .map_err(|error| {
+                debug!(request:% = head.id, route:% = route.name; "request refused: {error}");
+                refuse(RefusalKind::Unauthenticated)
+            })?
+            .cloned();
         let timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
         let deadline = RequestDeadline::new(
             Arc::clone(&gateway.knowledge),
@@ -92,10 +96,6 @@
     }
 }
 
-fn team_for_key(catalog: &Catalog, key: &Option<ApiKey>) -> Option<Team> {
-    catalog.team(key.as_ref()?).cloned()
-}
-
 /// Returns the size of a head without optional spaces.
 fn head_bytes(parts: &request::Parts) -> u64 {
     let target = parts.uri.path_and_query();
--- a/tests/testsuite/raw_caller.rs
+++ b/tests/testsuite/raw_caller.rs
@@ -126,8 +126,14 @@
 
 /// Returns the head of a request with any key, followed by `rest`.
 pub fn head_with_key(method: &str, path: &str, id: &str, key: &str, rest: &str) -> String {
+    let rest = format!("authorization: Token {key}\r\n{rest}");
+    head_without_key(method, path, id, &rest)
+}
+
+/// Returns the head of a request without a key, followed by `rest`.
+pub fn head_without_key(method: &str, path: &str, id: &str, rest: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\n\
-         x-deadline-ms: 8000\r\nauthorization: Token {key}\r\n{rest}"
+         x-deadline-ms: 8000\r\n{rest}"
     )
 }
