Let a listed head that has left join its members again

Cause: the answer to `leave` freed the members at once, but the head counts as free only when its entry shows it.

Those of an unlisted head go on at once.

Test: hidden_heads::a_listed_head_that_has_left_joins_its_members_again fails without the change.

--- a/crates/cuminlb-assembly/src/planning/evaluation.rs
+++ b/crates/cuminlb-assembly/src/planning/evaluation.rs
@@ -132,10 +132,16 @@
     /// stop serving before any member joins another group.
     pub(super) fn dissolve_group(&mut self, group: &'a GroupView) {
         let input = self.input;
+        let head = group.head().map(|(id, _)| id);
         if input.head_openings.has_left(&group.group, group.epoch) {
+            // The entry of a listed head soon shows that it has left, and it can join the next group
+            // of its members.
+            if head.is_some_and(|head| self.is_effect_due(head)) {
+                self.dissolving.insert(group.shape.id.clone());
+                self.reserve(group);
+            }
             return;
         }
-        let head = group.head().map(|(id, _)| id);
         let head_health = head.and_then(|id| input.health.get(id));
         let head_health = head_health.filter(|health| **health != InstanceHealth::Slow);
         match (head, head_health) {
@@ -186,6 +192,11 @@
         self.reserve(group);
     }
 
+    /// Returns whether the entry of an instance should soon show the effect of its last order.
+    fn is_effect_due(&self, id: &InstanceId) -> bool {
+        self.input.awaiting_effect.contains(id) && !self.input.unlisted.contains(id)
+    }
+
     /// Returns how the requests in flight at the head of a group are ended.
     fn close_mode(&self, group: &GroupView) -> CloseMode {
         let are_healthy = group.present().all(|member| self.input.is_healthy(member));
--- a/crates/cuminlb-assembly/tests/assembly/hidden_heads.rs
+++ b/crates/cuminlb-assembly/tests/assembly/hidden_heads.rs
@@ -4,6 +4,7 @@
 use cuminlb_catalog::SeatState;
 use cuminlb_types::prelude::*;
 
+use super::simulated_engine::SimulatedEngine;
 use super::simulation::{ClusterSimulation, Delivery};
 
 /// More steps than an order without a response may be carried out late.
@@ -151,3 +152,27 @@
     assert_eq!(members_of(&simulation, &head), members);
     assert_eq!(simulation.serving(), 1);
 }
+
+/// Guards against needless loads: the next group of a head's members was formed without it, as its
+/// entry did not show yet that it had left.
+#[test]
+fn a_listed_head_that_has_left_joins_its_members_again() {
+    let mut simulation = ClusterSimulation::new(1, 9);
+    run(&mut simulation, &[], 60);
+    simulation.change_leader();
+    let open = |simulation: &ClusterSimulation| {
+        let mut heads = simulation.engines.values().filter(|it| it.is_open());
+        let size = |head: &SimulatedEngine| head.membership.as_ref().unwrap().members.len();
+        heads.find(|head| size(head) == 4).unwrap().id.clone()
+    };
+    let head = open(&simulation);
+    let members = members_of(&simulation, &head);
+    simulation.kill(&members[1]);
+    simulation.probe(&members[1]);
+    run(&mut simulation, &[], 2);
+    // The head has closed, and is ordered to leave; its entry is late.
+    run(&mut simulation, std::slice::from_ref(&head), 2);
+    run(&mut simulation, &[], 20);
+    let again = members_of(&simulation, &open(&simulation));
+    assert!(again.contains(&head), "{again:?} without {head}");
+}
