--- a/crates/cuminlb-platform/src/http/http_client.rs
+++ b/crates/cuminlb-platform/src/http/http_client.rs
@@ -14,8 +14,8 @@
 
 use crate::PlatformError;
 
-/// The largest response body that is read from the platform.
-const MAX_RESPONSE_LEN_BYTES: usize = 16 << 20;
+/// The largest response body that is read, unless a client has another limit.
+const DEFAULT_MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// How much is read from a connection at once, which also limits the head of a response. A service that
 /// sends heads without end delays other tasks by 128 such reads.
@@ -27,6 +27,7 @@
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     timeout_ms: Millis,
+    max_response_bytes: usize,
 }
 
 impl HttpClient {
@@ -44,9 +45,17 @@
             client,
             address,
             timeout_ms,
+            max_response_bytes: DEFAULT_MAX_RESPONSE_BYTES,
         }
     }
 
+    /// Returns the client with a limit on the bodies of responses; longer ones count as none.
+    #[must_use]
+    pub const fn with_max_response_bytes(mut self, max_response_bytes: usize) -> Self {
+        self.max_response_bytes = max_response_bytes;
+        self
+    }
+
     /// Sends a request and returns the status and the complete body of the response.
     ///
     /// # Errors
@@ -97,7 +106,7 @@
                 }
             })?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_LEN_BYTES);
+            let body = Limited::new(body, self.max_response_bytes);
             let body = body
                 .collect()
                 .await
