Bound the memory of all long bodies of a node together

Cause: each body has a limit, their sum has none. Ruled out: a single body without a limit.

Change: `BodyBudget`, a third of `memory_mb` for requests, a quarter for responses and unfinished events with a part for each instance, a sixteenth for forwarded requests, whose own budget it replaces. What can't be held is refused as not run (503 `bodies_held`), its body read and discarded; a response that can't be held closes its connection and leaves the outcome unknown.

No row or call between nodes changes. A body that is longer than its node can hold is new as a reason for a 503.

--- /dev/null
+++ b/crates/cuminlb-gateway/src/body_budgets.rs
@@ -0,0 +1,55 @@
+//! The memory that this node holds for each kind of body.
+
+use cuminlb_routing::BodyBudget;
+use cuminlb_types::prelude::*;
+
+/// The fraction of the process memory that requests of callers may hold.
+const REQUESTS_DIVISOR: u64 = 3;
+
+/// The fraction that responses of instances may hold.
+const RESPONSES_DIVISOR: u64 = 4;
+
+/// The fraction that requests may hold that this node forwards for others.
+const FORWARDED_DIVISOR: u64 = 16;
+
+/// The fraction of all responses that those of one instance may hold.
+const INSTANCE_DIVISOR: u64 = 4;
+
+/// The memory that the responses of one instance may hold at least: one of the greatest length.
+const MIN_INSTANCE_BYTES: u64 = 8 << 20;
+
+const BYTES_PER_MB: u64 = 1 << 20;
+
+/// The memory that this node holds for each kind of body.
+///
+/// Callers that send long bodies, instances that respond without end, and nodes that have lost their
+/// links don't use up what the others need.
+#[derive(Clone, Debug)]
+pub(crate) struct BodyBudgets {
+    /// For the requests of callers.
+    pub(crate) requests: BodyBudget,
+    /// For the requests that this node forwards for others.
+    pub(crate) forwarded: BodyBudget,
+    responses: BodyBudget,
+    instance_size: ByteCount,
+}
+
+impl BodyBudgets {
+    /// Creates the budgets of a process that has `memory_mb` of memory.
+    pub(crate) fn new(memory_mb: u64) -> Self {
+        let memory_bytes = memory_mb.max(1).saturating_mul(BYTES_PER_MB);
+        let part = |divisor: u64| BodyBudget::new(ByteCount(memory_bytes / divisor));
+        let instance_bytes = memory_bytes / RESPONSES_DIVISOR / INSTANCE_DIVISOR;
+        Self {
+            requests: part(REQUESTS_DIVISOR),
+            forwarded: part(FORWARDED_DIVISOR),
+            responses: part(RESPONSES_DIVISOR),
+            instance_size: ByteCount(instance_bytes.max(MIN_INSTANCE_BYTES)),
+        }
+    }
+
+    /// Returns a budget for the responses of one instance.
+    pub(crate) fn responses_of_instance(&self) -> BodyBudget {
+        self.responses.part(self.instance_size)
+    }
+}
--- a/crates/cuminlb-gateway/src/gateway.rs
+++ b/crates/cuminlb-gateway/src/gateway.rs
@@ -12,10 +12,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::Edges;
+use crate::body_budgets::BodyBudgets;
 use crate::drain::Drain;
 use crate::knowledge::{Knowledge, NodePeers, PeerLinks};
 use crate::leading::Suspicions;
-use crate::links::{ForwardingBudget, Judgements};
+use crate::links::Judgements;
 use crate::metrics::{GatewayMetrics, RequestLabels};
 use crate::serving::{GroupChecks, InstanceChecks, LoadTracker, RetryBudgets};
 use crate::upstream::ConnectionPool;
@@ -54,7 +55,7 @@
     /// The judgements about instances that this node does not reach.
     pub(crate) judgements: Judgements,
     /// What the requests of other nodes that this one forwards may hold.
-    pub(crate) forwarding_budget: ForwardingBudget,
+    pub(crate) body_budgets: BodyBudgets,
     pub(crate) metrics: GatewayMetrics,
     /// Short background tasks, which are not awaited before the node stops.
     pub(crate) background_tasks: TaskTracker,
@@ -66,6 +67,7 @@
 impl Gateway {
     pub(crate) fn new(live: watch::Receiver<Arc<GatewaySettings>>, edges: Edges) -> Arc<Self> {
         let settings = GatewaySettings::clone(&live.borrow());
+        let body_budgets = BodyBudgets::new(settings.bounds.memory_mb);
         let background_tasks = TaskTracker::new();
         let metrics = GatewayMetrics::default();
         let knowledge = Arc::new(Knowledge::new(Arc::clone(&edges.wire), metrics.clone()));
@@ -102,7 +104,7 @@
             suspicions: Suspicions::default(),
             group_checks: GroupChecks::default(),
             instance_checks: InstanceChecks::default(),
-            loads: LoadTracker::default(),
+            loads: LoadTracker::new(body_budgets.clone()),
             retry_times: RetryTimes::default(),
             load_board: LoadBoard::default(),
             crash_board: CrashBoard::default(),
@@ -112,7 +114,7 @@
             links: LinkBoard::default(),
             forwarder_board: ForwarderBoard::default(),
             judgements: Judgements::default(),
-            forwarding_budget: ForwardingBudget::new(settings.bounds.memory_mb),
+            body_budgets,
             metrics,
             background_tasks,
             drain: Drain::new(live.clone()),
--- a/crates/cuminlb-gateway/src/lib.rs
+++ b/crates/cuminlb-gateway/src/lib.rs
@@ -7,6 +7,8 @@
 //! `cuminlb-catalog`.
 
 mod accept_connections;
+mod body_budgets;
+mod collect_body;
 mod drain;
 mod edges;
 mod gateway;
--- a/crates/cuminlb-gateway/src/links/forward_request.rs
+++ b/crates/cuminlb-gateway/src/links/forward_request.rs
@@ -4,7 +4,7 @@
 
 use cuminlb_catalog::{InstanceEntry, ResponseHead};
 use cuminlb_peer::{ForwardOrder, ForwardOutcome};
-use cuminlb_routing::{LinkRoute, ResponseOwner};
+use cuminlb_routing::{BudgetShare, LinkRoute, ResponseOwner};
 use cuminlb_types::prelude::*;
 use http::header::{
     CONNECTION, HeaderName, PROXY_AUTHENTICATE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -13,7 +13,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use log::info;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, sleep_until};
 
 use super::forward_deadline::ForwardDeadline;
@@ -32,6 +31,9 @@
     UPGRADE,
 ];
 
+/// What a forwarded request holds in addition to its body, for its buffers.
+const REQUEST_BUFFER_BYTES: usize = 64 << 10;
+
 /// Forwards a request to the instance that its headers name, and returns the response with what came
 /// of it. A response of the instance is passed on as it arrives.
 pub(super) async fn forward_request(
@@ -68,7 +70,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ForwardedBody>, ForwardOutcome> {
     let entry = find_instance(gateway, order)?;
-    let (request, permit) = read_request(gateway, request).await?;
+    let (request, share) = read_request(gateway, request).await?;
     let mut connection = connect(gateway, &entry).await?;
     let sent = tokio::select! {
         sent = connection.send(request) => sent,
@@ -100,7 +102,7 @@
     gateway.metrics.forwarded_for_others.inc();
     let closes_at = connection.close_after(sleep_until(deadline));
     let body = ForwardedBody::new(gateway, &entry.id, &head, connection, body)
-        .with_guards(closes_at, permit);
+        .with_guards(closes_at, share);
     Ok(Response::from_parts(parts, body))
 }
 
@@ -139,20 +141,22 @@
 async fn read_request(
     gateway: &Gateway,
     request: Request<Incoming>,
-) -> Result<(Request<Full<bytes::Bytes>>, OwnedSemaphorePermit), ForwardOutcome> {
+) -> Result<(Request<Full<bytes::Bytes>>, BudgetShare), ForwardOutcome> {
     let max_bytes = gateway.caller_bounds().max_body_bytes;
     let size_hint = request.body().size_hint();
     let size = ByteCount(size_hint.upper().unwrap_or(max_bytes.get()));
-    let permit = gateway.forwarding_budget.acquire(size);
-    let permit = permit.ok_or(ForwardOutcome::Busy)?;
+    let limit = usize::try_from(size.get()).unwrap_or(usize::MAX);
+    let mut share = gateway.body_budgets.forwarded.share();
+    share
+        .resize(limit.saturating_add(REQUEST_BUFFER_BYTES))
+        .map_err(|_too_much| ForwardOutcome::Busy)?;
     let (mut parts, body) = request.into_parts();
     remove_hop_headers(&mut parts.headers);
-    let limit = usize::try_from(size.get()).unwrap_or(usize::MAX);
     let body = Limited::new(body, limit).collect().await;
     let body = body.map_err(|_interrupted| ForwardOutcome::NotSent)?;
     Ok((
         Request::from_parts(parts, Full::new(body.to_bytes())),
-        permit,
+        share,
     ))
 }
 
--- a/crates/cuminlb-gateway/src/links/forwarded_body.rs
+++ b/crates/cuminlb-gateway/src/links/forwarded_body.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use cuminlb_catalog::ResponseHead;
+use cuminlb_routing::BudgetShare;
 use cuminlb_types::prelude::*;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ForwardedBody {
     source: Option<Source>,
-    _guards: Option<(ConnectionDeadline, OwnedSemaphorePermit)>,
+    _guards: Option<(ConnectionDeadline, BudgetShare)>,
 }
 
 /// Where the body comes from.
@@ -64,12 +64,8 @@
     }
 
     /// Holds what limits the request until the body is dropped.
-    pub(super) fn with_guards(
-        mut self,
-        deadline: ConnectionDeadline,
-        permit: OwnedSemaphorePermit,
-    ) -> Self {
-        self._guards = Some((deadline, permit));
+    pub(super) fn with_guards(mut self, deadline: ConnectionDeadline, share: BudgetShare) -> Self {
+        self._guards = Some((deadline, share));
         self
     }
 
--- a/crates/cuminlb-gateway/src/links/mod.rs
+++ b/crates/cuminlb-gateway/src/links/mod.rs
@@ -13,7 +13,6 @@
 mod forward_request;
 mod forwarded_body;
 mod forwarded_link;
-mod forwarding_budget;
 mod instance_link;
 mod judge_instance;
 mod judgements;
@@ -25,7 +24,6 @@
 mod undelimited_body;
 mod watch_links;
 
-pub(crate) use self::forwarding_budget::ForwardingBudget;
 pub(crate) use self::instance_link::InstanceLink;
 pub(crate) use self::judgements::Judgements;
 pub(crate) use self::serve_forwarding::serve_forwarding;
--- a/crates/cuminlb-gateway/src/serving/instance_load.rs
+++ b/crates/cuminlb-gateway/src/serving/instance_load.rs
@@ -7,6 +7,7 @@
 
 use cuminlb_peer::GroupHealth;
 use cuminlb_replica::NodeRow;
+use cuminlb_routing::BodyBudget;
 use cuminlb_types::prelude::*;
 use tokio::time::Instant;
 
@@ -35,6 +36,8 @@
 #[derive(Debug)]
 pub(super) struct InstanceLoad {
     pub(super) in_flight: AtomicU32,
+    /// The memory that its responses may hold.
+    pub(super) response_budget: BodyBudget,
     observations: Mutex<Observations>,
 }
 
@@ -56,9 +59,10 @@
 }
 
 impl InstanceLoad {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(response_budget: BodyBudget, now: Instant) -> Self {
         Self {
             in_flight: AtomicU32::new(0),
+            response_budget,
             observations: Mutex::new(Observations {
                 last_progress_at: now,
                 suspicion: None,
--- a/crates/cuminlb-gateway/src/serving/load_tracker.rs
+++ b/crates/cuminlb-gateway/src/serving/load_tracker.rs
@@ -9,21 +9,32 @@
 
 use super::in_flight_guard::InFlightGuard;
 use super::instance_load::InstanceLoad;
+use crate::body_budgets::BodyBudgets;
 
 /// What this node has observed of each instance through its own requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LoadTracker {
+    body_budgets: BodyBudgets,
     loads: Mutex<HashMap<InstanceId, Arc<InstanceLoad>>>,
 }
 
 impl LoadTracker {
+    /// Creates a tracker; the instances have their parts of the budget for responses.
+    pub(crate) fn new(body_budgets: BodyBudgets) -> Self {
+        Self {
+            body_budgets,
+            loads: Mutex::default(),
+        }
+    }
+
     /// Returns the observations of an instance.
     pub(super) fn load(&self, id: &InstanceId) -> Arc<InstanceLoad> {
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(load) = loads.get(id) {
             return Arc::clone(load);
         }
-        let load = Arc::new(InstanceLoad::new(Instant::now()));
+        let response_budget = self.body_budgets.responses_of_instance();
+        let load = Arc::new(InstanceLoad::new(response_budget, Instant::now()));
         loads.insert(id.clone(), Arc::clone(&load));
         load
     }
--- a/crates/cuminlb-gateway/src/serving/mod.rs
+++ b/crates/cuminlb-gateway/src/serving/mod.rs
@@ -14,6 +14,7 @@
 mod attempt_obstacle;
 mod attempt_stage;
 mod attempt_update;
+mod bodies_held_refusal;
 mod caller_connection;
 mod caller_stream;
 mod check_instance;
--- a/crates/cuminlb-gateway/src/serving/plain_exchange.rs
+++ b/crates/cuminlb-gateway/src/serving/plain_exchange.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use cuminlb_catalog::{Forwarding, ResponseHead};
 use cuminlb_peer::ForwardOrder;
-use cuminlb_routing::{ResponseOwner, request_urgency};
+use cuminlb_routing::{BudgetError, ResponseOwner, request_urgency};
+use cuminlb_types::prelude::*;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use smol_str::{ToSmolStr, format_smolstr};
 use tokio::time::Instant;
 
@@ -16,12 +17,13 @@
 use super::in_flight_guard::InFlightGuard;
 use super::response_body::{ResponseBody, full_body};
 use super::target::Target;
+use crate::collect_body::{CollectError, collect_body};
 use crate::gateway::Gateway;
 use crate::links::InstanceLink;
 use crate::upstream::SendFailure;
 
 /// Size limit of a plain response, which is buffered completely.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+const MAX_RESPONSE_BYTES: ByteCount = ByteCount(8 << 20);
 
 /// Sends a request to an instance and returns its complete response.
 pub(super) async fn plain_exchange(
@@ -38,15 +40,19 @@
     let sent = link.send(gateway, &order, outgoing).await;
     let response = sent.map_err(|failure| record_failure(&in_flight, failure))?;
     link.record_contact(gateway, &target.instance, Instant::now());
-    let (parts, body) = response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let head = wire.read_response(&parts);
     gateway.record_leaving(target, &head);
     check_owner(request, &head, &link)?;
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let budget = &in_flight.load().response_budget;
+    let body = collect_body(&mut body, MAX_RESPONSE_BYTES, budget).await;
     let body = body.map_err(|error| {
-        in_flight.load().record_outcome(true);
+        let is_own_fault = error != CollectError::Budget(BudgetError::NodeHoldsTooMuch);
+        if is_own_fault {
+            in_flight.load().record_outcome(true);
+        }
         AttemptFailure::unknown(format_smolstr!(
-            "the response body was interrupted: {error}"
+            "the response body was not read to its end: {error}"
         ))
     })?;
     in_flight.record_progress(Instant::now());
@@ -72,7 +78,7 @@
         ));
     }
     in_flight.load().record_outcome(head.status >= 500);
-    let mut response = Response::new(full_body(body.to_bytes()));
+    let mut response = Response::new(full_body(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = wire.response_headers(&parts);
     Ok((head, response))
@@ -106,7 +112,7 @@
     gateway: &Gateway,
     request: &AdmittedRequest,
     target: &Target,
-    resume_after: Option<cuminlb_types::EventId>,
+    resume_after: Option<EventId>,
 ) -> Request<Full<Bytes>> {
     let forwarding = Forwarding {
         instance: target.instance.clone(),
--- a/crates/cuminlb-gateway/src/serving/read_body.rs
+++ b/crates/cuminlb-gateway/src/serving/read_body.rs
@@ -3,15 +3,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminlb_routing::RefusalKind;
+use cuminlb_routing::{BodyBudget, BudgetError, RefusalKind};
 use cuminlb_types::prelude::*;
 use http::header::EXPECT;
 use http::request;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use smol_str::ToSmolStr;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::collect_body::{CollectError, collect_body};
+
 /// How long the refusal of a request waits at most for the end of its body.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -22,25 +23,28 @@
 ///
 /// # Errors
 ///
-/// Returns the reason for a refusal if the body is too long, late or interrupted.
+/// Returns the reason for a refusal if the body is too long, late or interrupted, or if the budget has
+/// too little left.
 pub(super) async fn read_body(
-    body: Incoming,
+    body: &mut Incoming,
     max_bytes: ByteCount,
     deadline: Instant,
+    budget: &BodyBudget,
 ) -> Result<Bytes, RefusalKind> {
     let start = Instant::now();
     let read_timeout: Duration = deadline
         .saturating_duration_since(start)
         .mul_f64(BODY_TIME_FRACTION);
-    let limited = Limited::new(body, max_len(max_bytes));
-    match timeout_at(start + read_timeout, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let collected = collect_body(body, max_bytes, budget);
+    match timeout_at(start + read_timeout, collected).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::Budget(BudgetError::TooLong { max_bytes }))) => {
             Err(RefusalKind::BodyTooLarge { max_bytes })
         }
-        Ok(Err(error)) => Err(RefusalKind::BadRequest {
+        Ok(Err(CollectError::Budget(_held))) => Err(RefusalKind::BodiesHeld),
+        Ok(Err(CollectError::Interrupted(reason))) => Err(RefusalKind::BadRequest {
             field: "body",
-            reason: error.to_smolstr(),
+            reason,
         }),
         Err(_elapsed) => Err(RefusalKind::ReceiveTimeout {
             timeout_ms: read_timeout.into(),
--- a/crates/cuminlb-gateway/src/serving/stream_head.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_head.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use cuminlb_routing::BodyBudget;
+use cuminlb_types::prelude::*;
 use cuminlb_upstream::EventDecoder;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Response, StatusCode, response};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
@@ -17,12 +18,13 @@
 use super::response_body::{ResponseBody, full_body};
 use super::stream_source::StreamSource;
 use super::target::Target;
+use crate::collect_body::collect_body;
 use crate::gateway::Gateway;
 use crate::links::{InstanceLink, UndelimitedBody};
 use crate::upstream::ConnectionDeadline;
 
 /// Size limit of a response that is buffered because it is not the requested stream.
-const MAX_NON_STREAM_BYTES: usize = 1 << 20;
+const MAX_NON_STREAM_BYTES: ByteCount = ByteCount(1 << 20);
 
 /// What follows the head of the response to a request for a stream.
 pub(super) enum StreamHead {
@@ -81,14 +83,16 @@
             deadline: close_at_deadline(&link, request),
             link,
             decoder: EventDecoder::default(),
+            held: in_flight.load().response_budget.share(),
             event_count: 0,
             has_content: false,
             has_ended: false,
         })));
     }
     let headers = wire.response_headers(&parts);
+    let budget = in_flight.load().response_budget.clone();
     Ok(StreamHead::Other(Box::pin(async move {
-        let response = read_rest(body, parts, headers).await;
+        let response = read_rest(body, parts, headers, &budget).await;
         // The rest is read through the connection.
         drop(link);
         response
@@ -102,17 +106,18 @@
 }
 
 async fn read_rest(
-    body: Incoming,
+    mut body: Incoming,
     parts: response::Parts,
     headers: HeaderMap,
+    budget: &BodyBudget,
 ) -> Result<Response<ResponseBody>, AttemptFailure> {
-    let body = Limited::new(body, MAX_NON_STREAM_BYTES).collect().await;
+    let body = collect_body(&mut body, MAX_NON_STREAM_BYTES, budget).await;
     let body = body.map_err(|error| {
         AttemptFailure::unknown(format_smolstr!(
-            "the response body was interrupted: {error}"
+            "the response body was not read to its end: {error}"
         ))
     })?;
-    let mut response = Response::new(full_body(body.to_bytes()));
+    let mut response = Response::new(full_body(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = headers;
     Ok(response)
--- a/crates/cuminlb-gateway/src/serving/stream_source.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_source.rs
@@ -1,7 +1,7 @@
 //! The receiving side of an event stream from an instance.
 
 use cuminlb_catalog::ResponseHead;
-use cuminlb_routing::EventContent;
+use cuminlb_routing::{BudgetShare, EventContent};
 use cuminlb_upstream::EventDecoder;
 use http::response;
 use http_body_util::BodyExt;
@@ -29,6 +29,8 @@
     /// Ends the stream at the deadline of the request, even if the caller does not read.
     pub(super) deadline: ConnectionDeadline,
     pub(super) decoder: EventDecoder,
+    /// What the events hold that were received and not passed on.
+    pub(super) held: BudgetShare,
     /// The number of events that have been received.
     pub(super) event_count: u64,
     /// Whether an event that is more than a comment has been received.
@@ -77,6 +79,9 @@
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     self.decoder.push(data);
+                    if let Err(error) = self.held.resize(self.decoder.len()) {
+                        return Some(AttemptUpdate::Interrupted(error.to_smolstr()));
+                    }
                 }
             }
             Some(Err(error)) => return Some(AttemptUpdate::Interrupted(error.to_smolstr())),
--- a/crates/cuminlb-routing/src/lib.rs
+++ b/crates/cuminlb-routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod crashes;
 mod drain_schedule;
 mod links;
+mod memory;
 mod quarantine;
 mod refusal;
 mod response_owner;
@@ -48,6 +49,7 @@
     ForwarderBoard, ForwarderCandidate, ForwarderOutcome, InstanceVerdict, LeadFitness, LinkBoard,
     LinkChange, LinkFailure, LinkRoute, SecondOpinion, adviser_order,
 };
+pub use crate::memory::{BodyBudget, BodyBuffer, BudgetError, BudgetShare};
 pub use crate::quarantine::{
     Crash, CrashId, QUARANTINE_MS, Quarantine, Suspect, request_fingerprint,
 };
--- /dev/null
+++ b/crates/cuminlb-routing/src/memory/mod.rs
@@ -0,0 +1,16 @@
+//! Bounds on the memory that a node holds for bodies.
+//!
+//! These answer the load of many long bodies at once: of callers within the limits of the catalog, and
+//! of instances that respond without end. Each body has a limit of its own; a [`BodyBudget`] bounds
+//! their sum, so that one kind of body can't end the process and with it the requests of others.
+
+mod body_budget;
+mod body_buffer;
+mod budget_error;
+mod budget_share;
+mod memory_pool;
+
+pub use self::body_budget::BodyBudget;
+pub use self::body_buffer::BodyBuffer;
+pub use self::budget_error::BudgetError;
+pub use self::budget_share::BudgetShare;
--- a/crates/cuminlb-routing/src/refusal/refusal_kind.rs
+++ b/crates/cuminlb-routing/src/refusal/refusal_kind.rs
@@ -32,6 +32,9 @@
         /// The maximum body size.
         max_bytes: ByteCount,
     },
+    /// This node holds too many long bodies.
+    #[error("this node holds too many long bodies; send the request again")]
+    BodiesHeld,
     /// The caller took too long to send its request.
     #[error("the request did not arrive within {timeout_ms}")]
     ReceiveTimeout {
@@ -152,6 +155,7 @@
             | Self::NoSlot { .. }
             | Self::NoGroup { .. }
             | Self::ClaimUnavailable
+            | Self::BodiesHeld
             | Self::Draining
             | Self::ConfigUnconfirmed
             | Self::CrashSuspected { .. } => 503,
@@ -165,6 +169,7 @@
             Self::UnknownService { .. } => "unknown_service",
             Self::BadRequest { .. } => "bad_request",
             Self::BodyTooLarge { .. } => "body_too_large",
+            Self::BodiesHeld => "bodies_held",
             Self::ReceiveTimeout { .. } => "receive_timeout",
             Self::RateExceeded { .. } => "rate_exceeded",
             Self::QueueFull { .. } => "queue_full",
--- a/crates/cuminlb-upstream/src/stream/event_decoder.rs
+++ b/crates/cuminlb-upstream/src/stream/event_decoder.rs
@@ -45,6 +45,11 @@
         Ok(Some(StreamEvent::Chunk { raw, data }))
     }
 
+    /// Returns the number of bytes that the buffer holds.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer holds no bytes of an incomplete event.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -47,6 +47,7 @@
 mod native_leaving;
 mod native_links;
 mod native_local_ports;
+mod native_memory;
 mod native_node;
 mod native_observation;
 mod native_odd_heads;
