Answer a stream that breaks off before its first event

Cause: the response to a caller began as soon as the only attempt had sent its head. A body that fails then aborts the connection.

Change: the response begins with the first event or the end of the stream. Before that a failed attempt is followed by another, or answered with 502 or 504.

Test: native_broken_streams::a_stream_that_breaks_off_before_its_first_event_is_answered (closed and reset, after the head, inside a chunk and inside an event) failed before and passes now.

No row or call between nodes changes.

--- a/crates/cuminlb-gateway/src/serving/open_streams.rs
+++ b/crates/cuminlb-gateway/src/serving/open_streams.rs
@@ -53,14 +53,6 @@
         self.0.extract_if(.., |it| it.number != number).collect()
     }
 
-    /// Returns the only attempt if its stream has begun.
-    pub(super) fn only_stream(&self) -> Option<AttemptNumber> {
-        match self.0.as_slice() {
-            [attempt] => attempt.source().map(|_| attempt.number),
-            _ => None,
-        }
-    }
-
     /// Returns the instance of the first attempt.
     pub(super) fn first_instance(&self) -> Option<&InstanceId> {
         self.0.first().map(|attempt| &attempt.target.instance)
--- a/crates/cuminlb-gateway/src/serving/run_stream.rs
+++ b/crates/cuminlb-gateway/src/serving/run_stream.rs
@@ -21,6 +21,9 @@
 const RETRY_AFTER_MS: std::ops::Range<u64> = 400..1_200;
 
 /// Runs a request whose response is a stream of events.
+///
+/// The response begins with the first event or the end of the stream. A head alone does not show that
+/// anything follows, and a stream that breaks off before can still be answered in full.
 pub(super) async fn run_stream(
     gateway: &Arc<Gateway>,
     mut request: AdmittedRequest,
@@ -31,9 +34,6 @@
     let mut reason: SmolStr = "no group is serving".into();
     let mut unavailability = Unavailability::default();
     loop {
-        if let Some(number) = attempts.open.only_stream() {
-            return Ok(StreamRelay::response(attempts, number, None));
-        }
         if attempts.open.is_empty() {
             // A request that may have run can't be refused as not run.
             let may_start = attempts.may_have_run() || attempts.request.deadline.may_start();
@@ -74,7 +74,7 @@
                 failed_response = Some(response);
             }
             update @ (StreamUpdate::Event(number, _) | StreamUpdate::End(number)) => {
-                return Ok(StreamRelay::response(attempts, number, Some(update)));
+                return Ok(StreamRelay::response(attempts, number, update));
             }
             StreamUpdate::Failed(failure) => {
                 reason = failure;
--- a/crates/cuminlb-gateway/src/serving/stream_relay.rs
+++ b/crates/cuminlb-gateway/src/serving/stream_relay.rs
@@ -42,7 +42,7 @@
     pub(super) fn response(
         mut attempts: StreamAttempts,
         number: AttemptNumber,
-        pending: Option<StreamUpdate>,
+        pending: StreamUpdate,
     ) -> Response<ResponseBody> {
         attempts.select(number);
         let mut response = Response::new(());
@@ -55,7 +55,7 @@
         response.headers_mut().remove(CONTENT_LENGTH);
         let relay = Self {
             attempts,
-            pending,
+            pending: Some(pending),
             event_count: 0,
             first_event_ms: None,
             last_relayed_at: Instant::now(),
--- a/tests/testsuite/native_broken_streams.rs
+++ b/tests/testsuite/native_broken_streams.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use crate::answering_site::{ANSWERING, STREAM, answering_site, wait_rows_read};
 use crate::answering_worker::{Answer, AnswerEnd, AnsweringWorker};
@@ -122,3 +123,27 @@
                 content-type: text/event-stream\r\n\r\n";
     check(Answer::new(head, AnswerEnd::Close), &[1, 2], false).await;
 }
+
+/// Guards against LOST: a caller got neither an answer nor a refusal when a stream broke off right after
+/// its head, since the head was dropped with the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_before_its_first_event_is_answered() {
+    let site = answering_site(1).await;
+    let pause = Duration::from_millis(50);
+    for end in [AnswerEnd::Close, AnswerEnd::Reset] {
+        for rest in ["", "1f\r\n", "1f\r\nid: 1\nda"] {
+            for pause in [Duration::ZERO, pause] {
+                let parts = vec![(Duration::ZERO, stream_text([])), (pause, rest.to_owned())];
+                let answer = Answer { parts, end };
+                let respond = move |_: &crate::answering_worker::WorkerRequest| answer.clone();
+                let worker = AnsweringWorker::start(&site.fleet, "k0", ANSWERING, respond).await;
+                wait_rows_read(&site).await;
+                let response = send_raw(&site, STREAM, "s1").await;
+                let case = format!("{end:?} {rest:?} {pause:?}: {}", response.text);
+                assert_eq!(response.status(), Some(502), "{case}");
+                assert!(response.complete_body().is_some(), "{case}");
+                drop(worker);
+            }
+        }
+    }
+}
