--- a/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
+++ b/crates/cuminlb-assembly/tests/assembly/simulation/mod.rs
@@ -1,8 +1,9 @@
 //! A simulation of engines and leaders in which orders are lost, delayed, repeated and reordered.
-//! The invariants of the groups are in `checks`.
+//! The invariants of the groups are in `checks`, what leaders see of engines is in `entries`.
 
 mod checks;
 mod delivery;
+mod entries;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -116,31 +117,6 @@
         self.engines.get_mut(id).unwrap().restart();
     }
 
-    /// Updates the entries that leaders see, except those of the `hidden` engines.
-    pub fn refresh_entries(&mut self, hidden: &[InstanceId]) {
-        for (id, engine) in &self.engines {
-            if engine.is_alive && !hidden.contains(id) {
-                self.seen.insert(id.clone(), Arc::new(engine.entry()));
-                self.unlisted.remove(id);
-            }
-        }
-    }
-
-    /// Lets the entry of an engine vanish; leaders keep what it said last.
-    pub fn unlist(&mut self, id: &InstanceId) {
-        self.unlisted.insert(id.clone());
-    }
-
-    /// Returns what leaders see of an engine.
-    pub fn seen_entry(&self, id: &InstanceId) -> &InstanceEntry {
-        &self.seen[id]
-    }
-
-    /// Replaces what leaders see of an engine, as a store restored from a copy does.
-    pub fn restore_entry(&mut self, entry: InstanceEntry) {
-        self.seen.insert(entry.id.clone(), Arc::new(entry));
-    }
-
     /// Lets the leader probe an engine and handle the result.
     pub fn probe(&mut self, id: &InstanceId) {
         let engine = &self.engines[id];
