--- a/review/standins-2/src/consumer.rs
+++ b/review/standins-2/src/consumer.rs
@@ -48,6 +48,35 @@
     }
 }
 
+/// Asks for a stream of a model on a new connection and returns the status, once the stream has ended.
+pub fn ask_for_stream(node: SocketAddr, id: &str, model: &str) -> io::Result<u16> {
+    let mut stream = TcpStream::connect_timeout(&node, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_millis(3_000)))?;
+    let head = request_head("POST", "/menu/x", id, 2_000);
+    let model =
+        format!("x-model: {model}\r\nx-token-count: 100,20\r\nx-prompt-prefix: a{id}:100\r\n\r\n");
+    let head = head.replace("\r\n\r\n", &format!("\r\n{model}"));
+    stream.write_all(head.as_bytes())?;
+    let mut answer = Vec::new();
+    let mut part = [0; 2_048];
+    loop {
+        let read_bytes = stream.read(&mut part)?;
+        answer.extend_from_slice(&part[..read_bytes]);
+        let text = String::from_utf8_lossy(&answer);
+        let status = text
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        let is_refused = status.is_some_and(|status: u16| status != 200);
+        if is_refused && complete_status(&answer).is_some() || text.ends_with("0\r\n\r\n") {
+            return status.ok_or_else(|| io::ErrorKind::InvalidData.into());
+        }
+        if read_bytes == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
 /// Returns the status of an answer once its body is there as a whole.
 fn complete_status(answer: &[u8]) -> Option<u16> {
     let text = String::from_utf8_lossy(answer);
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -3,6 +3,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
 /// The stack of a thread that serves one connection.
@@ -11,7 +12,6 @@
 /// A request that was read as a whole.
 #[derive(Debug)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -37,10 +37,22 @@
 
 /// Serves connections on a new port of a loopback address until the process ends.
 pub fn serve(address: &str, handler: Arc<dyn Handler>) -> io::Result<SocketAddr> {
+    serve_until(address, handler, Arc::default())
+}
+
+/// Serves connections until `has_crashed` is set; from the next connection on, all are refused.
+pub fn serve_until(
+    address: &str,
+    handler: Arc<dyn Handler>,
+    has_crashed: Arc<AtomicBool>,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((address, 0))?;
     let bound = listener.local_addr()?;
     spawn(move || {
         for stream in listener.incoming().flatten() {
+            if has_crashed.load(Ordering::SeqCst) {
+                return;
+            }
             let handler = Arc::clone(&handler);
             spawn(move || {
                 let _closed = serve_connection(stream, handler.as_ref());
@@ -73,7 +85,7 @@
         return Ok(None);
     }
     let mut words = line.split_whitespace();
-    let method = words.next().unwrap_or_default().to_owned();
+    let _method = words.next();
     let target = words.next().unwrap_or_default().to_owned();
     let mut headers = Vec::new();
     loop {
@@ -99,7 +111,6 @@
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(name, value)| (name.to_owned(), value.to_owned()));
     Ok(Some(Request {
-        method,
         path: path.to_owned(),
         query: query.collect(),
         headers,
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,17 +4,20 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod consumer;
+mod engine;
 mod http;
+mod late_join;
 mod node;
 mod slow_consumers;
 mod store;
+mod verdict;
 mod worker;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::{env, fs};
 
-use self::slow_consumers::Verdict;
+use self::verdict::Verdict;
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().collect();
@@ -31,6 +34,7 @@
     let (root, record) = (PathBuf::from(root), PathBuf::from(record));
     let outcome = match case.as_str() {
         "slow-consumers" => slow_consumers::run(&root, &folder, &record, has_trouble),
+        "late-join" => late_join::run(&root, &folder, &record, has_trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
     if env::var("KEEP").is_err() {
--- a/review/standins-2/src/slow_consumers.rs
+++ b/review/standins-2/src/slow_consumers.rs
@@ -14,6 +14,7 @@
 use crate::http::{serve, spawn};
 use crate::node::{Machine, Node};
 use crate::store::Store;
+use crate::verdict::Verdict;
 use crate::worker::{Streams, Worker};
 
 /// The smallest machine of the installations on the pages: "0.084 to 0.5 cores, 112 to 512 MB, 2,870 to
@@ -45,13 +46,6 @@
 const START_INTERVAL: Duration = Duration::from_millis(8);
 const OBSERVATION: Duration = Duration::from_secs(5);
 
-/// What came of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    Held,
-    Broken,
-}
-
 /// Runs the case and writes the record.
 pub fn run(root: &Path, folder: &Path, record: &Path, has_trouble: bool) -> io::Result<Verdict> {
     let store = Arc::new(Store::new());
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -60,6 +60,17 @@
         self.changed.notify_all();
     }
 
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let value = None;
+        rows.rows
+            .insert((table.to_owned(), key.to_owned()), Row { version, value });
+        self.changed.notify_all();
+    }
+
     fn answer(&self, version: u64, mut fields: Value) -> Value {
         fields["ver"] = version.into();
         fields["nowMs"] = (self.started_at.elapsed().as_millis() as u64).into();
