--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -79,8 +79,10 @@
     has_crashed: Arc<AtomicBool>,
     trouble: Trouble,
     state: Mutex<State>,
-    /// Is held while an order is processed.
-    turn: Mutex<()>,
+    /// The next number for an order that arrives, and that of the order whose turn it is.
+    arrivals: AtomicU64,
+    turn: Mutex<u64>,
+    turn_ended: Condvar,
     fleet: Arc<Fleet>,
 }
 
@@ -161,7 +163,9 @@
                 changes: 0,
                 still_since: None,
             }),
-            turn: Mutex::new(()),
+            arrivals: AtomicU64::new(0),
+            turn: Mutex::new(0),
+            turn_ended: Condvar::new(),
             fleet: Arc::clone(fleet),
         });
         let has_crashed = Arc::clone(&engine.has_crashed);
@@ -458,14 +462,23 @@
         Ok(true)
     }
 
+    fn end_turn(&self) {
+        *self.turn.lock().unwrap() += 1;
+        self.turn_ended.notify_all();
+    }
+
     /// Takes an order in its turn, and answers it unless it is the one that is to be late.
     fn handle_order(self: &Arc<Self>, body: &[u8], stream: &mut TcpStream) -> io::Result<bool> {
         let order: Value = serde_json::from_slice(body).unwrap_or_default();
+        let number = self.arrivals.fetch_add(1, Ordering::SeqCst);
         let turn = self.turn.lock().unwrap();
+        let turn = self.turn_ended.wait_while(turn, |turn| *turn != number);
+        drop(turn.unwrap());
         let mut late = None;
         if order["operation"] == "join" {
             if self.trouble == Trouble::CrashAtRejoin && self.is_in_group() {
                 self.crash();
+                self.end_turn();
                 return Ok(false);
             }
             let mut state = self.state();
@@ -480,7 +493,7 @@
             }
         }
         if let Some(delay) = late {
-            drop(turn);
+            self.end_turn();
             self.fleet
                 .record(&format!("{} leaves an order unanswered: {order}", self.id));
             thread::sleep(delay);
@@ -489,7 +502,7 @@
         }
         thread::sleep(ORDER_TIME);
         let status = self.take(&order);
-        drop(turn);
+        self.end_turn();
         respond(stream, &format!("{status} Order"), "", b"")?;
         Ok(true)
     }
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
@@ -17,7 +18,7 @@
     pub link_mbps: f64,
 }
 
-/// A running node.
+/// A running node. It ends with this process, however that ends.
 #[derive(Debug)]
 pub struct Node {
     pub caller: SocketAddr,
@@ -87,7 +88,15 @@
         let settings = folder.join(format!("{name}.toml"));
         fs::write(&settings, text)?;
         let log = folder.join(format!("{name}.log"));
-        let child = Command::new(root.join(PROGRAM))
+        let mut command = Command::new(root.join(PROGRAM));
+        // SAFETY: the call is async-signal-safe and touches no memory of this process.
+        unsafe {
+            command.pre_exec(|| {
+                libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("--gateway")
             .arg(&settings)
             .current_dir(root)
